--- /dev/null
+++ b/Meta/lint.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Runs the linter and the project's own rules over the sources; fails on any finding.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+status=0
+
+# The linter does not read precompiled headers of GCC.
+build=build/lint
+cmake -S . -B "$build" -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null || exit 1
+mapfile -t files < <(find Libraries Services Utilities Tests -name '*.cpp' | grep -v /Generated/ | sort)
+printf '%s\n' "${files[@]}" \
+    | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null | grep -E 'error|warning' && status=1
+
+say() { echo "lint: $1"; status=1; }
+# A library is used through its one public header.
+grep -rnE '#include <Lib([A-Za-z]+)/' Libraries Services Utilities Tests --include='*.h' --include='*.cpp' \
+    | grep -vE '#include <Lib([A-Za-z]+)/(Lib\1\.h|Generated/)' && say "a library's inner header is included from outside"
+# LibPolicy decides; it has no clock, thread, lock, socket or log.
+grep -rnE 'system_clock::now|steady_clock::now|std::mutex|random_device|LOG\(|asio' Libraries/LibPolicy \
+    && say "LibPolicy must stay pure"
+# GCC 12 miscompiles a conditional expression around co_await.
+grep -rnE '[?:] co_await' Libraries Services Utilities Tests --include='*.cpp' && say "co_await in a conditional expression"
+grep -rniwE 'customer|backend|back_end|zone' Libraries Services Utilities --include='*.cpp' --include='*.h' \
+    | grep -v /Generated/ && say "a word that the house style replaces"
+[ "$status" -eq 0 ] && echo "lint: clean"
+exit "$status"
