LibModel: Add ids, units, numbered results and the checked table

The table is an aggregate: it can only be built from rows that pass every check, and each mistake names row, column, value and what is allowed. Weighed: one struct for each row kind on the wire (every new column would be a change of protocol) against cells of text checked by a schema (chosen).

--- /dev/null
+++ b/Libraries/LibModel/Columns.cpp
@@ -0,0 +1,237 @@
+#include "Columns.h"
+
+#include "Address.h"
+#include "TimeText.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace Model {
+
+namespace {
+
+using enum ColumnType;
+
+const std::vector<Column> regionColumns = {
+    {.name_ = "weight",
+     .type_ = Number,
+     .minimum_ = 0,
+     .maximum_ = 1000,
+     .default_ = "100",
+     .meaning_ = "how much of the traffic that leaves another region comes here; 0 is none"},
+};
+
+const std::vector<Column> domainColumns = {
+    {.name_ = "region",
+     .type_ = Reference,
+     .required_ = true,
+     .references_ = RowKind::Region,
+     .meaning_ = "the region in which the failure domain lies"},
+    {.name_ = "weight",
+     .type_ = Number,
+     .minimum_ = 0,
+     .maximum_ = 1000,
+     .default_ = "100",
+     .meaning_ = "share of traffic for each slot, relative to other failure domains"},
+    {.name_ = "drain_start", .type_ = Time, .meaning_ = "when traffic begins to leave"},
+    {.name_ = "drain_end", .type_ = Time, .meaning_ = "when traffic begins to come back"},
+};
+
+const std::vector<Column> serviceColumns = {
+    {.name_ = "timeout_ms",
+     .type_ = Integer,
+     .minimum_ = 1,
+     .maximum_ = 600000,
+     .default_ = "2000",
+     .meaning_ = "deadline of a request whose caller names none"},
+    {.name_ = "queue_ms",
+     .type_ = Integer,
+     .minimum_ = 0,
+     .maximum_ = 60000,
+     .default_ = "200",
+     .meaning_ = "longest wait for a slot before the request is refused"},
+    {.name_ = "shift_cap",
+     .type_ = Number,
+     .minimum_ = 0.01,
+     .maximum_ = 100,
+     .default_ = "5",
+     .meaning_ = "percent of the traffic that may move between failure domains in a second"},
+    {.name_ = "region_shift_cap",
+     .type_ = Number,
+     .minimum_ = 0.01,
+     .maximum_ = 100,
+     .default_ = "5",
+     .meaning_ = "percent of the traffic that may move between regions in a second"},
+    {.name_ = "idempotent",
+     .type_ = YesNo,
+     .default_ = "no",
+     .meaning_ = "whether requests other than GET and HEAD may run more than once"},
+    {.name_ = "use_limit",
+     .type_ = Number,
+     .minimum_ = 1,
+     .maximum_ = 100,
+     .default_ = "100",
+     .meaning_ = "percent of the slots that may be in use"},
+};
+
+const std::vector<Column> classColumns = {
+    {.name_ = "callers",
+     .type_ = Text,
+     .meaning_ = "comma-separated beginnings of the callers' names; '*' is every other caller"},
+    {.name_ = "weight",
+     .type_ = Number,
+     .minimum_ = 1,
+     .maximum_ = 1000,
+     .default_ = "10",
+     .meaning_ = "share of the slots beside other classes while slots are short"},
+    {.name_ = "bulk",
+     .type_ = YesNo,
+     .default_ = "no",
+     .meaning_ = "whether the class only borrows slots that others leave idle"},
+    {.name_ = "use_limit",
+     .type_ = Number,
+     .minimum_ = 1,
+     .maximum_ = 100,
+     .default_ = "100",
+     .meaning_ = "percent of a service's slots that the class may hold"},
+    {.name_ = "limit_rps",
+     .type_ = Number,
+     .minimum_ = 0,
+     .maximum_ = 10000000,
+     .default_ = "0",
+     .meaning_ = "requests a second of the whole class; 0 is no limit"},
+};
+
+const std::vector<Column> targetColumns = {
+    {.name_ = "service",
+     .type_ = Reference,
+     .required_ = true,
+     .references_ = RowKind::Service,
+     .meaning_ = "the service that the target runs"},
+    {.name_ = "domain",
+     .type_ = Reference,
+     .required_ = true,
+     .references_ = RowKind::Domain,
+     .meaning_ = "the failure domain in which the target lies"},
+    {.name_ = "address",
+     .type_ = ColumnType::Address,
+     .required_ = true,
+     .meaning_ = "where the target listens"},
+    {.name_ = "slots",
+     .type_ = Integer,
+     .minimum_ = 1,
+     .maximum_ = 100000,
+     .default_ = "4",
+     .meaning_ = "requests that the target works on at the same time"},
+    {.name_ = "connections",
+     .type_ = Integer,
+     .minimum_ = 1,
+     .maximum_ = 1000000,
+     .default_ = "400",
+     .meaning_ = "connections that the target holds in all"},
+};
+
+std::optional<double> numberFromText(const std::string &text)
+{
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
+std::string numberText(double value)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.10g", value);
+    return text;
+}
+
+bool isPrintableText(const std::string &value)
+{
+    return value.size() <= 4096 && std::all_of(value.begin(), value.end(), [](unsigned char c) {
+               return c >= ' ' && c != 127;
+           });
+}
+
+} // namespace
+
+const std::vector<Column> &columnsOf(RowKind kind)
+{
+    switch (kind) {
+    case RowKind::Region:
+        return regionColumns;
+    case RowKind::Domain:
+        return domainColumns;
+    case RowKind::Service:
+        return serviceColumns;
+    case RowKind::Class:
+        return classColumns;
+    case RowKind::Target:
+        break;
+    }
+    return targetColumns;
+}
+
+std::string allowedText(const Column &column)
+{
+    const std::string range = numberText(column.minimum_) + " to " + numberText(column.maximum_);
+    switch (column.type_) {
+    case Integer:
+        return "a whole number from " + range;
+    case Number:
+        return "a number from " + range;
+    case YesNo:
+        return "yes or no";
+    case Time:
+        return "a UTC time such as 2026-12-02T18:00:00Z, or nothing";
+    case Text:
+        return "printable text of at most 4096 characters";
+    case ColumnType::Address:
+        return "IP:port";
+    case Reference:
+        return "the name of a " + toText(column.references_) + " row";
+    }
+    return "";
+}
+
+bool isAllowed(const Column &column, const std::string &value)
+{
+    if (value.empty())
+        return !column.required_ && (column.type_ == Time || column.type_ == Text);
+
+    const auto parsed = numberFromText(value);
+    const bool isInRange = parsed && *parsed >= column.minimum_ && *parsed <= column.maximum_;
+    switch (column.type_) {
+    case Integer:
+        return isInRange && std::floor(*parsed) == *parsed;
+    case Number:
+        return isInRange;
+    case YesNo:
+        return value == "yes" || value == "no";
+    case Time:
+        return timeFromText(value).has_value();
+    case Text:
+        return isPrintableText(value);
+    case ColumnType::Address:
+        return addressFromText(value).has_value();
+    case Reference:
+        return true;
+    }
+    return false;
+}
+
+std::string cellOrDefault(const Row &row, std::string_view name)
+{
+    const auto cell = row.cells_.find(std::string(name));
+    if (cell != row.cells_.end())
+        return cell->second;
+    for (const auto &column : columnsOf(row.key_.kind_))
+        if (column.name_ == name)
+            return std::string(column.default_);
+    return "";
+}
+
+} // namespace Model
--- /dev/null
+++ b/Libraries/LibModel/TableText.cpp
@@ -0,0 +1,116 @@
+#include "TableText.h"
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace Model {
+
+namespace {
+
+std::map<RowKey, const Row *> liveRows(const std::vector<Row> &rows)
+{
+    std::map<RowKey, const Row *> live;
+    for (const auto &row : rows)
+        if (!row.deleted_)
+            live[row.key_] = &row;
+    return live;
+}
+
+void addCellChanges(const Row &before, const Row &after, std::vector<CellChange> &changes)
+{
+    std::set<std::string> columns;
+    for (const auto &[column, value] : before.cells_)
+        columns.insert(column);
+    for (const auto &[column, value] : after.cells_)
+        columns.insert(column);
+    for (const auto &column : columns) {
+        const auto old = before.cells_.find(column);
+        const auto fresh = after.cells_.find(column);
+        const std::string oldValue = old == before.cells_.end() ? "" : old->second;
+        const std::string newValue = fresh == after.cells_.end() ? "" : fresh->second;
+        if (oldValue != newValue)
+            changes.push_back({after.key_, column, oldValue, newValue});
+    }
+}
+
+std::string cellsText(const Row &row)
+{
+    std::string text;
+    for (const auto &[column, value] : row.cells_)
+        text += (text.empty() ? "" : " ") + column + "=" + value;
+    return text;
+}
+
+} // namespace
+
+std::optional<std::vector<Row>> rowsFromText(const std::string &text)
+{
+    boost::property_tree::ptree tree;
+    std::istringstream stream(text);
+    try {
+        boost::property_tree::read_ini(stream, tree);
+    } catch (const boost::property_tree::ini_parser_error &error) {
+        const bool isDuplicate = error.message().find("duplicate") != std::string::npos;
+        return fail(isDuplicate ? ResultCode::DuplicateRow : ResultCode::MalformedText,
+                    "line " + std::to_string(error.line()) + ": " + error.message());
+    }
+
+    std::vector<Row> rows;
+    for (const auto &[section, cells] : tree) {
+        if (!cells.data().empty())
+            return fail(ResultCode::MalformedText, "cell '" + section + "' stands before any row");
+        const auto key = rowKeyFromText(section);
+        if (!key)
+            return std::nullopt;
+        Row row;
+        row.key_ = *key;
+        for (const auto &[column, value] : cells)
+            row.cells_[column] = value.data();
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+std::string toText(const std::vector<Row> &rows)
+{
+    std::string text;
+    for (const auto &[key, row] : liveRows(rows)) {
+        text += (text.empty() ? "[" : "\n[") + toText(key) + "]\n";
+        for (const auto &[column, value] : row->cells_)
+            text += column + " = " + value + "\n";
+    }
+    return text;
+}
+
+std::vector<CellChange> changesBetween(const std::vector<Row> &before,
+                                       const std::vector<Row> &after)
+{
+    const auto oldRows = liveRows(before);
+    const auto newRows = liveRows(after);
+    std::vector<CellChange> changes;
+    for (const auto &[key, row] : oldRows)
+        if (!newRows.contains(key))
+            changes.push_back({key, "", cellsText(*row), ""});
+    for (const auto &[key, row] : newRows) {
+        const auto old = oldRows.find(key);
+        if (old == oldRows.end())
+            changes.push_back({key, "", "", cellsText(*row)});
+        else
+            addCellChanges(*old->second, *row, changes);
+    }
+    return changes;
+}
+
+std::string toText(const CellChange &change)
+{
+    const std::string name = toText(change.row_);
+    if (change.column_.empty() && change.before_.empty())
+        return name + " added: " + change.after_;
+    if (change.column_.empty())
+        return name + " removed: " + change.before_;
+    return name + " " + change.column_ + ": '" + change.before_ + "' -> '" + change.after_ + "'";
+}
+
+} // namespace Model
