--- /dev/null
+++ b/Libraries/LibPolicy/Admission.cpp
@@ -0,0 +1,69 @@
+#include "Admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Policy {
+
+namespace {
+
+constexpr Model::Milliseconds rateWindow{200};
+constexpr double newWindowWeight = 0.5;
+/// A bucket holds what its limit allows in this time, and one request at the least.
+constexpr double bucketSeconds = 0.1;
+
+} // namespace
+
+void countFinished(DrainRate &rate, Model::SteadyTime now)
+{
+    ++rate.inWindow_;
+    const auto elapsed = now - rate.windowStart_;
+    if (elapsed < rateWindow)
+        return;
+    const double measured = static_cast<double>(rate.inWindow_) / Model::inSeconds(elapsed);
+    const bool isFirst = rate.perSecond_ == 0;
+    rate.perSecond_
+        = isFirst ? measured : rate.perSecond_ * (1 - newWindowWeight) + measured * newWindowWeight;
+    rate.windowStart_ = now;
+    rate.inWindow_ = 0;
+}
+
+std::size_t queueBound(const DrainRate &rate, Model::Milliseconds longestWait, Model::Slots slots)
+{
+    const auto byRate = static_cast<std::int64_t>(rate.perSecond_ * Model::inSeconds(longestWait));
+    return static_cast<std::size_t>(std::max(byRate, slots.value()));
+}
+
+Model::Milliseconds comeBackAfter(const DrainRate &rate, std::size_t waiting)
+{
+    const double seconds = rate.perSecond_ > 0 ? static_cast<double>(waiting) / rate.perSecond_ : 0;
+    const Model::Milliseconds expected(static_cast<long long>(seconds * 1000));
+    return std::clamp(expected, leastComeBack, longestComeBack);
+}
+
+bool canFinish(Model::Milliseconds remaining, Model::Microseconds usualLatency)
+{
+    return remaining.count() > 0 && remaining > usualLatency;
+}
+
+Model::RequestsPerSecond limitPart(Model::RequestsPerSecond limit, std::size_t holders)
+{
+    return Model::RequestsPerSecond(limit.value()
+                                    / static_cast<double>(std::max<std::size_t>(1, holders)));
+}
+
+bool takeToken(RateBucket &bucket, Model::RequestsPerSecond limit, Model::SteadyTime now)
+{
+    if (limit.value() <= 0)
+        return true;
+    const double most = std::max(1.0, limit.value() * bucketSeconds);
+    const double earned = Model::inSeconds(now - bucket.filledAt_) * limit.value();
+    bucket.tokens_ = std::min(most, bucket.tokens_ + std::max(0.0, earned));
+    bucket.filledAt_ = now;
+    if (bucket.tokens_ < 1)
+        return false;
+    bucket.tokens_ -= 1;
+    return true;
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/EntryRanking.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibModel/LibModel.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Policy {
+
+/// An entry instance as a look-up sees it.
+struct EntryCandidate
+{
+    Model::Instance instance_;
+    /// It is ready and was heard of lately.
+    bool isAlive_ = false;
+};
+
+/// Who asks for an entry.
+struct LookupQuery
+{
+    Model::CallerId caller_;
+    /// Where the caller is.
+    Model::RegionId origin_;
+    /// The failure domain near the caller, if known.
+    Model::FailureDomainId nearDomain_;
+};
+
+/// Returns the entries that the caller should try, best first, at most \a most.
+///
+/// Entries of the caller's own region come first, near ones before others, each group in an order
+/// that is spread over callers and stays the same for one caller (weighted rendezvous), so that an
+/// entry that comes or goes moves only its own callers. Leaving and dead entries are left out.
+/// Empty if no entry is alive. Thread safety: any thread.
+std::vector<Model::Instance> rankEntries(const LookupQuery &query,
+                                         const std::vector<EntryCandidate> &candidates,
+                                         std::size_t most);
+
+/// Returns a well-mixed number for a pair of names, the same on every instance.
+///
+/// Thread safety: any thread.
+std::uint64_t rendezvousScore(const std::string &first, const std::string &second);
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/Outcome.cpp
@@ -0,0 +1,51 @@
+#include "Outcome.h"
+
+#include <algorithm>
+
+namespace Policy {
+
+std::string_view toText(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Run:
+        return "run";
+    case Outcome::NotRun:
+        return "not-run";
+    case Outcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+Outcome outcomeOf(AttemptStage stage)
+{
+    switch (stage) {
+    case AttemptStage::NotConnected:
+    case AttemptStage::RefusedByTarget:
+        return Outcome::NotRun;
+    case AttemptStage::Answered:
+        return Outcome::Run;
+    case AttemptStage::Sent:
+        break;
+    }
+    return Outcome::Unknown;
+}
+
+void earnRetryCredit(RetryBudget &budget)
+{
+    budget.credit_ = std::min(largestRetryCredit, budget.credit_ + retryShare);
+}
+
+bool mayRetry(RetryBudget &budget, Outcome outcome, bool isIdempotent, int attempts)
+{
+    if (outcome == Outcome::Run || attempts >= mostAttempts)
+        return false;
+    if (outcome == Outcome::Unknown && !isIdempotent)
+        return false;
+    if (budget.credit_ < 1)
+        return false;
+    budget.credit_ -= 1;
+    return true;
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/TargetPicker.cpp
@@ -0,0 +1,88 @@
+#include "TargetPicker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Policy {
+
+namespace {
+
+bool canTake(const TargetView &target)
+{
+    if (target.isLeaving_ || target.isSuspect_)
+        return false;
+    return likelyInFlight(target) < usableSlots(target);
+}
+
+/// Expected time to finish one more request: busier and slower targets score higher.
+double cost(const TargetView &target)
+{
+    const auto usable = static_cast<double>(std::max<std::int64_t>(1, usableSlots(target)));
+    const double load = static_cast<double>(likelyInFlight(target) + 1) / usable;
+    const auto latency = static_cast<double>(std::max<long long>(1, target.latency_.count()));
+    return load * std::sqrt(latency);
+}
+
+} // namespace
+
+std::int64_t likelyInFlight(const TargetView &target)
+{
+    if (target.reportAge_ > reportLifetime)
+        return target.ownInFlight_;
+    const std::int64_t others
+        = std::max<std::int64_t>(0, target.reportedInFlight_ - target.ownInFlightAtReport_);
+    return target.ownInFlight_ + others;
+}
+
+std::int64_t usableSlots(const TargetView &target)
+{
+    if (target.inUseFor_ >= slowStartPeriod)
+        return target.slots_;
+    const double grown = Model::inSeconds(target.inUseFor_) / Model::inSeconds(slowStartPeriod);
+    const double part = std::max(slowStartLeastShare, grown);
+    const auto usable = static_cast<std::int64_t>(static_cast<double>(target.slots_) * part);
+    return std::max<std::int64_t>(1, usable);
+}
+
+std::optional<std::size_t> chooseTarget(const std::vector<TargetView> &targets,
+                                        std::uint64_t firstDraw, std::uint64_t secondDraw)
+{
+    std::vector<std::size_t> free;
+    free.reserve(targets.size());
+    for (std::size_t i = 0; i < targets.size(); ++i)
+        if (canTake(targets[i]))
+            free.push_back(i);
+    if (free.empty())
+        return std::nullopt;
+    const std::size_t first = free[firstDraw % free.size()];
+    const std::size_t second = free[secondDraw % free.size()];
+    return cost(targets[second]) < cost(targets[first]) ? second : first;
+}
+
+SlotUse slotUse(const std::vector<TargetView> &targets)
+{
+    SlotUse use;
+    for (const auto &target : targets) {
+        if (target.isLeaving_ || target.isSuspect_)
+            continue;
+        use.slots_ += usableSlots(target);
+        use.inFlight_ += likelyInFlight(target);
+    }
+    return use;
+}
+
+bool mayFillSlot(const SlotUse &use, double useLimit)
+{
+    const double most
+        = std::max(1.0, std::floor(static_cast<double>(use.slots_) * useLimit + 1e-6));
+    return static_cast<double>(use.inFlight_ + 1) <= most;
+}
+
+bool anyUsable(const std::vector<TargetView> &targets)
+{
+    return std::any_of(targets.begin(), targets.end(), [](const auto &target) {
+        return !target.isLeaving_ && !target.isSuspect_;
+    });
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/TargetPicker.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <LibModel/LibModel.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Policy {
+
+/// What an entry knows of one target at this moment, copied out of the shared counters.
+struct TargetView
+{
+    std::int64_t slots_ = 1;
+    /// Requests of this entry that the target is working on.
+    std::int64_t ownInFlight_ = 0;
+    /// All requests in progress by the target's latest answer, and this entry's part in it then.
+    std::int64_t reportedInFlight_ = 0;
+    std::int64_t ownInFlightAtReport_ = 0;
+    Model::Milliseconds reportAge_{0};
+    Model::Microseconds latency_{0};
+    /// How long the target has been taking work; new ones get little at first.
+    Model::Milliseconds inUseFor_{0};
+    /// It failed or fell silent just now and has not answered since.
+    bool isSuspect_ = false;
+    bool isLeaving_ = false;
+};
+
+/// A report older than this says nothing about how busy the target is.
+constexpr Model::Milliseconds reportLifetime{500};
+/// The time in which a cold target's share grows from the least to the whole.
+constexpr Model::Milliseconds slowStartPeriod{3000};
+constexpr double slowStartLeastShare = 0.25;
+
+/// Returns the requests that the target is likely working on, by own observation first: never below
+/// this entry's own, and others' part only while the report is fresh.
+///
+/// Thread safety: any thread.
+std::int64_t likelyInFlight(const TargetView &target);
+
+/// Returns the slots that may be filled now: all, or for a target that is still cold a part, so
+/// that a bulk shift does not land on empty caches. Thread safety: any thread.
+std::int64_t usableSlots(const TargetView &target);
+
+/// Returns the index of the target that should get the next request: the better of two that are
+/// drawn by \a firstDraw and \a secondDraw from those with a free slot.
+///
+/// Returns nothing if no target has a free slot; there is no last reason then.
+/// Thread safety: any thread.
+std::optional<std::size_t> chooseTarget(const std::vector<TargetView> &targets,
+                                        std::uint64_t firstDraw, std::uint64_t secondDraw);
+
+/// Slots of several targets together.
+struct SlotUse
+{
+    std::int64_t slots_ = 0;
+    std::int64_t inFlight_ = 0;
+};
+
+/// Adds up the slots of the targets that take work. Thread safety: any thread.
+SlotUse slotUse(const std::vector<TargetView> &targets);
+
+/// Tells whether one more slot of \a use may be filled under \a useLimit, a part from 0 to 1.
+///
+/// What goes wrong without it: a bulk caller fills every slot of a region, and a small caller's
+/// single request waits a whole service time. The few slots that bulk leaves are free at once.
+/// Thread safety: any thread.
+bool mayFillSlot(const SlotUse &use, double useLimit);
+
+/// Tells whether any target could take work at some time (none is leaving or suspect).
+///
+/// Thread safety: any thread.
+bool anyUsable(const std::vector<TargetView> &targets);
+
+} // namespace Policy
