--- /dev/null
+++ b/Libraries/LibObserve/Daemon.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Settings.h"
+
+#include <optional>
+#include <string>
+
+namespace Observe {
+
+/// Exit codes of all binaries; docs/settings.md lists them.
+enum class ExitCode { Ok = 0, Failed = 1, BadSettings = 2, BadUsage = 3, ListenFailed = 4 };
+
+/// What the start of a daemon led to: settings to go on with, or the code to exit with.
+struct DaemonStart
+{
+    std::optional<Settings> settings_;
+    ExitCode exitCode_ = ExitCode::Ok;
+};
+
+/// Reads the command line (--settings, --check-settings, --help), sets up the log, and reads and
+/// checks the settings. \a purpose is the first line of the help.
+///
+/// Precondition: called once, first in main(). Thread safety: none.
+DaemonStart startDaemon(int argc, char **argv, const std::string &purpose);
+
+/// Prints \a help and the flags defined in the source file whose path holds \a flagFile, if the
+/// command line asks for help. Returns whether it did. Thread safety: none.
+bool showHelpIfAsked(int argc, char **argv, const std::string &help, const std::string &flagFile);
+
+/// Blocks until the process is asked to stop (SIGTERM or SIGINT).
+///
+/// Precondition: blockStopSignals() was called before any thread was started.
+void waitForStopSignal();
+
+/// Keeps stop signals from ending the process, in this thread and those that it starts later.
+void blockStopSignals();
+
+} // namespace Observe
--- /dev/null
+++ b/Libraries/LibObserve/Event.cpp
@@ -0,0 +1,70 @@
+#include "Event.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace Observe {
+
+const std::vector<EventInfo> &events()
+{
+    using enum Event;
+    using enum Severity;
+    static const std::vector<EventInfo> catalogue = {
+        {Started, Info, "Started", "The process began, with its settings accepted."},
+        {Ready, Info, "Ready", "The process serves from now on."},
+        {StopRequested, Info, "StopRequested", "A planned stop began."},
+        {Stopped, Info, "Stopped", "The process ends; nothing in progress was cut off."},
+        {SettingsRefused, Error, "SettingsRefused", "The settings have mistakes; nothing started."},
+        {ListenFailed, Error, "ListenFailed", "An address of the settings cannot be listened on."},
+        {TableApplied, Info, "TableApplied", "A newer version of the table is in force here."},
+        {TableRefused, Warning, "TableRefused", "An older or invalid table was offered."},
+        {StoreLost, Warning, "StoreLost", "The platform's store does not answer."},
+        {StoreBack, Info, "StoreBack", "The platform's store answers again."},
+        {InstanceListChanged, Info, "InstanceListChanged", "The platform's instance list changed."},
+        {PeerLost, Warning, "PeerLost", "A peer has not been heard of for a while."},
+        {PeerBack, Info, "PeerBack", "A peer is heard of (again)."},
+        {BlocksApplied, Info, "BlocksApplied", "A new map of client blocks is in force here."},
+        {TargetLeaving, Info, "TargetLeaving", "A target is leaving and gets no new work."},
+        {TargetSuspect, Warning, "TargetSuspect", "A target failed and is passed over."},
+        {TargetBack, Info, "TargetBack", "A suspect target answered again."},
+        {ForeignAnswerDropped, Error, "ForeignAnswerDropped",
+         "A target's answer did not belong to the request; it was dropped, the connection closed."},
+        {DomainOut, Warning, "DomainOut", "No target of a service answers in a failure domain."},
+        {DomainBack, Info, "DomainBack", "A failure domain can serve a service again."},
+        {ClaimUnsettled, Warning, "ClaimUnsettled",
+         "The outcome of a claimed request could not be written; repeats are told 'unknown'."},
+        {SnapshotApplied, Info, "SnapshotApplied", "A newer snapshot is used for requests."},
+        {ControlLost, Warning, "ControlLost",
+         "The local control process does not answer; the last snapshot stays in use."},
+        {ControlBack, Info, "ControlBack", "The local control process answers (again)."},
+        {SnapshotRefused, Warning, "SnapshotRefused",
+         "The local control process offered an older or invalid table."},
+    };
+    return catalogue;
+}
+
+void logEvent(Event event, const std::vector<Field> &fields)
+{
+    const auto &catalogue = events();
+    const auto found = std::find_if(catalogue.begin(), catalogue.end(), [event](const auto &info) {
+        return info.event_ == event;
+    });
+    std::string line
+        = "[" + std::to_string(static_cast<int>(event)) + " " + std::string(found->name_) + "]";
+    for (const auto &field : fields)
+        line += " " + std::string(field.name_) + "=" + field.value_;
+
+    switch (found->severity_) {
+    case Severity::Info:
+        LOG(INFO) << line;
+        return;
+    case Severity::Warning:
+        LOG(WARNING) << line;
+        return;
+    case Severity::Error:
+        LOG(ERROR) << line;
+        return;
+    }
+}
+
+} // namespace Observe
--- /dev/null
+++ b/Libraries/LibObserve/Event.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Observe {
+
+/// Numbered log events. The number is part of the interface: it is never given a new meaning.
+/// docs/events.md holds the same table, and a test compares the two.
+enum class Event {
+    Started = 1001,
+    Ready = 1002,
+    StopRequested = 1003,
+    Stopped = 1004,
+    SettingsRefused = 1005,
+    ListenFailed = 1006,
+
+    TableApplied = 2001,
+    TableRefused = 2002,
+    StoreLost = 2003,
+    StoreBack = 2004,
+    InstanceListChanged = 2005,
+    PeerLost = 2006,
+    PeerBack = 2007,
+    BlocksApplied = 2008,
+
+    TargetLeaving = 3001,
+    TargetSuspect = 3002,
+    TargetBack = 3003,
+    ForeignAnswerDropped = 3004,
+    DomainOut = 3005,
+    DomainBack = 3006,
+    ClaimUnsettled = 3007,
+
+    SnapshotApplied = 4001,
+    ControlLost = 4002,
+    ControlBack = 4003,
+    SnapshotRefused = 4004,
+};
+
+enum class Severity { Info, Warning, Error };
+
+/// One line of the catalogue of events.
+struct EventInfo
+{
+    Event event_;
+    Severity severity_;
+    std::string_view name_;
+    std::string_view meaning_;
+};
+
+/// Returns the whole catalogue in ascending order. Thread safety: any thread.
+const std::vector<EventInfo> &events();
+
+/// One name and value of a logged event.
+struct Field
+{
+    std::string_view name_;
+    std::string value_;
+};
+
+/// Writes one line "[number name] field=value ..." to the log.
+///
+/// Thread safety: any thread; may block on the log's file, so it is not called for each request.
+void logEvent(Event event, const std::vector<Field> &fields = {});
+
+} // namespace Observe
