--- /dev/null
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -0,0 +1,80 @@
+#include "ConnectionPool.h"
+
+#include <sys/socket.h>
+
+namespace Http {
+
+namespace {
+
+/// A connection on which nothing is awaited must have nothing to read: data would be a late answer
+/// to an earlier request, and an end means that the peer has closed.
+bool looksAlive(Connection &connection)
+{
+    if (connection.buffer_.size() != 0)
+        return false;
+    char byte = 0;
+    const auto handle = beast::get_lowest_layer(connection.stream_).socket().native_handle();
+    const auto received = recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+std::unique_ptr<Connection> ConnectionPool::takeIdle(const Model::Address &address,
+                                                     Model::Milliseconds longestIdle)
+{
+    const auto found = peers_.find(address);
+    if (found == peers_.end())
+        return nullptr;
+    Peer &peer = found->second;
+    const auto oldest = std::chrono::steady_clock::now() - longestIdle;
+    while (!peer.idle_.empty()) {
+        // The most recently used one is the likeliest to be alive.
+        std::unique_ptr<Connection> connection = std::move(peer.idle_.back());
+        peer.idle_.pop_back();
+        if (connection->usedAt_ >= oldest && looksAlive(*connection))
+            return connection;
+        --peer.open_;
+    }
+    return nullptr;
+}
+
+std::unique_ptr<Connection> ConnectionPool::openNew(const Model::Address &address,
+                                                    std::size_t limit)
+{
+    Peer &peer = peers_[address];
+    if (peer.open_ >= limit)
+        return nullptr;
+    ++peer.open_;
+    return std::make_unique<Connection>(context_);
+}
+
+void ConnectionPool::giveBack(const Model::Address &address, std::unique_ptr<Connection> connection)
+{
+    connection->usedAt_ = std::chrono::steady_clock::now();
+    connection->stream_.expires_never();
+    peers_[address].idle_.push_back(std::move(connection));
+}
+
+void ConnectionPool::discard(const Model::Address &address, std::unique_ptr<Connection> connection)
+{
+    connection.reset();
+    --peers_[address].open_;
+}
+
+void ConnectionPool::dropIdle(const Model::Address &address)
+{
+    const auto found = peers_.find(address);
+    if (found == peers_.end())
+        return;
+    found->second.open_ -= found->second.idle_.size();
+    found->second.idle_.clear();
+}
+
+std::size_t ConnectionPool::openCount(const Model::Address &address) const
+{
+    const auto found = peers_.find(address);
+    return found == peers_.end() ? 0 : found->second.open_;
+}
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Types.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace Http {
+
+/// One TCP connection to a target, another entry or the platform.
+struct Connection
+{
+    explicit Connection(asio::io_context &context)
+        : stream_(context)
+    {
+    }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    Model::SteadyTime usedAt_;
+};
+
+/// Keeps open connections for reuse.
+///
+/// Thread safety: none; each thread has its own pool on its own io_context.
+class ConnectionPool
+{
+public:
+    explicit ConnectionPool(asio::io_context &context)
+        : context_(context)
+    {
+    }
+
+    asio::io_context &context() { return context_; }
+
+    /// Returns an idle connection to \a address that was used at most \a longestIdle ago and looks
+    /// alive, or nullptr. Connections that do not are closed on the way.
+    std::unique_ptr<Connection> takeIdle(const Model::Address &address,
+                                         Model::Milliseconds longestIdle);
+
+    /// Counts a new connection to \a address, unless \a limit are open already.
+    std::unique_ptr<Connection> openNew(const Model::Address &address, std::size_t limit);
+
+    /// Keeps \a connection for reuse.
+    void giveBack(const Model::Address &address, std::unique_ptr<Connection> connection);
+
+    /// Closes \a connection.
+    void discard(const Model::Address &address, std::unique_ptr<Connection> connection);
+
+    /// Closes every idle connection to \a address.
+    ///
+    /// What goes wrong without it: something between the two ends forgets connections, each of them
+    /// stays silent for good, and request after request waits out its deadline on the next one.
+    /// When one has failed, the others of its age are not trusted either.
+    void dropIdle(const Model::Address &address);
+
+    /// Returns the connections to \a address that are open, idle or in use.
+    std::size_t openCount(const Model::Address &address) const;
+
+private:
+    struct Peer
+    {
+        std::vector<std::unique_ptr<Connection>> idle_;
+        std::size_t open_ = 0;
+    };
+
+    asio::io_context &context_;
+    std::map<Model::Address, Peer> peers_;
+};
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/Exchange.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ConnectionPool.h"
+
+#include <optional>
+
+namespace Http {
+
+/// How far an exchange came before it ended.
+enum class ExchangeStage {
+    /// No connection: no byte of the request can have left.
+    NotConnected,
+    /// A byte of the request may have left, and no complete answer came back.
+    Sent,
+    /// A complete answer came back.
+    Answered,
+};
+
+/// Where and within which limits to exchange one request for one answer.
+struct ExchangeOptions
+{
+    Model::Address address_;
+    Model::SteadyTime deadline_;
+    Model::Milliseconds connectTimeout_{500};
+    /// Zero asks for a new connection.
+    Model::Milliseconds longestIdle_{10000};
+    std::size_t connectionLimit_ = 64;
+    std::size_t answerLimitBytes_ = 64 * 1024 * 1024;
+    /// The IP number to connect from; empty leaves the choice to the system.
+    std::string sourceHost_;
+};
+
+struct ExchangeResult
+{
+    ExchangeStage stage_ = ExchangeStage::NotConnected;
+    /// Why there is no answer; Ok if there is one.
+    Model::ResultCode code_ = Model::ResultCode::Ok;
+    std::optional<Response> answer_;
+    bool isNewConnection_ = false;
+};
+
+/// Sends \a request and reads the answer, with one request in progress on a connection at a time.
+///
+/// A connection that failed in any way is closed, so that a late answer on it can never be taken
+/// for the answer to a later request. \a isOwnAnswer is asked about a complete answer; if it says
+/// no, the answer is dropped and the code is ForeignAnswer. Thread safety: the pool belongs to the
+/// calling thread.
+Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
+                              const Request &request,
+                              bool (*isOwnAnswer)(const Request &, const Response &));
+
+/// For peers whose answers carry no request id. Thread safety: any thread.
+bool anyAnswer(const Request &request, const Response &answer);
+
+/// Sets what every connection of ours needs: no delay, and an end to unanswered sending.
+void tuneSocket(tcp::socket &socket);
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/LibHttp.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/// LibHttp: the HTTP plumbing that the daemons share: server, pooled client, admin readouts.
+/// This is the library's only public header.
+
+#include "AdminServer.h"
+#include "BlockingClient.h"
+#include "ConnectionPool.h"
+#include "Exchange.h"
+#include "HeaderNames.h"
+#include "Server.h"
+#include "Types.h"
--- /dev/null
+++ b/Libraries/LibHttp/Server.cpp
@@ -0,0 +1,344 @@
+#include "Server.h"
+
+#include "Exchange.h"
+#include "HeaderNames.h"
+
+#include <algorithm>
+#include <boost/beast/http/parser.hpp>
+
+namespace Http {
+
+using Model::Milliseconds;
+using Model::ResultCode;
+
+namespace {
+
+constexpr Milliseconds writeTimeout{30000};
+constexpr Milliseconds lingerTime{500};
+constexpr std::size_t lingerBytes = 256 * 1024;
+constexpr std::size_t sessionsBeforeSweep = 64;
+
+using Parser = http::request_parser<http::string_body>;
+
+ResultCode codeOf(const ErrorCode &error)
+{
+    if (error == beast::error::timeout)
+        return ResultCode::RequestTooSlow;
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return ResultCode::HeadTooLarge;
+    if (error == http::error::body_limit)
+        return ResultCode::BodyTooLarge;
+    // Two lengths, or a length beside chunks: what one reader takes for the end of the body another
+    // takes for its middle, so a second request could be smuggled inside the first.
+    if (error == http::error::bad_content_length || error == http::error::bad_transfer_encoding)
+        return ResultCode::AmbiguousLength;
+    return ResultCode::MalformedRequest;
+}
+
+bool hasEnded(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto received = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/// Checks what the parser lets pass but two readers could understand in two ways.
+ResultCode checkHead(const Parser &parser)
+{
+    const auto &head = parser.get();
+    const bool hasEncoding = head.count(http::field::transfer_encoding) > 0;
+    if (hasEncoding
+        && (head.count(http::field::transfer_encoding) > 1
+            || !beast::iequals(head[http::field::transfer_encoding], "chunked")))
+        return ResultCode::AmbiguousLength;
+    if (hasEncoding && head.version() < 11)
+        return ResultCode::AmbiguousLength;
+    const auto hosts = head.count(http::field::host);
+    if (hosts > 1 || (head.version() >= 11 && hosts == 0))
+        return ResultCode::BadHost;
+    const bool expects = head.count(http::field::expect) > 0;
+    if (expects && !beast::iequals(head[http::field::expect], "100-continue"))
+        return ResultCode::UnsupportedExpectation;
+    return ResultCode::Ok;
+}
+
+} // namespace
+
+/// One connection of a caller.
+struct Server::Session
+{
+    Session(tcp::socket socket, std::size_t bufferBytes)
+        : stream_(std::move(socket))
+        , buffer_(bufferBytes)
+    {
+    }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    std::string remoteHost_;
+    bool isIdle_ = true;
+};
+
+Server::Server(asio::io_context &context, ServerLimits limits, Handler handler)
+    : context_(context)
+    , limits_(limits)
+    , handler_(std::move(handler))
+{
+}
+
+bool Server::listen(const Model::Address &address)
+{
+    auto acceptor = std::make_shared<tcp::acceptor>(context_);
+    ErrorCode error;
+    const tcp::endpoint endpoint = endpointOf(address);
+    acceptor->open(endpoint.protocol(), error);
+    if (!error)
+        acceptor->set_option(asio::socket_base::reuse_address(true), error);
+    const int on = 1;
+    if (!error)
+        setsockopt(acceptor->native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    if (!error)
+        acceptor->bind(endpoint, error);
+    if (!error)
+        acceptor->listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        Model::fail(ResultCode::BadValue, toText(address) + ": " + error.message());
+        return false;
+    }
+    acceptors_.push_back(acceptor);
+    asio::co_spawn(context_, acceptLoop(acceptor), asio::detached);
+    return true;
+}
+
+Task<void> Server::acceptLoop(std::shared_ptr<tcp::acceptor> acceptor)
+{
+    while (acceptor->is_open()) {
+        ErrorCode error;
+        tcp::socket socket
+            = co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            startSession(std::move(socket));
+            continue;
+        }
+        // Out of descriptors and the like: accepting again at once would only spin.
+        if (acceptor->is_open())
+            co_await sleepFor(Milliseconds(10));
+    }
+}
+
+void Server::startSession(tcp::socket socket)
+{
+    ErrorCode error;
+    const auto remote = socket.remote_endpoint(error);
+    if (error)
+        return;
+    tuneSocket(socket);
+    auto session = std::make_shared<Session>(std::move(socket), limits_.headBytes_ * 2);
+    session->remoteHost_ = remote.address().to_string();
+    if (sessions_.size() > sessionsBeforeSweep + 2 * openSessions_)
+        std::erase_if(sessions_, [](const auto &weak) {
+            return weak.expired();
+        });
+    sessions_.push_back(session);
+    ++openSessions_;
+    asio::co_spawn(context_, serve(session), asio::detached);
+}
+
+Task<void> Server::serve(std::shared_ptr<Session> session)
+{
+    bool goesOn = true;
+    while (goesOn)
+        goesOn = co_await serveOne(*session);
+    ErrorCode ignored;
+    session->stream_.socket().close(ignored);
+    --openSessions_;
+}
+
+Task<bool> Server::serveOne(Session &session)
+{
+    if (session.buffer_.size() == 0) {
+        session.isIdle_ = true;
+        session.stream_.expires_after(limits_.idle_);
+        ErrorCode error;
+        const auto space = session.buffer_.prepare(1024);
+        const std::size_t received = co_await session.stream_.async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return false;
+        session.buffer_.commit(received);
+    }
+    session.isIdle_ = false;
+
+    IncomingRequest incoming;
+    const ResultCode code = co_await readRequest(session, incoming.message_);
+    if (code != ResultCode::Ok) {
+        co_await refuse(session, code);
+        co_return false;
+    }
+    incoming.remoteHost_ = session.remoteHost_;
+    incoming.arrivedAt_ = std::chrono::steady_clock::now();
+    incoming.isGone_ = [&session] {
+        return hasEnded(session.stream_.socket());
+    };
+    const bool wantsMore = incoming.message_.keep_alive();
+    const bool isHead = incoming.message_.method() == http::verb::head;
+
+    ++inProgress_;
+    session.stream_.expires_never();
+    Response answer = co_await handler_(std::move(incoming));
+    answer.keep_alive(wantsMore && !isLeaving_);
+    const bool goesOn = answer.keep_alive();
+    session.stream_.expires_after(writeTimeout);
+    ErrorCode error;
+    http::response_serializer<http::string_body> serializer(answer);
+    // The answer to HEAD names the length of a body that is not sent.
+    if (isHead)
+        co_await http::async_write_header(session.stream_, serializer,
+                                          asio::redirect_error(asio::use_awaitable, error));
+    else
+        co_await http::async_write(session.stream_, serializer,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    --inProgress_;
+    if (error)
+        co_return false;
+    if (!goesOn)
+        co_await closeGently(session);
+    co_return goesOn;
+}
+
+Task<ResultCode> Server::readRequest(Session &session, Request &request)
+{
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits_.headBytes_));
+    parser.body_limit(limits_.bodyBytes_);
+    session.stream_.expires_after(limits_.request_);
+    ErrorCode error;
+    co_await http::async_read_header(session.stream_, session.buffer_, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return codeOf(error);
+    const ResultCode headCode = checkHead(parser);
+    if (headCode != ResultCode::Ok)
+        co_return headCode;
+
+    if (parser.get().count(http::field::expect) > 0 && !parser.is_done()) {
+        http::response<http::empty_body> goAhead(http::status::continue_, 11);
+        co_await http::async_write(session.stream_, goAhead,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return codeOf(error);
+    }
+    co_await http::async_read(session.stream_, session.buffer_, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return codeOf(error);
+    request = parser.release();
+    co_return ResultCode::Ok;
+}
+
+Task<void> Server::refuse(Session &session, ResultCode code)
+{
+    Response answer = refusal(Model::Reason{code, ""}, 11);
+    answer.keep_alive(false);
+    session.stream_.expires_after(writeTimeout);
+    ErrorCode error;
+    co_await http::async_write(session.stream_, answer,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        co_await closeGently(session);
+}
+
+Task<void> Server::closeGently(Session &session)
+{
+    // Closing while the other end still sends makes the kernel reset the connection, and the reset
+    // can overtake the answer. Reading on for a moment lets the answer arrive.
+    ErrorCode error;
+    session.stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+    std::size_t taken = 0;
+    session.stream_.expires_after(lingerTime);
+    std::vector<char> scratch(4096);
+    while (!error && taken < lingerBytes) {
+        taken += co_await session.stream_.async_read_some(
+            asio::buffer(scratch), asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void Server::stopAccepting()
+{
+    for (const auto &acceptor : acceptors_) {
+        // Closing a listening socket resets the connections that wait in it, so take them first.
+        acceptor->non_blocking(true);
+        ErrorCode error;
+        while (!error) {
+            tcp::socket socket(context_);
+            acceptor->accept(socket, error);
+            if (!error)
+                startSession(std::move(socket));
+        }
+        ErrorCode ignored;
+        acceptor->close(ignored);
+    }
+    acceptors_.clear();
+}
+
+void Server::closeIdle()
+{
+    for (const auto &weak : sessions_)
+        if (const auto session = weak.lock(); session && session->isIdle_)
+            session->stream_.cancel();
+}
+
+http::status statusOf(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::HeadTooLarge:
+        return http::status::request_header_fields_too_large;
+    case ResultCode::BodyTooLarge:
+        return http::status::payload_too_large;
+    case ResultCode::RequestTooSlow:
+        return http::status::request_timeout;
+    case ResultCode::UnknownService:
+        return http::status::not_found;
+    case ResultCode::KeyReusedWithOtherBody:
+        return http::status::unprocessable_entity;
+    case ResultCode::KeyOutcomeUnknown:
+        return http::status::conflict;
+    case ResultCode::UnsupportedExpectation:
+        return http::status::expectation_failed;
+    case ResultCode::ClassLimited:
+    case ResultCode::DisplacedByFairShare:
+        return http::status::too_many_requests;
+    case ResultCode::TargetTimeout:
+        return http::status::gateway_timeout;
+    default:
+        break;
+    }
+    const int value = Model::number(code);
+    if (value >= 200 && value < 300)
+        return http::status::service_unavailable;
+    if (value >= 300 && value < 400)
+        return http::status::bad_gateway;
+    return http::status::bad_request;
+}
+
+Response textAnswer(http::status status, std::string type, std::string body, unsigned httpVersion)
+{
+    Response answer(status, httpVersion);
+    answer.set(http::field::content_type, type);
+    answer.body() = std::move(body);
+    answer.prepare_payload();
+    return answer;
+}
+
+Response refusal(const Model::Reason &reason, unsigned httpVersion)
+{
+    const std::string code = std::to_string(Model::number(reason.code_));
+    std::string body = "{\"code\":" + code + ",\"meaning\":\""
+                       + std::string(Model::describe(reason.code_)) + "\"}\n";
+    Response answer
+        = textAnswer(statusOf(reason.code_), "application/json", std::move(body), httpVersion);
+    answer.set(beast::string_view(codeHeader.data(), codeHeader.size()), code);
+    return answer;
+}
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/Server.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Types.h"
+
+#include <functional>
+#include <memory>
+
+namespace Http {
+
+/// What a server takes from one connection.
+struct ServerLimits
+{
+    std::size_t headBytes_ = 16 * 1024;
+    std::size_t bodyBytes_ = 1024 * 1024;
+    /// Longest rest between two requests.
+    Model::Milliseconds idle_{60000};
+    /// Longest time from the first byte of a request to its last.
+    Model::Milliseconds request_{10000};
+};
+
+/// A whole request as it came from a connection.
+struct IncomingRequest
+{
+    Request message_;
+    /// The IP number of the other end.
+    std::string remoteHost_;
+    Model::SteadyTime arrivedAt_;
+    /// Tells whether the other end has closed its sending side, which cancels the request for peers
+    /// that never half-close. Valid until the answer is returned.
+    std::function<bool()> isGone_;
+};
+
+/// Answers one request. It must not throw.
+using Handler = std::function<Task<Response>(IncomingRequest)>;
+
+/// Takes HTTP/1.1 requests on one thread's io_context.
+///
+/// Every method runs on that thread. Several servers may listen on one address, one on each thread;
+/// the kernel spreads connections over them.
+class Server
+{
+public:
+    Server(asio::io_context &context, ServerLimits limits, Handler handler);
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    /// Begins to take connections. Returns false if the address cannot be listened on, with
+    /// BadValue as the last reason.
+    bool listen(const Model::Address &address);
+
+    /// From now on each answer tells the other end to use another connection next time.
+    void beginLeaving() { isLeaving_ = true; }
+
+    /// Takes the connections that wait already, and none after that.
+    void stopAccepting();
+
+    /// Ends the connections that are between two requests.
+    void closeIdle();
+
+    std::size_t openSessions() const { return openSessions_; }
+    std::size_t requestsInProgress() const { return inProgress_; }
+
+private:
+    struct Session;
+
+    Task<void> acceptLoop(std::shared_ptr<tcp::acceptor> acceptor);
+    Task<void> serve(std::shared_ptr<Session> session);
+    Task<bool> serveOne(Session &session);
+    Task<Model::ResultCode> readRequest(Session &session, Request &request);
+    Task<void> refuse(Session &session, Model::ResultCode code);
+    Task<void> closeGently(Session &session);
+    void startSession(tcp::socket socket);
+
+    asio::io_context &context_;
+    ServerLimits limits_;
+    Handler handler_;
+    std::vector<std::shared_ptr<tcp::acceptor>> acceptors_;
+    std::vector<std::weak_ptr<Session>> sessions_;
+    std::size_t openSessions_ = 0;
+    std::size_t inProgress_ = 0;
+    bool isLeaving_ = false;
+};
+
+/// Returns an answer with a JSON body that gives \a reason; the status follows from the code.
+///
+/// Thread safety: any thread.
+Response refusal(const Model::Reason &reason, unsigned httpVersion);
+
+/// Returns a plain answer. Thread safety: any thread.
+Response textAnswer(http::status status, std::string type, std::string body, unsigned httpVersion);
+
+/// Returns the HTTP status under which \a code is shown. Thread safety: any thread.
+http::status statusOf(Model::ResultCode code);
+
+} // namespace Http
