--- /dev/null
+++ b/Libraries/LibPeers/Codec.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Members.h"
+
+#include <LibPeers/Generated/cassiacrank.pb.h>
+#include <LibPlatform/LibPlatform.h>
+
+#include <optional>
+
+namespace Peers {
+
+/// Between the messages on the wire and the structs that the rest of the code uses.
+///
+/// The readers return nothing, with SnapshotInvalid as the last reason, for a message that breaks a
+/// rule, so that a bad message is dropped whole. Thread safety: any thread.
+
+cassiacrank::TableDelta toMessage(const Platform::TableDelta &delta);
+std::optional<Platform::TableDelta> fromMessage(const cassiacrank::TableDelta &message);
+
+cassiacrank::Instance toMessage(const Model::Instance &instance);
+std::optional<Model::Instance> fromMessage(const cassiacrank::Instance &message);
+
+cassiacrank::InstanceRecord toMessage(const InstanceRecord &record);
+std::optional<InstanceRecord> fromMessage(const cassiacrank::InstanceRecord &message);
+
+cassiacrank::RegionSummary toMessage(const RegionSummary &summary);
+std::optional<RegionSummary> fromMessage(const cassiacrank::RegionSummary &message);
+
+cassiacrank::DomainLoad toMessage(const DomainLoad &load);
+DomainLoad fromMessage(const cassiacrank::DomainLoad &message);
+
+cassiacrank::WalkedShares toMessage(const WalkedShares &walked);
+WalkedShares fromMessage(const cassiacrank::WalkedShares &message);
+
+} // namespace Peers
--- /dev/null
+++ b/Libraries/LibPeers/Gossip.cpp
@@ -0,0 +1,144 @@
+#include "Gossip.h"
+
+#include <map>
+#include <tuple>
+
+namespace Peers {
+
+namespace {
+
+template <typename Message>
+void putMarks(const Policy::LeavingMarks &marks, Message &message)
+{
+    for (const auto &[target, incarnation] : marks.marks_) {
+        auto *mark = message.add_marks();
+        mark->set_target(target.value());
+        mark->set_incarnation(incarnation.value());
+    }
+}
+
+template <typename Message>
+bool takeMarks(Policy::LeavingMarks &marks, const Message &message)
+{
+    bool isNews = false;
+    for (const auto &mark : message.marks())
+        isNews |= Policy::markLeaving(marks, Model::TargetId(mark.target()),
+                                      Model::Incarnation(mark.incarnation()));
+    return isNews;
+}
+
+bool isSameRegion(const GossipState &state, const Model::RegionId &region)
+{
+    return state.self_.instance_.region_ == region;
+}
+
+/// Takes in a record of the own region; other regions are known by their summaries.
+bool takeRecord(GossipState &state, const cassiacrank::InstanceRecord &message,
+                Model::SteadyTime now)
+{
+    const auto record = fromMessage(message);
+    if (!record || !isSameRegion(state, record->instance_.region_))
+        return false;
+    if (record->instance_.id_ == state.self_.instance_.id_)
+        return false;
+    return takeIn(state.members_, *record, now);
+}
+
+void putNewerRecords(const GossipState &state, const cassiacrank::PullRequest &request,
+                     cassiacrank::PullAnswer &answer)
+{
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> known;
+    for (const auto &digest : request.records())
+        known[digest.id()] = {digest.incarnation(), digest.heartbeat()};
+    const auto putIfNewer = [&](const InstanceRecord &record) {
+        const std::pair held(record.incarnation_.value(), record.heartbeat_);
+        const auto found = known.find(record.instance_.id_.value());
+        if (found == known.end() || found->second < held)
+            *answer.add_records() = toMessage(record);
+    };
+    for (const auto &[id, member] : state.members_.members_)
+        putIfNewer(member.record_);
+    putIfNewer(state.self_);
+}
+
+void putNewerSummaries(const GossipState &state, const cassiacrank::PullRequest &request,
+                       cassiacrank::PullAnswer &answer)
+{
+    std::map<std::string, long long> known;
+    for (const auto &digest : request.summaries())
+        known[digest.region()] = digest.made_at_ms();
+    for (const auto &[region, summary] : state.members_.summaries_) {
+        const auto found = known.find(region.value());
+        const long long madeAt = summary.madeAt_.time_since_epoch().count();
+        if (found == known.end() || found->second < madeAt)
+            *answer.add_summaries() = toMessage(summary);
+    }
+}
+
+} // namespace
+
+cassiacrank::PullRequest makePull(const GossipState &state, bool isSameRegion)
+{
+    cassiacrank::PullRequest request;
+    *request.mutable_sender() = toMessage(state.self_);
+    request.set_table_version(state.table_.version_.value());
+    for (const auto &[region, summary] : state.members_.summaries_) {
+        auto *digest = request.add_summaries();
+        digest->set_region(region.value());
+        digest->set_made_at_ms(summary.madeAt_.time_since_epoch().count());
+    }
+    if (!isSameRegion)
+        return request;
+    putMarks(state.members_.marks_, request);
+    for (const auto &[id, member] : state.members_.members_) {
+        auto *digest = request.add_records();
+        digest->set_id(id.value());
+        digest->set_incarnation(member.record_.incarnation_.value());
+        digest->set_heartbeat(member.record_.heartbeat_);
+    }
+    return request;
+}
+
+cassiacrank::PullAnswer answerPull(GossipState &state, const cassiacrank::PullRequest &request,
+                                   Model::SteadyTime now)
+{
+    takeRecord(state, request.sender(), now);
+    cassiacrank::PullAnswer answer;
+    *answer.mutable_responder() = toMessage(state.self_.instance_);
+    answer.set_responder_ready(state.self_.isReady_);
+    answer.set_table_version(state.table_.version_.value());
+    const Model::TableVersion theirs(request.table_version());
+    if (Policy::mayApply(theirs, state.table_.version_))
+        *answer.mutable_delta() = toMessage(Platform::deltaSince(state.table_, theirs));
+    putNewerSummaries(state, request, answer);
+    if (!isSameRegion(state, Model::RegionId(request.sender().instance().region())))
+        return answer;
+    takeMarks(state.members_.marks_, request);
+    putMarks(state.members_.marks_, answer);
+    putNewerRecords(state, request, answer);
+    return answer;
+}
+
+PullNews takeInAnswer(GossipState &state, const cassiacrank::PullAnswer &answer,
+                      Model::SteadyTime now)
+{
+    PullNews news;
+    news.responder_ = fromMessage(answer.responder());
+    news.responderIsReady_ = answer.responder_ready();
+    news.responderVersion_ = Model::TableVersion(answer.table_version());
+    if (answer.has_delta()) {
+        const auto delta = fromMessage(answer.delta());
+        news.tableChanged_ = delta && Platform::takeIn(state.table_, *delta);
+    }
+    for (const auto &record : answer.records())
+        news.liveChanged_ |= takeRecord(state, record, now);
+    for (const auto &message : answer.summaries()) {
+        const auto summary = fromMessage(message);
+        if (summary && !isSameRegion(state, summary->region_))
+            news.liveChanged_ |= takeIn(state.members_, *summary, now);
+    }
+    news.liveChanged_ |= takeMarks(state.members_.marks_, answer);
+    return news;
+}
+
+} // namespace Peers
--- /dev/null
+++ b/Libraries/LibPeers/Members.cpp
@@ -0,0 +1,82 @@
+#include "Members.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Peers {
+
+namespace {
+
+auto orderOf(const InstanceRecord &record)
+{
+    return std::make_tuple(record.incarnation_, record.heartbeat_);
+}
+
+} // namespace
+
+bool takeIn(Members &members, const InstanceRecord &record, Model::SteadyTime now)
+{
+    const auto [found, isNew] = members.members_.try_emplace(record.instance_.id_);
+    Member &member = found->second;
+    if (!isNew && orderOf(record) <= orderOf(member.record_))
+        return false;
+    const bool isSameRun = !isNew && record.incarnation_ == member.record_.incarnation_;
+    const bool wasLeaving = isSameRun && member.record_.instance_.isLeaving_;
+    member.record_ = record;
+    member.record_.instance_.isLeaving_ = record.instance_.isLeaving_ || wasLeaving;
+    member.heardAt_ = now;
+    return true;
+}
+
+bool takeIn(Members &members, const RegionSummary &summary, Model::SteadyTime now)
+{
+    RegionSummary &held = members.summaries_[summary.region_];
+    if (summary.madeAt_ <= held.madeAt_)
+        return false;
+    held = summary;
+    members.summaryHeardAt_[summary.region_] = now;
+    return true;
+}
+
+void forgetSilent(Members &members, Model::Milliseconds silence, Model::SteadyTime now)
+{
+    std::erase_if(members.members_, [&](const auto &entry) {
+        return now - entry.second.heardAt_ > silence;
+    });
+}
+
+bool isAlive(const Member &member, Model::SteadyTime now)
+{
+    return now - member.heardAt_ <= memberLifetime;
+}
+
+RegionSummary summarise(const Members &members, const Model::RegionId &region,
+                        Model::WallTime madeAt, Model::SteadyTime now)
+{
+    RegionSummary summary;
+    summary.region_ = region;
+    summary.madeAt_ = madeAt;
+    std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, DomainLoad> loads;
+    for (const auto &[id, member] : members.members_) {
+        const InstanceRecord &record = member.record_;
+        if (record.instance_.region_ != region || !isAlive(member, now))
+            continue;
+        if (record.isReady_ && record.entryVersion_ > Model::TableVersion(0)
+            && !record.instance_.isLeaving_ && summary.contacts_.size() < mostContacts)
+            summary.contacts_.push_back(record.instance_);
+        for (const auto &load : record.loads_) {
+            DomainLoad &total = loads[{load.service_, load.domain_}];
+            total.service_ = load.service_;
+            total.domain_ = load.domain_;
+            // Every entry sees the same slots, but each has its own requests in them.
+            total.slots_ = std::max(total.slots_, load.slots_);
+            total.inFlight_ += load.inFlight_;
+            total.waiting_ += load.waiting_;
+        }
+    }
+    for (const auto &[key, load] : loads)
+        summary.loads_.push_back(load);
+    return summary;
+}
+
+} // namespace Peers
