--- /dev/null
+++ b/Services/Controld/ControlState.cpp
@@ -0,0 +1,381 @@
+#include "ControlState.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace Controld {
+
+using Model::Milliseconds;
+using Observe::Event;
+
+namespace {
+
+constexpr Milliseconds reportLifetime{1000};
+constexpr Milliseconds snapshotPause{50};
+constexpr Milliseconds longestSnapshotPause{500};
+/// Silent members are remembered this long, so that an old record is not taken for a newcomer.
+constexpr Milliseconds memberMemory{120000};
+
+Model::SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+Model::WallTime wallNow()
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+} // namespace
+
+ControlState::ControlState(const Observe::Settings &settings, Model::Incarnation incarnation)
+    : settings_(settings)
+{
+    Model::Instance &self = gossip_.self_.instance_;
+    self.id_ = settings.instance_;
+    self.region_ = settings.region_;
+    self.domain_ = settings.domain_;
+    self.addresses_ = settings.addresses_;
+    gossip_.self_.incarnation_ = incarnation;
+}
+
+void ControlState::onStoreRows(const Platform::StoredRows &rows)
+{
+    const std::lock_guard lock(mutex_);
+    if (storeIsDown_)
+        Observe::logEvent(Event::StoreBack);
+    storeIsDown_ = false;
+    const Model::TableVersion before = gossip_.table_.version_;
+    Platform::TableMirror next = gossip_.table_;
+    if (!Platform::takeIn(next, rows) || (!rows.rows_.empty() && !Platform::buildTable(next))) {
+        Observe::logEvent(Event::TableRefused, {{"reason", toText(Model::lastReason())}});
+        return;
+    }
+    gossip_.table_ = std::move(next);
+    start_.storeAnswered_ = true;
+    start_.storeVersion_ = gossip_.table_.version_;
+    if (Policy::mayApply(before, gossip_.table_.version_))
+        onTableChanged();
+    judgeReadiness();
+}
+
+void ControlState::onStoreFailure()
+{
+    const std::lock_guard lock(mutex_);
+    if (!storeIsDown_)
+        Observe::logEvent(Event::StoreLost, {{"reason", toText(Model::lastReason())}});
+    storeIsDown_ = true;
+}
+
+void ControlState::onInstances(std::vector<Model::Instance> instances)
+{
+    const std::lock_guard lock(mutex_);
+    if (instances == listed_)
+        return;
+    listed_ = std::move(instances);
+    Observe::logEvent(Event::InstanceListChanged, {{"count", std::to_string(listed_.size())}});
+    noteChange();
+}
+
+void ControlState::onClientBlocks(const std::string &text)
+{
+    const std::lock_guard lock(mutex_);
+    if (text == clientBlocks_)
+        return;
+    clientBlocks_ = text;
+    ++blocksCount_;
+    changed_.notify_all();
+}
+
+Platform::Revision ControlState::seenRevision() const
+{
+    const std::lock_guard lock(mutex_);
+    return gossip_.table_.seen_;
+}
+
+void ControlState::beat()
+{
+    const std::lock_guard lock(mutex_);
+    ++gossip_.self_.heartbeat_;
+    expireReports();
+    Peers::forgetSilent(gossip_.members_, memberMemory, steadyNow());
+    refreshSummary();
+    noteChange();
+}
+
+/// A process that died without a word stops reporting; the instance is then not named as an entry.
+void ControlState::expireReports()
+{
+    if (steadyNow() - entryReportAt_ > reportLifetime) {
+        gossip_.self_.entryVersion_ = Model::TableVersion(0);
+        gossip_.self_.loads_.clear();
+    }
+    if (steadyNow() - lookupReportAt_ > reportLifetime)
+        gossip_.self_.lookupVersion_ = Model::TableVersion(0);
+}
+
+void ControlState::refreshSummary()
+{
+    Peers::Members all = gossip_.members_;
+    all.members_[gossip_.self_.instance_.id_] = {gossip_.self_, steadyNow()};
+    const Model::RegionId &region = gossip_.self_.instance_.region_;
+    gossip_.members_.summaries_[region] = Peers::summarise(all, region, wallNow(), steadyNow());
+    gossip_.members_.summaryHeardAt_[region] = steadyNow();
+}
+
+cassiacrank::PullRequest ControlState::makePull(bool isSameRegion) const
+{
+    const std::lock_guard lock(mutex_);
+    return Peers::makePull(gossip_, isSameRegion);
+}
+
+cassiacrank::PullAnswer ControlState::answerPull(const cassiacrank::PullRequest &request)
+{
+    const std::lock_guard lock(mutex_);
+    auto answer = Peers::answerPull(gossip_, request, steadyNow());
+    noteChange();
+    return answer;
+}
+
+void ControlState::onPullAnswer(const cassiacrank::PullAnswer &answer)
+{
+    const std::lock_guard lock(mutex_);
+    const auto news = Peers::takeInAnswer(gossip_, answer, steadyNow());
+    if (!news.responder_)
+        return;
+    if (news.responder_->domain_ != settings_.domain_ && news.responderIsReady_) {
+        auto &version = start_.peerVersions_[news.responder_->domain_];
+        version = std::max(version, news.responderVersion_);
+    }
+    if (news.tableChanged_)
+        onTableChanged();
+    if (news.liveChanged_)
+        noteChange();
+    judgeReadiness();
+}
+
+std::vector<PeerTarget> ControlState::peerTargets() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<PeerTarget> targets;
+    std::set<Model::Address> seen = {settings_.addresses_.control_};
+    const auto add
+        = [&](const Model::InstanceId &id, const Model::Address &address, bool isSameRegion) {
+              if (seen.insert(address).second)
+                  targets.push_back({id, Observe::dialAddress(settings_, address), isSameRegion});
+          };
+    for (const auto &[id, member] : gossip_.members_.members_)
+        if (Peers::isAlive(member, steadyNow()))
+            add(id, member.record_.instance_.addresses_.control_, true);
+    for (const auto &instance : listed_)
+        add(instance.id_, instance.addresses_.control_, instance.region_ == settings_.region_);
+    for (const auto &[region, summary] : gossip_.members_.summaries_)
+        for (const auto &contact : summary.contacts_)
+            add(contact.id_, contact.addresses_.control_, region == settings_.region_);
+    // A seed's region is not known; asking as for the own region only costs some bytes.
+    for (const auto &seed : settings_.seeds_)
+        add(Model::InstanceId(), seed, true);
+    return targets;
+}
+
+std::size_t ControlState::fleetSize() const
+{
+    const std::lock_guard lock(mutex_);
+    return std::max(listed_.size(), gossip_.members_.members_.size() + 1);
+}
+
+void ControlState::onReport(const cassiacrank::ProcessReport &report)
+{
+    const std::lock_guard lock(mutex_);
+    Peers::InstanceRecord &self = gossip_.self_;
+    const Model::TableVersion version(report.table_version());
+    if (report.role() == "lookup") {
+        lookupReportAt_ = steadyNow();
+        self.lookupVersion_ = version;
+    } else {
+        entryReportAt_ = steadyNow();
+        self.entryVersion_ = version;
+        // The mark of a leaving instance is sticky for its incarnation, so an entry that comes back
+        // after a planned stop needs a new one.
+        if (entryIsStopping_ && !report.stopping() && !isLeaving_) {
+            self.incarnation_ += Model::Incarnation(1);
+            self.instance_.isLeaving_ = false;
+        }
+        entryIsStopping_ = report.stopping();
+        self.loads_.clear();
+        for (const auto &load : report.loads())
+            self.loads_.push_back(Peers::fromMessage(load));
+        self.walked_.clear();
+        for (const auto &walked : report.walked())
+            self.walked_.push_back(Peers::fromMessage(walked));
+    }
+    if (report.stopping() && !self.instance_.isLeaving_) {
+        self.instance_.isLeaving_ = true;
+        ++self.heartbeat_;
+    }
+    bool isNews = false;
+    for (const auto &mark : report.marks())
+        isNews |= Policy::markLeaving(gossip_.members_.marks_, Model::TargetId(mark.target()),
+                                      Model::Incarnation(mark.incarnation()));
+    if (isNews || report.stopping())
+        noteChange();
+}
+
+void ControlState::beginLeaving()
+{
+    const std::lock_guard lock(mutex_);
+    isLeaving_ = true;
+    gossip_.self_.instance_.isLeaving_ = true;
+    ++gossip_.self_.heartbeat_;
+    noteChange();
+}
+
+bool ControlState::isReady() const
+{
+    const std::lock_guard lock(mutex_);
+    return gossip_.self_.isReady_;
+}
+
+void ControlState::judgeReadiness()
+{
+    start_.heldVersion_ = gossip_.table_.version_;
+    if (gossip_.self_.isReady_ || !Policy::mayServe(start_))
+        return;
+    gossip_.self_.isReady_ = true;
+    Observe::logEvent(Event::Ready, {{"version", std::to_string(start_.heldVersion_.value())}});
+    noteChange();
+}
+
+void ControlState::onTableChanged()
+{
+    gossip_.self_.controlVersion_ = gossip_.table_.version_;
+    Observe::logEvent(Event::TableApplied,
+                      {{"version", std::to_string(gossip_.table_.version_.value())}});
+    noteChange();
+}
+
+void ControlState::noteChange()
+{
+    ++liveCount_;
+    changed_.notify_all();
+}
+
+cassiacrank::LiveState ControlState::liveState() const
+{
+    const auto now = steadyNow();
+    cassiacrank::LiveState live;
+    live.set_ready(gossip_.self_.isReady_);
+    live.set_leaving(gossip_.self_.instance_.isLeaving_);
+    *live.add_members() = Peers::toMessage(gossip_.self_);
+    for (const auto &[id, member] : gossip_.members_.members_)
+        if (Peers::isAlive(member, now))
+            *live.add_members() = Peers::toMessage(member.record_);
+    for (const auto &[region, summary] : gossip_.members_.summaries_) {
+        const auto heardAt = gossip_.members_.summaryHeardAt_.find(region);
+        const bool isFresh = heardAt != gossip_.members_.summaryHeardAt_.end()
+                             && now - heardAt->second <= Peers::summaryLifetime;
+        if (isFresh)
+            *live.add_summaries() = Peers::toMessage(summary);
+    }
+    for (const auto &[target, incarnation] : gossip_.members_.marks_.marks_) {
+        auto *mark = live.add_marks();
+        mark->set_target(target.value());
+        mark->set_incarnation(incarnation.value());
+    }
+    const std::size_t known = std::max(listed_.size(), gossip_.members_.members_.size() + 1);
+    live.set_fleet_size(static_cast<std::uint32_t>(known));
+    return live;
+}
+
+cassiacrank::Snapshot ControlState::waitForSnapshot(SentMarks &sent, bool &isClosed)
+{
+    std::unique_lock lock(mutex_);
+    const auto hasUrgentNews = [&] {
+        return isClosed_ || gossip_.table_.version_ > sent.table_ || blocksCount_ != sent.blocks_;
+    };
+    // Small news is gathered for a moment; a new table goes out at once.
+    changed_.wait_for(lock, snapshotPause, hasUrgentNews);
+    changed_.wait_for(lock, longestSnapshotPause, [&] {
+        return hasUrgentNews() || liveCount_ != sent.live_;
+    });
+    isClosed = isClosed_;
+
+    cassiacrank::Snapshot snapshot;
+    if (gossip_.table_.version_ > sent.table_) {
+        const auto whole = Platform::deltaSince(gossip_.table_, Model::TableVersion(0));
+        *snapshot.mutable_table() = Peers::toMessage(whole);
+        sent.table_ = gossip_.table_.version_;
+    }
+    if (blocksCount_ != sent.blocks_) {
+        snapshot.set_client_blocks(clientBlocks_);
+        snapshot.set_has_client_blocks(true);
+        sent.blocks_ = blocksCount_;
+    }
+    *snapshot.mutable_live() = liveState();
+    sent.live_ = liveCount_;
+    return snapshot;
+}
+
+void ControlState::onSubscriberCame()
+{
+    const std::lock_guard lock(mutex_);
+    ++subscribers_;
+}
+
+void ControlState::onSubscriberGone()
+{
+    const std::lock_guard lock(mutex_);
+    --subscribers_;
+    changed_.notify_all();
+}
+
+void ControlState::waitForSubscribersToGo(Milliseconds patience)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, patience, [this] {
+        return subscribers_ == 0;
+    });
+}
+
+void ControlState::close()
+{
+    const std::lock_guard lock(mutex_);
+    isClosed_ = true;
+    changed_.notify_all();
+}
+
+std::string ControlState::statusText() const
+{
+    using nlohmann::json;
+    const std::lock_guard lock(mutex_);
+    const auto now = steadyNow();
+    const Peers::InstanceRecord &self = gossip_.self_;
+    json members = json::array();
+    for (const auto &[id, member] : gossip_.members_.members_) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(now - member.heardAt_);
+        members.push_back({{"id", id.value()},
+                           {"alive", Peers::isAlive(member, now)},
+                           {"leaving", member.record_.instance_.isLeaving_},
+                           {"ready", member.record_.isReady_},
+                           {"entry_version", member.record_.entryVersion_.value()},
+                           {"age_ms", age.count()}});
+    }
+    json marks = json::array();
+    for (const auto &[target, incarnation] : gossip_.members_.marks_.marks_)
+        marks.push_back(target.value());
+    const json status = {{"id", self.instance_.id_.value()},
+                         {"region", self.instance_.region_.value()},
+                         {"domain", self.instance_.domain_.value()},
+                         {"ready", self.isReady_},
+                         {"leaving", self.instance_.isLeaving_},
+                         {"store_down", storeIsDown_},
+                         {"control_version", self.controlVersion_.value()},
+                         {"entry_version", self.entryVersion_.value()},
+                         {"lookup_version", self.lookupVersion_.value()},
+                         {"members", members},
+                         {"leaving_targets", marks}};
+    return status.dump() + "\n";
+}
+
+} // namespace Controld
--- /dev/null
+++ b/Services/Controld/GossipRounds.cpp
@@ -0,0 +1,72 @@
+#include "GossipRounds.h"
+
+#include <algorithm>
+
+namespace Controld {
+
+namespace {
+
+constexpr Model::Milliseconds pullTimeout{1000};
+
+} // namespace
+
+GossipRounds::GossipRounds(Http::asio::io_context &context, const Observe::Settings &settings,
+                           ControlState &state, Peers::PeerClient &client)
+    : context_(context)
+    , settings_(settings)
+    , state_(state)
+    , client_(client)
+    , random_(Policy::rendezvousScore(settings.instance_.value(), "gossip"))
+{
+}
+
+void GossipRounds::start()
+{
+    Http::asio::co_spawn(context_, run(), Http::asio::detached);
+}
+
+std::uint64_t GossipRounds::draw()
+{
+    random_ = Policy::rendezvousScore(std::to_string(random_), "draw");
+    return random_;
+}
+
+std::vector<PeerTarget> GossipRounds::choose(std::vector<PeerTarget> targets)
+{
+    std::vector<PeerTarget> near;
+    for (const auto &target : targets)
+        if (target.isSameRegion_)
+            near.push_back(target);
+    std::vector<PeerTarget> chosen;
+    for (std::size_t position : Policy::choosePeers(near.size(), 1, {draw()}))
+        chosen.push_back(near[position]);
+
+    const auto others = static_cast<std::size_t>(settings_.gossipPeers_ - 1);
+    std::vector<std::uint64_t> draws;
+    for (std::size_t i = 0; i < others; ++i)
+        draws.push_back(draw());
+    for (std::size_t position : Policy::choosePeers(targets.size(), others, draws))
+        chosen.push_back(targets[position]);
+    return chosen;
+}
+
+void GossipRounds::ask(const PeerTarget &peer)
+{
+    client_.pull(peer.address_, state_.makePull(peer.isSameRegion_), pullTimeout,
+                 [&state = state_](const cassiacrank::PullAnswer *answer) {
+                     if (answer)
+                         state.onPullAnswer(*answer);
+                 });
+}
+
+Http::Task<void> GossipRounds::run()
+{
+    while (true) {
+        state_.beat();
+        for (const auto &peer : choose(state_.peerTargets()))
+            ask(peer);
+        co_await Http::sleepFor(settings_.gossipPeriod_);
+    }
+}
+
+} // namespace Controld
--- /dev/null
+++ b/Services/Controld/PeerService.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "ControlState.h"
+
+#include <LibPeers/Generated/cassiacrank.grpc.pb.h>
+#include <grpcpp/grpcpp.h>
+
+namespace Controld {
+
+/// Answers the control processes of other instances.
+///
+/// Thread safety: called by gRPC on any of its threads.
+class PeerService final : public cassiacrank::Peers::Service
+{
+public:
+    explicit PeerService(ControlState &state)
+        : state_(state)
+    {
+    }
+
+    grpc::Status Pull(grpc::ServerContext *context, const cassiacrank::PullRequest *request,
+                      cassiacrank::PullAnswer *answer) override;
+
+private:
+    ControlState &state_;
+};
+
+/// Serves the processes of the own instance. It listens on an address of its own, so that no other
+/// instance can report in their name.
+///
+/// Thread safety: called by gRPC on any of its threads.
+class LocalService final : public cassiacrank::Control::Service
+{
+public:
+    explicit LocalService(ControlState &state)
+        : state_(state)
+    {
+    }
+
+    grpc::Status Subscribe(grpc::ServerContext *context,
+                           const cassiacrank::SubscribeRequest *request,
+                           grpc::ServerWriter<cassiacrank::Snapshot> *writer) override;
+    grpc::Status Report(grpc::ServerContext *context, const cassiacrank::ProcessReport *report,
+                        cassiacrank::ReportAck *ack) override;
+
+private:
+    ControlState &state_;
+};
+
+} // namespace Controld
--- /dev/null
+++ b/Services/Controld/StorePoller.cpp
@@ -0,0 +1,77 @@
+#include "StorePoller.h"
+
+namespace Controld {
+
+using Http::Task;
+using Model::Milliseconds;
+
+namespace {
+
+/// The table is what must be in force soon; the list and the map of blocks change slowly.
+constexpr double tableShare = 0.8;
+constexpr double listShare = 0.1;
+constexpr const char *clientBlocksObject = "client-blocks";
+/// Until the instance is ready it polls at this pace: it cannot serve before it has the table.
+constexpr Milliseconds startPause{100};
+
+} // namespace
+
+StorePoller::StorePoller(Http::asio::io_context &context, const Observe::Settings &settings,
+                         ControlState &state)
+    : settings_(settings)
+    , state_(state)
+    , context_(context)
+    , pool_(context)
+    , random_(Policy::rendezvousScore(settings.instance_.value(), "poll"))
+{
+    store_.address_ = Observe::dialAddress(settings, settings.platform_);
+    store_.timeout_ = settings.platformTimeout_;
+    store_.pool_ = &pool_;
+}
+
+void StorePoller::start()
+{
+    Http::asio::co_spawn(context_, pollTable(), Http::asio::detached);
+    Http::asio::co_spawn(context_, pollList(), Http::asio::detached);
+}
+
+Milliseconds StorePoller::pausePer(double shareOfBudget)
+{
+    const double budget = settings_.fleetStoreReadsPerSecond_ * shareOfBudget;
+    const Milliseconds period = Policy::pollPeriod(state_.fleetSize(), budget);
+    // Spread by a quarter either way, so that instances that started together do not poll together.
+    random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
+    const double spread = 0.75 + 0.5 * static_cast<double>(random_ >> 40) / (1 << 24);
+    return Milliseconds(static_cast<long long>(static_cast<double>(period.count()) * spread));
+}
+
+Task<void> StorePoller::pollTable()
+{
+    while (true) {
+        const auto rows
+            = co_await Platform::readRows(store_, Platform::tablePrefix, state_.seenRevision());
+        reads_ = store_.reads_;
+        if (rows)
+            state_.onStoreRows(*rows);
+        else
+            state_.onStoreFailure();
+        const Milliseconds pause = state_.isReady() ? pausePer(tableShare) : startPause;
+        co_await Http::sleepFor(pause);
+    }
+}
+
+Task<void> StorePoller::pollList()
+{
+    while (true) {
+        auto instances = co_await Platform::readInstances(store_);
+        if (instances)
+            state_.onInstances(std::move(*instances));
+        const auto blocks = co_await Platform::readObject(store_, clientBlocksObject);
+        if (blocks)
+            state_.onClientBlocks(*blocks);
+        const Milliseconds pause = state_.isReady() ? 2 * pausePer(listShare) : startPause;
+        co_await Http::sleepFor(pause);
+    }
+}
+
+} // namespace Controld
--- /dev/null
+++ b/Services/Entryd/Planner.cpp
@@ -0,0 +1,372 @@
+#include "Planner.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace Entryd {
+
+using Model::Milliseconds;
+using Observe::Event;
+
+namespace {
+
+constexpr Milliseconds stepPause{50};
+constexpr Milliseconds reportPause{100};
+constexpr Milliseconds longestStep{1000};
+/// Shares that stand further than this from the plan are told to the others.
+constexpr double notableDistance = 1e-3;
+
+Model::SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+Model::WallTime wallNow()
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+double distance(const Policy::ShareVector &a, const Policy::ShareVector &b)
+{
+    double sum = 0;
+    for (std::size_t i = 0; i < a.shares_.size() && i < b.shares_.size(); ++i)
+        sum += std::abs(a.shares_[i] - b.shares_[i]);
+    return sum / 2;
+}
+
+std::vector<Model::FailureDomainId> domainIds(const Model::Table &table)
+{
+    std::vector<Model::FailureDomainId> ids;
+    for (const auto &domain : table.domains())
+        ids.push_back(domain.id_);
+    return ids;
+}
+
+/// A target keeps its state as long as its row says the same.
+bool isSameTarget(const Model::Target &a, const Model::Target &b)
+{
+    return a.address_ == b.address_ && a.slots_ == b.slots_ && a.service_ == b.service_
+           && a.domain_ == b.domain_ && a.connections_ == b.connections_;
+}
+
+} // namespace
+
+Planner::Planner(const Observe::Settings &settings, SnapshotCell &cell)
+    : settings_(settings)
+    , cell_(cell)
+    , client_(settings.controlLocal_, "entry")
+{
+}
+
+Planner::~Planner()
+{
+    stop();
+}
+
+void Planner::start()
+{
+    client_.start([this](const cassiacrank::Snapshot &snapshot) {
+        onSnapshot(snapshot);
+    });
+    thread_ = std::thread([this] {
+        run();
+    });
+}
+
+void Planner::stop()
+{
+    client_.stop();
+    {
+        const std::lock_guard lock(mutex_);
+        isOver_ = true;
+        changed_.notify_all();
+    }
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void Planner::onSnapshot(const cassiacrank::Snapshot &snapshot)
+{
+    const std::lock_guard lock(mutex_);
+    const auto change = Peers::takeIn(arrived_, snapshot);
+    hasArrived_ = true;
+    if (change.tableChanged_)
+        changed_.notify_all();
+}
+
+void Planner::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!isOver_) {
+        if (hasArrived_) {
+            view_ = arrived_;
+            hasArrived_ = false;
+            updateTargets();
+        }
+        step();
+        lock.unlock();
+        if (steadyNow() - reportedAt_ >= reportPause) {
+            reportedAt_ = steadyNow();
+            client_.report(makeReport());
+        }
+        lock.lock();
+        const Model::TableVersion seen
+            = view_.table_ ? view_.table_->version() : Model::TableVersion(0);
+        changed_.wait_for(lock, stepPause, [&] {
+            return isOver_ || (hasArrived_ && arrived_.table_ && arrived_.table_->version() > seen);
+        });
+    }
+}
+
+void Planner::updateTargets()
+{
+    if (!view_.table_)
+        return;
+    std::map<Model::TargetId, std::shared_ptr<TargetState>> next;
+    for (const auto &target : view_.table_->targets()) {
+        const auto *domain = view_.table_->domain(target.domain_);
+        if (!domain || domain->region_ != settings_.region_)
+            continue;
+        const auto held = targets_.find(target.id_);
+        const bool isKept = held != targets_.end() && isSameTarget(held->second->target_, target);
+        next[target.id_] = isKept ? held->second : std::make_shared<TargetState>(target);
+    }
+    targets_ = std::move(next);
+    applyMarks();
+}
+
+void Planner::applyMarks()
+{
+    for (const auto &[id, incarnation] : view_.marks_.marks_) {
+        const auto found = targets_.find(id);
+        if (found == targets_.end())
+            continue;
+        const Model::Incarnation seen(found->second->incarnation_);
+        if (!Policy::isLeaving(view_.marks_, id, seen))
+            continue;
+        if (!found->second->isLeaving_.exchange(true))
+            Observe::logEvent(Event::TargetLeaving, {{"target", id.value()}, {"by", "peer"}});
+    }
+}
+
+void Planner::step()
+{
+    if (!view_.table_)
+        return;
+    const auto now = steadyNow();
+    const bool isFirst = steppedAt_ == Model::SteadyTime();
+    auto elapsed
+        = isFirst ? Milliseconds(0) : std::chrono::duration_cast<Milliseconds>(now - steppedAt_);
+    // A process that was paused must not make up for the pause in one jump, nor stay behind the
+    // plan by the length of the pause: it begins as a fresh one would.
+    if (isFirst || elapsed > longestStep) {
+        walks_.clear();
+        elapsed = Milliseconds(0);
+        steppedAt_ = now;
+    }
+    steppedAt_ += elapsed;
+    auto snapshot = makeSnapshot(elapsed);
+    isReady_ = snapshot->isReady_;
+    cell_.publish(std::move(snapshot));
+    tableVersion_ = view_.table_->version().value();
+}
+
+std::unique_ptr<EntrySnapshot> Planner::makeSnapshot(Milliseconds elapsed)
+{
+    const Model::Table &table = *view_.table_;
+    auto snapshot = std::make_unique<EntrySnapshot>();
+    snapshot->table_ = view_.table_;
+    snapshot->blocks_ = view_.blocks_;
+    snapshot->isReady_ = view_.isReady_;
+    snapshot->fleetSize_ = std::max<std::size_t>(1, view_.fleetSize_);
+    snapshot->entriesInRegion_ = std::max<std::size_t>(1, view_.members_.size());
+    for (std::size_t i = 0; i < table.regions().size(); ++i) {
+        snapshot->regionIndex_[table.regions()[i].id_] = i;
+        if (table.regions()[i].id_ == settings_.region_)
+            snapshot->ownRegion_ = i;
+    }
+    snapshot->handOver_.resize(table.domains().size());
+    for (const auto &summary : view_.summaries_) {
+        if (summary.region_ == settings_.region_)
+            continue;
+        for (std::size_t i = 0; i < table.domains().size(); ++i)
+            if (table.domains()[i].region_ == summary.region_)
+                snapshot->handOver_[i] = summary.contacts_;
+    }
+    const Model::WallTime now = wallNow();
+    for (const auto &service : table.services()) {
+        snapshot->serviceIndex_[service.id_] = snapshot->services_.size();
+        snapshot->services_.push_back(planService(service, now, elapsed));
+    }
+    return snapshot;
+}
+
+ServicePlan Planner::planService(const Model::Service &service, Model::WallTime now,
+                                 Milliseconds elapsed)
+{
+    const Model::Table &table = *view_.table_;
+    ServicePlan plan;
+    plan.targets_.resize(table.domains().size());
+    for (const auto &[id, state] : targets_) {
+        if (state->target_.service_ != service.id_)
+            continue;
+        for (std::size_t i = 0; i < table.domains().size(); ++i)
+            if (table.domains()[i].id_ == state->target_.domain_)
+                plan.targets_[i].push_back(state);
+    }
+    findOutage(service, plan);
+    for (const auto &region : table.regions())
+        plan.origins_.push_back(planOrigin(service, region.id_, plan.outage_, now, elapsed));
+    return plan;
+}
+
+void Planner::findOutage(const Model::Service &service, ServicePlan &plan)
+{
+    const Model::Table &table = *view_.table_;
+    plan.outage_.isOut_.assign(table.domains().size(), false);
+    for (std::size_t i = 0; i < table.domains().size(); ++i) {
+        const auto &domain = table.domains()[i];
+        bool canServe = false;
+        if (domain.region_ == settings_.region_) {
+            canServe
+                = std::any_of(plan.targets_[i].begin(), plan.targets_[i].end(), [](const auto &t) {
+                      return !t->isSuspect_ && !t->isLeaving_;
+                  });
+        } else {
+            for (const auto &summary : view_.summaries_)
+                for (const auto &load : summary.loads_)
+                    canServe |= !summary.contacts_.empty() && load.service_ == service.id_
+                                && load.domain_ == domain.id_ && load.slots_ > Model::Slots(0);
+        }
+        plan.outage_.isOut_[i] = !canServe;
+        bool &wasOut = knownOut_[{service.id_, domain.id_}];
+        if (wasOut == !canServe)
+            continue;
+        wasOut = !canServe;
+        Observe::logEvent(canServe ? Event::DomainBack : Event::DomainOut,
+                          {{"service", service.id_.value()}, {"domain", domain.id_.value()}});
+    }
+}
+
+Planner::Walk &Planner::walkFor(const Model::Service &service, const Model::RegionId &origin,
+                                const Policy::ShareVector &planned)
+{
+    const Model::Table &table = *view_.table_;
+    const auto [found, isNew] = walks_.try_emplace({service.id_, origin});
+    Walk &walk = found->second;
+    if (isNew) {
+        walk.shares_ = planned;
+        // An entry that starts while failure domains are out takes over where its peers stand.
+        for (const auto &member : view_.members_)
+            for (const auto &walked : member.walked_)
+                if (member.instance_.id_ != settings_.instance_ && walked.service_ == service.id_
+                    && walked.origin_ == origin)
+                    walk.shares_ = Policy::indexedShares(table, walked.shares_);
+    } else if (walk.version_ != table.version()) {
+        // The rows may have moved; the shares stay with their names.
+        std::vector<Model::DomainShare> named;
+        for (std::size_t i = 0; i < walk.domains_.size(); ++i)
+            named.push_back({walk.domains_[i], Model::Share(walk.shares_.shares_[i])});
+        walk.shares_ = Policy::indexedShares(table, named);
+    }
+    if (isNew || walk.version_ != table.version()) {
+        walk.version_ = table.version();
+        walk.domains_ = domainIds(table);
+    }
+    return walk;
+}
+
+OriginPlan Planner::planOrigin(const Model::Service &service, const Model::RegionId &origin,
+                               const Policy::DomainOutage &outage, Model::WallTime now,
+                               Milliseconds elapsed)
+{
+    const Model::Table &table = *view_.table_;
+    const auto caps = Policy::capsOf(service);
+    const auto planned = Policy::plannedShares(table, service.id_, origin, now);
+    const bool isAnyOut = std::any_of(outage.isOut_.begin(), outage.isOut_.end(), [](bool isOut) {
+        return isOut;
+    });
+    Walk &walk = walkFor(service, origin, planned);
+    const auto goal
+        = isAnyOut ? Policy::goalShares(table, service.id_, origin, now, outage) : planned;
+    walk.shares_ = Policy::movedShares(table, walk.shares_, goal, caps, elapsed);
+
+    OriginPlan plan;
+    plan.shares_ = walk.shares_;
+    const double inASecond
+        = Policy::allowedProgress(table, walk.shares_, goal, caps, std::chrono::seconds(1));
+    const double seconds = inASecond > 0 ? 1.0 / inASecond : 1.0;
+    const Milliseconds wait(static_cast<long long>(seconds * 1000));
+    plan.comeBack_ = std::clamp(wait, Policy::leastComeBack, Policy::longestComeBack);
+    return plan;
+}
+
+cassiacrank::ProcessReport Planner::makeReport()
+{
+    cassiacrank::ProcessReport report;
+    report.set_role("entry");
+    report.set_table_version(isReady_ ? tableVersion_.load() : 0);
+    report.set_stopping(isStopping_);
+    std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, Peers::DomainLoad> loads;
+    for (const auto &[id, state] : targets_) {
+        const auto &target = state->target_;
+        Peers::DomainLoad &load = loads[{target.service_, target.domain_}];
+        load.service_ = target.service_;
+        load.domain_ = target.domain_;
+        if (!state->isSuspect_ && !state->isLeaving_)
+            load.slots_ += target.slots_;
+        load.inFlight_ += Model::Slots(state->ownInFlight_);
+        if (state->isLeaving_) {
+            auto *mark = report.add_marks();
+            mark->set_target(id.value());
+            mark->set_incarnation(state->incarnation_);
+        }
+    }
+    for (auto &[key, load] : loads) {
+        load.waiting_ = waiting_;
+        *report.add_loads() = Peers::toMessage(load);
+    }
+    if (!view_.table_)
+        return report;
+    for (const auto &[key, walk] : walks_) {
+        const auto planned = Policy::plannedShares(*view_.table_, key.first, key.second, wallNow());
+        if (distance(planned, walk.shares_) > notableDistance)
+            *report.add_walked() = Peers::toMessage(
+                {key.first, key.second, Policy::namedShares(*view_.table_, walk.shares_)});
+    }
+    return report;
+}
+
+std::string Planner::statusText()
+{
+    using nlohmann::json;
+    const std::lock_guard lock(mutex_);
+    json shares = json::array();
+    json targets = json::array();
+    if (view_.table_) {
+        for (const auto &[key, walk] : walks_) {
+            json byDomain = json::object();
+            for (const auto &share : Policy::namedShares(*view_.table_, walk.shares_))
+                byDomain[share.domain_.value()] = share.share_.value();
+            shares.push_back({{"service", key.first.value()},
+                              {"origin", key.second.value()},
+                              {"shares", byDomain}});
+        }
+        for (const auto &[id, state] : targets_)
+            targets.push_back({{"id", id.value()},
+                               {"in_flight", state->ownInFlight_.load()},
+                               {"latency_us", state->latencyUs_.load()},
+                               {"suspect", state->isSuspect_.load()},
+                               {"leaving", state->isLeaving_.load()}});
+    }
+    const json status = {{"id", settings_.instance_.value()},
+                         {"ready", isReady_.load()},
+                         {"stopping", isStopping_.load()},
+                         {"table_version", tableVersion_.load()},
+                         {"waiting", waiting_.load()},
+                         {"shares", shares},
+                         {"targets", targets}};
+    return status.dump() + "\n";
+}
+
+} // namespace Entryd
--- /dev/null
+++ b/Services/Entryd/Planner.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "EntrySnapshot.h"
+
+#include <LibObserve/LibObserve.h>
+#include <LibPeers/LibPeers.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace Entryd {
+
+/// Turns what the control process tells into the snapshots that requests read, moves the shares in
+/// small steps, and reports back.
+///
+/// Thread safety: onSnapshot() and noteWaiting() may be called from any thread, the rest belongs to
+/// the thread that owns the object.
+class Planner
+{
+public:
+    Planner(const Observe::Settings &settings, SnapshotCell &cell);
+    ~Planner();
+    Planner(const Planner &) = delete;
+    Planner &operator=(const Planner &) = delete;
+
+    /// Begins to follow the control process.
+    void start();
+    void stop();
+    /// From now on reports say that the entry is stopping.
+    void beginStopping() { isStopping_ = true; }
+
+    /// Changes the count of requests that wait for a slot.
+    void noteWaiting(int change) { waiting_ += change; }
+    int waiting() const { return waiting_; }
+
+    std::uint64_t tableVersion() const { return tableVersion_; }
+    bool isReady() const { return isReady_; }
+    /// Returns the JSON of /status.
+    std::string statusText();
+
+private:
+    struct Walk
+    {
+        Policy::ShareVector shares_;
+        Model::TableVersion version_;
+        std::vector<Model::FailureDomainId> domains_;
+    };
+    using WalkKey = std::pair<Model::ServiceId, Model::RegionId>;
+
+    void onSnapshot(const cassiacrank::Snapshot &snapshot);
+    void run();
+    void step();
+    void updateTargets();
+    void applyMarks();
+    ServicePlan planService(const Model::Service &service, Model::WallTime now,
+                            Model::Milliseconds elapsed);
+    void findOutage(const Model::Service &service, ServicePlan &plan);
+    OriginPlan planOrigin(const Model::Service &service, const Model::RegionId &origin,
+                          const Policy::DomainOutage &outage, Model::WallTime now,
+                          Model::Milliseconds elapsed);
+    Walk &walkFor(const Model::Service &service, const Model::RegionId &origin,
+                  const Policy::ShareVector &planned);
+    std::unique_ptr<EntrySnapshot> makeSnapshot(Model::Milliseconds elapsed);
+    cassiacrank::ProcessReport makeReport();
+
+    const Observe::Settings &settings_;
+    SnapshotCell &cell_;
+    Peers::ControlClient client_;
+    std::thread thread_;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    /// Written by the client's thread, copied by the planner's.
+    Peers::InstanceView arrived_;
+    bool hasArrived_ = false;
+    bool isOver_ = false;
+
+    /// The planner's own; statusText() takes the lock to read them.
+    Peers::InstanceView view_;
+    std::map<Model::TargetId, std::shared_ptr<TargetState>> targets_;
+    std::map<WalkKey, Walk> walks_;
+    std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, bool> knownOut_;
+    Model::SteadyTime steppedAt_;
+    Model::SteadyTime reportedAt_;
+
+    std::atomic<bool> isStopping_{false};
+    std::atomic<bool> isReady_{false};
+    std::atomic<std::uint64_t> tableVersion_{0};
+    std::atomic<int> waiting_{0};
+};
+
+} // namespace Entryd
--- /dev/null
+++ b/Services/Entryd/Prober.cpp
@@ -0,0 +1,60 @@
+#include "Dispatcher.h"
+
+#include "TargetAnswer.h"
+
+namespace Entryd {
+
+using Model::Milliseconds;
+
+namespace {
+
+/// A target that leaves must get no new work after 3 s, though nobody sends it requests meanwhile
+/// and the platform's list lags: it is asked this often.
+constexpr Milliseconds probePause{500};
+constexpr Milliseconds probeTimeout{400};
+constexpr const char *healthPath = "/cassiacrank/health";
+
+Http::beast::string_view viewOf(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+Http::Task<void> Dispatcher::probeLoop()
+{
+    while (true) {
+        const auto targets = cell_.read([](const EntrySnapshot *snapshot) {
+            std::vector<std::shared_ptr<TargetState>> all;
+            if (!snapshot)
+                return all;
+            for (const auto &service : snapshot->services_)
+                for (const auto &domain : service.targets_)
+                    all.insert(all.end(), domain.begin(), domain.end());
+            return all;
+        });
+        for (const auto &target : targets)
+            Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
+        co_await Http::sleepFor(probePause);
+    }
+}
+
+Http::Task<void> Dispatcher::probe(std::shared_ptr<TargetState> target)
+{
+    Http::Request request(Http::http::verb::get, healthPath, 11);
+    request.set(Http::http::field::host, Model::toText(target->target_.address_));
+    request.set(viewOf(Http::requestIdHeader), newRequestId().value());
+    Http::ExchangeOptions options;
+    options.address_ = Observe::dialAddress(settings_, target->target_.address_);
+    options.deadline_ = std::chrono::steady_clock::now() + probeTimeout;
+    options.connectTimeout_ = probeTimeout;
+    const Http::ExchangeResult result
+        = co_await Http::exchange(pool_, options, request, isAnswerTo);
+    if (!result.answer_) {
+        noteTargetLost(*target, result.stage_ == Http::ExchangeStage::NotConnected);
+        co_return;
+    }
+    noteTargetAnswer(*target, *result.answer_);
+}
+
+} // namespace Entryd
--- /dev/null
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -0,0 +1,248 @@
+#include "ServiceQueue.h"
+
+#include <algorithm>
+
+namespace Entryd {
+
+using Model::Milliseconds;
+using Model::ResultCode;
+
+namespace {
+
+/// Passes over the classes that may fill no more than the class that was just found to wait.
+constexpr double useLimitStep = 1e-6;
+
+Model::SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::vector<Policy::TargetView> viewsOf(const std::vector<std::shared_ptr<TargetState>> &targets,
+                                        Model::SteadyTime now)
+{
+    std::vector<Policy::TargetView> views;
+    views.reserve(targets.size());
+    for (const auto &target : targets)
+        views.push_back(viewOf(*target, now));
+    return views;
+}
+
+Policy::SlotUse regionUse(const ServicePlan &plan, Model::SteadyTime now)
+{
+    Policy::SlotUse use;
+    for (const auto &targets : plan.targets_) {
+        const Policy::SlotUse part = Policy::slotUse(viewsOf(targets, now));
+        use.slots_ += part.slots_;
+        use.inFlight_ += part.inFlight_;
+    }
+    return use;
+}
+
+} // namespace
+
+ServiceQueue::ServiceQueue(Http::asio::io_context &context, const SnapshotCell &cell,
+                           Planner &planner, std::uint64_t seed)
+    : context_(context)
+    , cell_(cell)
+    , planner_(planner)
+    , random_(seed)
+{
+}
+
+GivenUp ServiceQueue::giveUp(ResultCode code) const
+{
+    return {code, comeBackAfter()};
+}
+
+Milliseconds ServiceQueue::comeBackAfter() const
+{
+    return Policy::comeBackAfter(drainRate_, queue_.size_);
+}
+
+std::size_t ServiceQueue::bound(const CallerRequest &request) const
+{
+    const Model::Slots slots = cell_.read([&](const EntrySnapshot *snapshot) {
+        const ServicePlan &plan = snapshot->services_[request.serviceIndex_];
+        return Model::Slots(regionUse(plan, steadyNow()).slots_);
+    });
+    return Policy::queueBound(drainRate_, request.queueLimit_, slots);
+}
+
+bool ServiceQueue::wouldRefuse(const CallerRequest &request) const
+{
+    if (queue_.size_ == 0 || queue_.size_ < bound(request))
+        return false;
+    // With a full queue the arriving caller may still displace a larger one; a trial on a copy
+    // tells.
+    Policy::FairQueue trial = queue_;
+    return !Policy::displaceFor(trial, request.class_, request.caller_).has_value();
+}
+
+std::optional<GivenUp> ServiceQueue::admit(const CallerRequest &request)
+{
+    const auto now = steadyNow();
+    const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now);
+    if (left <= Milliseconds(0))
+        return giveUp(ResultCode::DeadlineTooShort);
+    const std::size_t holders = cell_.read([&](const EntrySnapshot *snapshot) {
+        return snapshot->fleetSize_;
+    });
+    const auto limit = Policy::limitPart(request.class_.limit_, holders);
+    if (!Policy::takeToken(buckets_[request.class_.id_], limit, now))
+        return giveUp(ResultCode::ClassLimited);
+    if (queue_.size_ == 0 || queue_.size_ < bound(request))
+        return std::nullopt;
+    const auto displaced = Policy::displaceFor(queue_, request.class_, request.caller_);
+    if (!displaced)
+        return giveUp(ResultCode::OverCapacity);
+    decide(*displaced, giveUp(ResultCode::DisplacedByFairShare));
+    return std::nullopt;
+}
+
+Http::Task<Placement> ServiceQueue::place(const CallerRequest &request)
+{
+    if (const auto refused = admit(request))
+        co_return Placement(*refused);
+
+    Pending pending(context_, request);
+    const Policy::WaiterId id = ++lastWaiter_;
+    const Model::SteadyTime startBy
+        = std::min(request.deadline_, steadyNow() + request.queueLimit_);
+    pending_[id] = &pending;
+    Policy::enqueue(queue_, request.class_, request.caller_, {id, startBy});
+    pump();
+    if (!pending.isDecided_) {
+        planner_.noteWaiting(1);
+        pending.wake_.expires_at(startBy);
+        Http::ErrorCode ignored;
+        co_await pending.wake_.async_wait(
+            Http::asio::redirect_error(Http::asio::use_awaitable, ignored));
+        planner_.noteWaiting(-1);
+        if (!pending.isDecided_)
+            giveUpExpired();
+    }
+    pending_.erase(id);
+    if (!pending.isDecided_)
+        co_return Placement(giveUp(ResultCode::OverCapacity));
+    co_return std::move(pending.placement_);
+}
+
+void ServiceQueue::decide(Policy::WaiterId waiter, Placement placement)
+{
+    const auto found = pending_.find(waiter);
+    if (found == pending_.end())
+        return;
+    found->second->isDecided_ = true;
+    found->second->placement_ = std::move(placement);
+    found->second->wake_.cancel();
+}
+
+void ServiceQueue::giveUpExpired()
+{
+    const auto now = steadyNow();
+    while (const auto expired = Policy::takeExpired(queue_, now))
+        decide(*expired, giveUp(ResultCode::OverCapacity));
+}
+
+void ServiceQueue::pump()
+{
+    double leastUseLimit = 0;
+    while (const auto next = Policy::nextWaiter(queue_, leastUseLimit)) {
+        const auto found = pending_.find(next->waiter_.id_);
+        if (found == pending_.end()) {
+            Policy::takeNext(queue_, *next);
+            continue;
+        }
+        const CallerRequest &request = found->second->request_;
+        auto placement = cell_.read([&](const EntrySnapshot *snapshot) {
+            return tryPlace(*snapshot, request);
+        });
+        if (!placement) {
+            leastUseLimit = next->useLimit_ + useLimitStep;
+            continue;
+        }
+        Policy::takeNext(queue_, *next);
+        decide(next->waiter_.id_, std::move(*placement));
+    }
+}
+
+void ServiceQueue::onSlotReleased()
+{
+    Policy::countFinished(drainRate_, steadyNow());
+    pump();
+}
+
+bool ServiceQueue::mayFill(const EntrySnapshot &snapshot, const ServicePlan &plan,
+                           const CallerRequest &request, Model::SteadyTime now) const
+{
+    const Model::Service &service = snapshot.table_->services()[request.serviceIndex_];
+    const double limit = std::min(request.class_.useLimit_.value(), service.useLimit_.value());
+    return limit >= 1 || Policy::mayFillSlot(regionUse(plan, now), limit);
+}
+
+std::vector<Policy::DomainView> ServiceQueue::domainViews(const EntrySnapshot &snapshot,
+                                                          const ServicePlan &plan, bool mayFill,
+                                                          Model::SteadyTime now) const
+{
+    const auto &domains = snapshot.table_->domains();
+    const auto &ownRegion = snapshot.table_->regions()[snapshot.ownRegion_].id_;
+    std::vector<Policy::DomainView> views(domains.size());
+    for (std::size_t i = 0; i < domains.size(); ++i) {
+        Policy::DomainView &view = views[i];
+        view.isNear_ = domains[i].region_ == ownRegion;
+        if (!view.isNear_) {
+            view.isUsable_ = !plan.outage_.isOut(i) && !snapshot.handOver_[i].empty();
+            continue;
+        }
+        const auto targets = viewsOf(plan.targets_[i], now);
+        view.isUsable_ = Policy::anyUsable(targets);
+        view.hasFreeSlot_ = mayFill && Policy::chooseTarget(targets, 0, 0).has_value();
+    }
+    return views;
+}
+
+std::optional<Placement> ServiceQueue::tryTarget(const ServicePlan &plan, std::size_t domain,
+                                                 const CallerRequest &, Model::SteadyTime now)
+{
+    const auto &targets = plan.targets_[domain];
+    const auto views = viewsOf(targets, now);
+    if (!Policy::anyUsable(views))
+        return Placement(giveUp(ResultCode::NoTarget));
+    const auto chosen = Policy::chooseTarget(views, random_(), random_());
+    if (!chosen)
+        return std::nullopt;
+    return Placement(ToTarget{SlotHold(targets[*chosen])});
+}
+
+std::optional<Placement> ServiceQueue::tryPlace(const EntrySnapshot &snapshot,
+                                                const CallerRequest &request)
+{
+    const auto now = steadyNow();
+    const ServicePlan &plan = snapshot.services_[request.serviceIndex_];
+    const bool canFill = mayFill(snapshot, plan, request, now);
+    if (request.fixedDomain_)
+        return canFill ? tryTarget(plan, *request.fixedDomain_, request, now) : std::nullopt;
+
+    const OriginPlan &origin = plan.origins_[request.origin_];
+    Policy::DomainCredits &credits = credits_[request.origin_];
+    const Policy::DomainCredits before = credits;
+    const auto views = domainViews(snapshot, plan, canFill, now);
+    const auto choice = Policy::chooseDomain(credits, origin.shares_, views);
+    if (choice.verdict_ == Policy::DomainVerdict::NoneUsable)
+        return Placement(GivenUp{ResultCode::NoTarget, origin.comeBack_});
+    if (choice.verdict_ == Policy::DomainVerdict::ShiftLimited)
+        return Placement(GivenUp{ResultCode::ShiftLimited, origin.comeBack_});
+    if (!views[choice.domain_].isNear_) {
+        const auto &entries = snapshot.handOver_[choice.domain_];
+        const auto &entry = entries[random_() % entries.size()];
+        return Placement(ToEntry{choice.domain_, entry.addresses_.entryPeer_});
+    }
+    if (views[choice.domain_].hasFreeSlot_)
+        if (auto placement = tryTarget(plan, choice.domain_, request, now))
+            return placement;
+    // The request stays in the queue, so the choice must leave no trace in the credits.
+    credits = before;
+    return std::nullopt;
+}
+
+} // namespace Entryd
--- /dev/null
+++ b/Services/Entryd/TargetState.cpp
@@ -0,0 +1,100 @@
+#include "TargetState.h"
+
+#include <algorithm>
+
+namespace Entryd {
+
+namespace {
+
+constexpr std::int64_t failuresToSuspect = 3;
+constexpr std::int64_t firstFullUs = 1000;
+constexpr std::int64_t longestFullUs = 32000;
+constexpr std::int64_t mostDoublings = 5;
+/// The weight of a new latency in the moving average is one part in this many.
+constexpr std::int64_t latencyParts = 8;
+
+std::int64_t microsecondsOf(Model::SteadyTime time)
+{
+    return std::chrono::duration_cast<Model::Microseconds>(time.time_since_epoch()).count();
+}
+
+Model::Milliseconds age(std::int64_t sinceUs, Model::SteadyTime now)
+{
+    const Model::Microseconds passed(microsecondsOf(now) - sinceUs);
+    return std::chrono::duration_cast<Model::Milliseconds>(passed);
+}
+
+} // namespace
+
+Policy::TargetView viewOf(const TargetState &state, Model::SteadyTime now)
+{
+    Policy::TargetView view;
+    view.slots_ = state.target_.slots_.value();
+    view.ownInFlight_ = state.ownInFlight_;
+    view.reportedInFlight_ = state.reportedInFlight_;
+    view.ownInFlightAtReport_ = state.ownInFlightAtReport_;
+    view.reportAge_ = age(state.reportedAtUs_, now);
+    view.latency_ = Model::Microseconds(state.latencyUs_);
+    view.inUseFor_ = age(state.inUseSinceUs_, now);
+    view.isSuspect_ = state.isSuspect_;
+    view.isLeaving_ = state.isLeaving_;
+    if (state.fullUntilUs_ > microsecondsOf(now)) {
+        view.reportedInFlight_ = view.slots_ + view.ownInFlightAtReport_;
+        view.reportAge_ = Model::Milliseconds(0);
+    }
+    return view;
+}
+
+bool noteReport(TargetState &state, const TargetReport &report, Model::SteadyTime now)
+{
+    if (report.inFlight_ >= 0) {
+        state.reportedInFlight_ = report.inFlight_;
+        state.ownInFlightAtReport_ = state.ownInFlight_.load();
+        state.reportedAtUs_ = microsecondsOf(now);
+    }
+    const std::uint64_t incarnation = report.incarnation_.value();
+    const std::uint64_t before = state.incarnation_.exchange(incarnation);
+    const bool isNewRun = incarnation != 0 && before != 0 && before != incarnation;
+    if (isNewRun) {
+        // A new run of the target: its caches are cold, and marks of the old run are void.
+        state.inUseSinceUs_ = microsecondsOf(now);
+        state.isLeaving_ = false;
+    }
+    if (!report.isDraining_)
+        return false;
+    return !state.isLeaving_.exchange(true);
+}
+
+void noteLatency(TargetState &state, Model::Microseconds latency)
+{
+    const std::int64_t before = state.latencyUs_;
+    const std::int64_t step = (latency.count() - before) / latencyParts;
+    state.latencyUs_ = before == 0 ? latency.count() : before + step;
+    state.refusalsInARow_ = 0;
+}
+
+void noteFull(TargetState &state, Model::SteadyTime now)
+{
+    const std::int64_t doublings = std::min(state.refusalsInARow_++, mostDoublings);
+    const std::int64_t pause = std::min(firstFullUs << doublings, longestFullUs);
+    state.fullUntilUs_ = microsecondsOf(now) + pause;
+}
+
+bool noteFailure(TargetState &state, bool isCertain)
+{
+    const std::int64_t failures = ++state.failuresInARow_;
+    if (!isCertain && failures < failuresToSuspect)
+        return false;
+    return !state.isSuspect_.exchange(true);
+}
+
+bool noteAlive(TargetState &state, Model::SteadyTime now)
+{
+    state.failuresInARow_ = 0;
+    if (!state.isSuspect_.exchange(false))
+        return false;
+    state.inUseSinceUs_ = microsecondsOf(now);
+    return true;
+}
+
+} // namespace Entryd
--- /dev/null
+++ b/Services/Entryd/main.cpp
@@ -0,0 +1,137 @@
+#include "EntryThread.h"
+
+#include <iostream>
+
+namespace {
+
+using Model::Milliseconds;
+using Observe::Event;
+using Observe::ExitCode;
+
+/// How long the mark of a leaving entry may take to reach every look-up.
+constexpr Milliseconds spreadTime{1500};
+/// How long idle connections may bring a last request after the entry stopped accepting.
+constexpr Milliseconds idleGrace{500};
+constexpr Milliseconds stopStep{20};
+/// No request in progress is cut off before this; it is longer than the longest usual deadline.
+constexpr Milliseconds longestFinish{20000};
+
+/// All of entryd: its threads, its planner and its claims.
+class EntryDaemon
+{
+public:
+    explicit EntryDaemon(const Observe::Settings &settings)
+        : settings_(settings)
+        , planner_(settings, cell_)
+        , claims_(settings)
+        , admin_({[this] {
+                      return metricsText();
+                  },
+                  [this] {
+                      return planner_.statusText();
+                  },
+                  {}})
+    {
+        for (int i = 0; i < settings.entryThreads_; ++i)
+            threads_.push_back(std::make_unique<Entryd::EntryThread>(
+                settings, cell_, planner_, claims_, i, [this, i](std::size_t service) {
+                    wakeOthers(i, service);
+                }));
+    }
+
+    bool start()
+    {
+        for (const auto &thread : threads_)
+            if (!thread->start())
+                return false;
+        if (!admin_.start(settings_.entryAdmin_))
+            return false;
+        claims_.start();
+        planner_.start();
+        return true;
+    }
+
+    /// The order matters: first nobody is sent here any more, then nothing new is taken, then what
+    /// is in progress ends.
+    void stop()
+    {
+        planner_.beginStopping();
+        for (const auto &thread : threads_)
+            thread->beginLeaving();
+        std::this_thread::sleep_for(spreadTime + settings_.lookupTimeToLive_);
+        for (const auto &thread : threads_)
+            thread->stopAccepting();
+        std::this_thread::sleep_for(idleGrace);
+        waitForRequests();
+        for (const auto &thread : threads_)
+            thread->closeIdle();
+        waitForRequests();
+        claims_.finish(longestFinish);
+        planner_.stop();
+    }
+
+private:
+    void wakeOthers(int from, std::size_t service)
+    {
+        if (planner_.waiting() == 0)
+            return;
+        for (int i = 0; i < static_cast<int>(threads_.size()); ++i)
+            if (i != from)
+                threads_[static_cast<std::size_t>(i)]->wake(service);
+    }
+
+    void waitForRequests()
+    {
+        const auto end = std::chrono::steady_clock::now() + longestFinish;
+        for (const auto &thread : threads_)
+            while (thread->requestsInProgress() > 0 && std::chrono::steady_clock::now() < end)
+                std::this_thread::sleep_for(stopStep);
+    }
+
+    std::string metricsText()
+    {
+        Observe::MetricsText text;
+        for (const auto &thread : threads_)
+            thread->addMetrics(text);
+        text.add("cassiacrank_entry_table_version", "Version of the table in use.", "gauge",
+                 static_cast<double>(planner_.tableVersion()));
+        text.add("cassiacrank_entry_store_writes_total", "Commits of claims.", "counter",
+                 static_cast<double>(claims_.storeWrites()));
+        return text.text();
+    }
+
+    const Observe::Settings &settings_;
+    Entryd::SnapshotCell cell_;
+    Entryd::Planner planner_;
+    Entryd::ClaimKeeper claims_;
+    std::vector<std::unique_ptr<Entryd::EntryThread>> threads_;
+    Http::AdminServer admin_;
+};
+
+ExitCode run(const Observe::Settings &settings)
+{
+    EntryDaemon daemon(settings);
+    if (!daemon.start()) {
+        Observe::logEvent(Event::ListenFailed, {{"reason", toText(Model::lastReason())}});
+        return ExitCode::ListenFailed;
+    }
+    Observe::logEvent(Event::Started, {{"instance", settings.instance_.value()}});
+    Observe::waitForStopSignal();
+    Observe::logEvent(Event::StopRequested);
+    daemon.stop();
+    Observe::logEvent(Event::Stopped);
+    return ExitCode::Ok;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Observe::blockStopSignals();
+    const auto start = Observe::startDaemon(
+        argc, argv,
+        "entryd: takes callers' requests, admits them, forwards each to a target and answers.");
+    if (!start.settings_)
+        return static_cast<int>(start.exitCode_);
+    return static_cast<int>(run(*start.settings_));
+}
