--- /dev/null
+++ b/Utilities/Loadtool/Load.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Report.h"
+
+#include <LibHttp/LibHttp.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace Loadtool {
+
+/// Where the load goes.
+struct LoadOptions
+{
+    std::vector<Stream> streams_;
+    /// Where callers ask for an entry.
+    std::vector<Model::Address> lookups_;
+    /// If set, requests go straight to these targets, past the system.
+    std::vector<Model::Address> direct_;
+    Model::Milliseconds duration_{20000};
+    std::uint64_t seed_ = 1;
+};
+
+/// Plays callers: each asks for an entry, keeps the answer while it lives, and sends its requests
+/// at planned times whether or not earlier ones have been answered.
+///
+/// Thread safety: none; run() blocks the calling thread.
+class Load
+{
+public:
+    explicit Load(LoadOptions options);
+
+    /// Runs to the end and returns a sample for each request. \a progress is called each second.
+    std::vector<Sample> run(const std::function<void(const std::vector<Sample> &)> &progress);
+
+private:
+    struct Caller;
+
+    Http::Task<void> playStream(std::size_t stream);
+    Http::Task<void> playRequest(std::size_t stream, std::shared_ptr<Caller> caller,
+                                 Model::SteadyTime planned);
+    Http::Task<void> sendThroughEntries(const Stream &stream, Caller &caller, Sample &sample,
+                                        Model::SteadyTime deadline);
+    Http::Task<void> refreshEntries(const Stream &stream, Caller &caller);
+    Http::Task<bool> sendOnce(const Stream &stream, Caller &caller, Sample &sample,
+                              Model::Address entry, Model::SteadyTime deadline);
+    Http::Request makeRequest(const Stream &stream, const Caller &caller,
+                              const Sample &sample) const;
+    Http::Task<void> reportProgress(std::function<void(const std::vector<Sample> &)> progress);
+
+    LoadOptions options_;
+    Http::asio::io_context context_{1};
+    std::mt19937_64 random_;
+    std::vector<Sample> samples_;
+    Model::SteadyTime startedAt_;
+    std::size_t inProgress_ = 0;
+    std::uint64_t lastToken_ = 0;
+};
+
+} // namespace Loadtool
--- /dev/null
+++ b/Utilities/Tablectl/PlatformCalls.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Commands.h"
+
+namespace Tablectl {
+
+/// Blocking forms of what LibPlatform offers, for a tool that has nothing else to do meanwhile.
+/// Errors are those of LibPlatform. Thread safety: none.
+std::optional<Platform::TableMirror> readTable(const Options &options);
+std::optional<Model::TableVersion> commitEdit(const Options &options, Platform::Edit edit);
+std::optional<std::vector<Observe::AuditRecord>> readHistory(const Options &options);
+std::optional<std::vector<Model::Instance>> readInstances(const Options &options);
+
+/// Returns the time now, to a millisecond.
+Model::WallTime wallNow();
+
+} // namespace Tablectl
--- /dev/null
+++ b/Utilities/Tablectl/main.cpp
@@ -0,0 +1,47 @@
+#include "Commands.h"
+
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(platform, "", "IP:port of the platform's table service (needed but for validate)");
+DEFINE_string(operator, "", "your name, for the audit trail (needed for edits)");
+DEFINE_string(edit_id, "", "id of the edit; give the same to repeat one whose outcome is unknown");
+DEFINE_uint64(base, 0, "the version that you looked at; rows changed since are a conflict");
+DEFINE_string(start, "", "drain: when it begins, as 2026-12-02T18:00:00Z; default now");
+DEFINE_string(end, "", "drain: when traffic begins to come back");
+DEFINE_string(origin, "", "explain: the region of the caller");
+DEFINE_string(at, "", "explain: the time; default now");
+DEFINE_int32(timeout_ms, 2000, "longest wait for one answer of the platform");
+
+int main(int argc, char **argv)
+{
+    const std::string help
+        = "tablectl: shows and edits the operators' table.\n\n"
+          "Usage: tablectl --platform IP:port [--operator NAME] COMMAND ...\n\n"
+          + Tablectl::commandsText()
+          + "\nExit codes: 0 done, 1 refused or failed (the reason is printed), 3 bad usage.";
+    if (Observe::showHelpIfAsked(argc, argv, help, "Tablectl/main"))
+        return 0;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+
+    Tablectl::Options options;
+    options.operator_ = FLAGS_operator;
+    options.editId_ = FLAGS_edit_id;
+    options.timeout_ = Model::Milliseconds(FLAGS_timeout_ms);
+    options.start_ = FLAGS_start;
+    options.end_ = FLAGS_end;
+    options.origin_ = FLAGS_origin;
+    options.at_ = FLAGS_at;
+    if (FLAGS_base > 0)
+        options.base_ = Model::TableVersion(FLAGS_base);
+    options.arguments_.assign(argv + 1, argv + argc);
+    const bool needsPlatform
+        = options.arguments_.empty() || options.arguments_.front() != "validate";
+    const auto platform = Model::addressFromText(FLAGS_platform);
+    if (needsPlatform && !platform) {
+        std::cerr << "--platform IP:port is needed; --help tells more\n";
+        return static_cast<int>(Observe::ExitCode::BadUsage);
+    }
+    options.platform_ = platform.value_or(Model::Address());
+    return static_cast<int>(Tablectl::runCommand(options));
+}
