--- /dev/null
+++ b/Tests/Harness/Process.cpp
@@ -0,0 +1,94 @@
+#include "Process.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace Harness {
+
+Process::Process(std::string name, std::vector<std::string> command, std::string logPath)
+    : name_(std::move(name))
+    , command_(std::move(command))
+    , logPath_(std::move(logPath))
+{
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+void Process::start()
+{
+    std::vector<char *> arguments;
+    for (auto &argument : command_)
+        arguments.push_back(argument.data());
+    arguments.push_back(nullptr);
+    const pid_t parent = getpid();
+    const pid_t child = fork();
+    if (child != 0) {
+        pid_ = child;
+        return;
+    }
+    // In the child only calls that are safe after fork() in a program with threads.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent)
+        _exit(1);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    const int file = open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(file, STDOUT_FILENO);
+    dup2(file, STDERR_FILENO);
+    execv(arguments[0], arguments.data());
+    _exit(127);
+}
+
+void Process::signal(int number)
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
+
+std::optional<int> Process::wait(Model::Milliseconds patience)
+{
+    if (pid_ <= 0)
+        return 0;
+    int status = 0;
+    const bool hasEnded = waitUntil(patience, [&] {
+        return waitpid(pid_, &status, WNOHANG) == pid_;
+    });
+    if (!hasEnded)
+        return std::nullopt;
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+void Process::kill()
+{
+    if (pid_ <= 0)
+        return;
+    signal(SIGKILL);
+    signal(SIGCONT);
+    wait(Model::Milliseconds(5000));
+}
+
+std::string Process::log() const
+{
+    std::ifstream file(logPath_);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+void pause(Model::Milliseconds duration)
+{
+    std::this_thread::sleep_for(duration);
+}
+
+} // namespace Harness
--- /dev/null
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -0,0 +1,262 @@
+// A TCP proxy that brings about the faults of a network: delay, cuts, loss in one direction, and
+// connections that go silent for good while new ones work.
+//
+// Its command file has one line for each way: "LISTEN TARGET DELAY_MS GROUP". POST /standin/switch
+// {"group": G, "mode": M} sets the mode of every way of a group: "pass", "cut" (connections end and
+// none can be made), "freeze" (connections that are open now carry nothing any more; new ones do),
+// "black-hole" (everything is swallowed, new connections too), "lose-answers" (one direction only).
+
+#include "StandInMain.h"
+
+#include <deque>
+#include <fstream>
+#include <list>
+#include <sstream>
+
+DEFINE_string(address, "127.0.0.1:7900", "where to take switches");
+DEFINE_string(ways, "", "path of the file of ways");
+
+namespace {
+
+using Http::ErrorCode;
+using Http::Task;
+using Http::tcp;
+using Model::Milliseconds;
+
+constexpr std::size_t chunkBytes = 64 * 1024;
+
+struct Group
+{
+    std::string mode_ = "pass";
+    /// Connections with a lower number carry nothing any more.
+    std::uint64_t frozenBelow_ = 0;
+};
+
+struct Way
+{
+    Model::Address listen_;
+    Model::Address target_;
+    Milliseconds delay_{0};
+    std::string group_;
+};
+
+/// Bytes on their way in one direction, each chunk with the time at which it arrives.
+struct Pipe
+{
+    explicit Pipe(Http::asio::io_context &context)
+        : changed_(context)
+    {
+        changed_.expires_at(Model::SteadyTime::max());
+    }
+
+    std::deque<std::pair<Model::SteadyTime, std::string>> chunks_;
+    bool isEnded_ = false;
+    Http::asio::steady_timer changed_;
+};
+
+struct Link
+{
+    Link(Http::asio::io_context &context, tcp::socket client)
+        : client_(std::move(client))
+        , server_(context)
+        , toServer_(context)
+        , toClient_(context)
+    {
+    }
+
+    tcp::socket client_;
+    tcp::socket server_;
+    Pipe toServer_;
+    Pipe toClient_;
+    std::uint64_t number_ = 0;
+};
+
+class Proxy
+{
+public:
+    explicit Proxy(Http::asio::io_context &context)
+        : context_(context)
+    {
+    }
+
+    bool addWay(const Way &way)
+    {
+        auto acceptor = std::make_shared<tcp::acceptor>(context_);
+        ErrorCode error;
+        const auto endpoint = Http::endpointOf(way.listen_);
+        acceptor->open(endpoint.protocol(), error);
+        acceptor->set_option(Http::asio::socket_base::reuse_address(true), error);
+        acceptor->bind(endpoint, error);
+        if (!error)
+            acceptor->listen(Http::asio::socket_base::max_listen_connections, error);
+        if (error)
+            return false;
+        groups_[way.group_];
+        Http::asio::co_spawn(context_, acceptLoop(acceptor, way), Http::asio::detached);
+        return true;
+    }
+
+    Http::Response control(const std::string &body)
+    {
+        const auto wanted = nlohmann::json::parse(body);
+        const std::string name = wanted.at("group").get<std::string>();
+        for (auto &[groupName, group] : groups_) {
+            if (groupName != name && name != "*")
+                continue;
+            group.mode_ = wanted.at("mode").get<std::string>();
+            if (group.mode_ == "freeze")
+                group.frozenBelow_ = nextLink_;
+        }
+        if (wanted.at("mode") == "cut")
+            cutLinks(name);
+        return StandIns::jsonAnswer(nlohmann::json::object());
+    }
+
+private:
+    void cutLinks(const std::string &name)
+    {
+        ErrorCode ignored;
+        for (const auto &[link, group] : links_) {
+            const auto alive = link.lock();
+            if (!alive || (group != name && name != "*"))
+                continue;
+            alive->client_.close(ignored);
+            alive->server_.close(ignored);
+        }
+    }
+
+    Task<void> acceptLoop(std::shared_ptr<tcp::acceptor> acceptor, Way way)
+    {
+        while (true) {
+            ErrorCode error;
+            tcp::socket socket = co_await acceptor->async_accept(
+                Http::asio::redirect_error(Http::asio::use_awaitable, error));
+            if (error || groups_[way.group_].mode_ == "cut")
+                continue;
+            auto link = std::make_shared<Link>(context_, std::move(socket));
+            link->number_ = nextLink_++;
+            links_.remove_if([](const auto &entry) {
+                return entry.first.expired();
+            });
+            links_.emplace_back(link, way.group_);
+            Http::asio::co_spawn(context_, carry(link, way), Http::asio::detached);
+        }
+    }
+
+    Task<void> carry(std::shared_ptr<Link> link, Way way)
+    {
+        ErrorCode error;
+        co_await link->server_.async_connect(
+            Http::endpointOf(way.target_),
+            Http::asio::redirect_error(Http::asio::use_awaitable, error));
+        if (error)
+            co_return;
+        Http::tuneSocket(link->client_);
+        Http::tuneSocket(link->server_);
+        spawn(readLoop(link, &link->client_, &link->toServer_, way, false));
+        spawn(writeLoop(link, &link->server_, &link->toServer_));
+        spawn(readLoop(link, &link->server_, &link->toClient_, way, true));
+        spawn(writeLoop(link, &link->client_, &link->toClient_));
+    }
+
+    void spawn(Task<void> task)
+    {
+        Http::asio::co_spawn(context_, std::move(task), Http::asio::detached);
+    }
+
+    bool swallows(const Link &link, const Way &way, bool isAnswer)
+    {
+        const Group &group = groups_[way.group_];
+        if (link.number_ < group.frozenBelow_ || group.mode_ == "black-hole")
+            return true;
+        return group.mode_ == "lose-answers" && isAnswer;
+    }
+
+    Task<void> readLoop(std::shared_ptr<Link> link, tcp::socket *from, Pipe *pipe, Way way,
+                        bool isAnswer)
+    {
+        std::string chunk(chunkBytes, '\0');
+        ErrorCode error;
+        while (!error) {
+            const std::size_t received = co_await from->async_read_some(
+                Http::asio::buffer(chunk),
+                Http::asio::redirect_error(Http::asio::use_awaitable, error));
+            // A silent connection does not even tell that the other end has gone.
+            if (swallows(*link, way, isAnswer))
+                continue;
+            const auto arrival = std::chrono::steady_clock::now() + way.delay_;
+            if (error)
+                pipe->isEnded_ = true;
+            else
+                pipe->chunks_.emplace_back(arrival, chunk.substr(0, received));
+            pipe->changed_.cancel();
+        }
+    }
+
+    Task<void> writeLoop(std::shared_ptr<Link> link, tcp::socket *to, Pipe *pipe)
+    {
+        const std::shared_ptr<Link> kept = std::move(link);
+        ErrorCode error;
+        while (!error) {
+            if (pipe->chunks_.empty()) {
+                if (pipe->isEnded_)
+                    break;
+                ErrorCode ignored;
+                co_await pipe->changed_.async_wait(
+                    Http::asio::redirect_error(Http::asio::use_awaitable, ignored));
+                continue;
+            }
+            auto [arrival, bytes] = std::move(pipe->chunks_.front());
+            pipe->chunks_.pop_front();
+            co_await Http::sleepUntil(arrival);
+            co_await Http::asio::async_write(
+                *to, Http::asio::buffer(bytes),
+                Http::asio::redirect_error(Http::asio::use_awaitable, error));
+        }
+        ErrorCode ignored;
+        to->shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    Http::asio::io_context &context_;
+    std::map<std::string, Group> groups_;
+    std::list<std::pair<std::weak_ptr<Link>, std::string>> links_;
+    std::uint64_t nextLink_ = 1;
+};
+
+bool addWays(Proxy &proxy)
+{
+    std::ifstream file(FLAGS_ways);
+    for (std::string line; std::getline(file, line);) {
+        std::istringstream words(line);
+        std::string listen;
+        std::string target;
+        long long delay = 0;
+        std::string group;
+        words >> listen >> target >> delay >> group;
+        const auto listenAddress = Model::addressFromText(listen);
+        const auto targetAddress = Model::addressFromText(target);
+        if (!listenAddress || !targetAddress)
+            return false;
+        if (!proxy.addWay({*listenAddress, *targetAddress, Milliseconds(delay), group}))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("A TCP proxy that brings about faults, for tests.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Http::asio::io_context context(1);
+    Proxy proxy(context);
+    if (!addWays(proxy)) {
+        std::cerr << "cannot set up the ways\n";
+        return 4;
+    }
+    return StandIns::serveUntilStopped(
+        context, FLAGS_address, [&](Http::IncomingRequest request) -> Http::Task<Http::Response> {
+            co_return proxy.control(request.message_.body());
+        });
+}
