Meta: Make the linter see what the compiler sees

Cause: clang-tidy 14 did not find the coroutines and stopped at the first header, and the pipe's status hid its findings, so the check could not fail. Braces around bodies of several lines, as Qt asks, added by its fix-its.

--- a/Libraries/LibHttp/AdminServer.cpp
+++ b/Libraries/LibHttp/AdminServer.cpp
@@ -31,14 +31,16 @@
 {
     const std::string path(request.message_.target());
     const unsigned version = request.message_.version();
-    if (path == "/metrics")
+    if (path == "/metrics") {
         co_return textAnswer(http::status::ok, "text/plain; version=0.0.4", pages_.metrics_(),
                              version);
+    }
     if (path == "/status")
         co_return textAnswer(http::status::ok, "application/json", pages_.status_(), version);
-    if (pages_.other_)
+    if (pages_.other_) {
         if (auto body = pages_.other_(path))
             co_return textAnswer(http::status::ok, "application/json", std::move(*body), version);
+    }
     co_return textAnswer(http::status::not_found, "text/plain", "known here: /metrics /status\n",
                          version);
 }
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -134,10 +134,11 @@
         result.answer_.reset();
         co_return result;
     }
-    if (result.answer_->keep_alive())
+    if (result.answer_->keep_alive()) {
         pool.giveBack(options.address_, std::move(connection));
-    else
+    } else {
         pool.discard(options.address_, std::move(connection));
+    }
     co_return result;
 }
 
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -121,8 +121,9 @@
             continue;
         }
         // Out of descriptors and the like: accepting again at once would only spin.
-        if (acceptor->is_open())
+        if (acceptor->is_open()) {
             co_await sleepFor(Milliseconds(10));
+        }
     }
 }
 
@@ -135,10 +136,11 @@
     tuneSocket(socket);
     auto session = std::make_shared<Session>(std::move(socket), limits_.headBytes_ * 2);
     session->remoteHost_ = remote.address().to_string();
-    if (sessions_.size() > sessionsBeforeSweep + 2 * openSessions_)
+    if (sessions_.size() > sessionsBeforeSweep + 2 * openSessions_) {
         std::erase_if(sessions_, [](const auto &weak) {
             return weak.expired();
         });
+    }
     sessions_.push_back(session);
     ++openSessions_;
     asio::co_spawn(context_, serve(session), asio::detached);
@@ -147,8 +149,9 @@
 Task<void> Server::serve(std::shared_ptr<Session> session)
 {
     bool goesOn = true;
-    while (goesOn)
+    while (goesOn) {
         goesOn = co_await serveOne(*session);
+    }
     ErrorCode ignored;
     session->stream_.socket().close(ignored);
     --openSessions_;
@@ -192,17 +195,19 @@
     ErrorCode error;
     http::response_serializer<http::string_body> serializer(answer);
     // The answer to HEAD names the length of a body that is not sent.
-    if (isHead)
+    if (isHead) {
         co_await http::async_write_header(session.stream_, serializer,
                                           asio::redirect_error(asio::use_awaitable, error));
-    else
+    } else {
         co_await http::async_write(session.stream_, serializer,
                                    asio::redirect_error(asio::use_awaitable, error));
+    }
     --inProgress_;
     if (error)
         co_return false;
-    if (!goesOn)
+    if (!goesOn) {
         co_await closeGently(session);
+    }
     co_return goesOn;
 }
 
@@ -244,8 +249,9 @@
     ErrorCode error;
     co_await http::async_write(session.stream_, answer,
                                asio::redirect_error(asio::use_awaitable, error));
-    if (!error)
+    if (!error) {
         co_await closeGently(session);
+    }
 }
 
 Task<void> Server::closeGently(Session &session)
@@ -283,9 +289,10 @@
 
 void Server::closeIdle()
 {
-    for (const auto &weak : sessions_)
+    for (const auto &weak : sessions_) {
         if (const auto session = weak.lock(); session && session->isIdle_)
             session->stream_.cancel();
+    }
 }
 
 http::status statusOf(ResultCode code)
--- a/Libraries/LibModel/ClientBlocks.cpp
+++ b/Libraries/LibModel/ClientBlocks.cpp
@@ -90,9 +90,10 @@
         std::string domain;
         words >> range >> region >> domain;
         auto block = blockFromText(range);
-        if (!block || region.empty())
+        if (!block || region.empty()) {
             return fail(ResultCode::MalformedText,
                         "line " + std::to_string(lineNumber) + ": '" + line + "'");
+        }
         const BlockPlace place{RegionId(region), FailureDomainId(domain)};
         const auto next = static_cast<std::uint32_t>(result.places_.size());
         const auto [known, isNew] = placeNumbers.try_emplace(place, next);
@@ -114,10 +115,11 @@
     });
     std::vector<Block> around;
     const auto put = [&](Number first, std::uint32_t place) {
-        if (!stretches_.empty() && stretches_.back().first_ == first)
+        if (!stretches_.empty() && stretches_.back().first_ == first) {
             stretches_.back().place_ = place;
-        else
+        } else {
             stretches_.push_back({first, place});
+        }
     };
     const auto closeUpTo = [&](const Number *limit) {
         while (!around.empty() && (!limit || around.back().last_ < *limit)) {
--- a/Libraries/LibModel/Columns.cpp
+++ b/Libraries/LibModel/Columns.cpp
@@ -228,9 +228,10 @@
     const auto cell = row.cells_.find(std::string(name));
     if (cell != row.cells_.end())
         return cell->second;
-    for (const auto &column : columnsOf(row.key_.kind_))
+    for (const auto &column : columnsOf(row.key_.kind_)) {
         if (column.name_ == name)
             return std::string(column.default_);
+    }
     return "";
 }
 
--- a/Libraries/LibModel/Row.cpp
+++ b/Libraries/LibModel/Row.cpp
@@ -29,9 +29,10 @@
 
 std::string toText(RowKind kind)
 {
-    for (const auto &entry : kindNames)
+    for (const auto &entry : kindNames) {
         if (entry.kind_ == kind)
             return entry.name_;
+    }
     return "unknown";
 }
 
@@ -50,10 +51,12 @@
         const std::string name = space == std::string::npos ? "" : text.substr(space + 1);
         if (name.empty())
             return fail(ResultCode::MalformedText, "row '" + text + "' has no name");
-        for (char character : name)
-            if (!isNameCharacter(character))
+        for (char character : name) {
+            if (!isNameCharacter(character)) {
                 return fail(ResultCode::MalformedText,
                             "row '" + text + "': names hold no spaces and none of /\\[]\"'=;%?#,");
+            }
+        }
         return RowKey{entry.kind_, name};
     }
     return fail(ResultCode::UnknownRowKind,
--- a/Libraries/LibModel/Table.cpp
+++ b/Libraries/LibModel/Table.cpp
@@ -69,18 +69,22 @@
             errors.push_back({ResultCode::BadValue, row.key_, name, value, allowedText(*column)});
             continue;
         }
-        if (column->type_ == ColumnType::Reference && !keys.contains({column->references_, value}))
+        if (column->type_ == ColumnType::Reference
+            && !keys.contains({column->references_, value})) {
             errors.push_back(
                 {ResultCode::DanglingReference, row.key_, name, value, allowedText(*column)});
+        }
     }
 }
 
 void checkRequired(const Row &row, std::vector<CellError> &errors)
 {
-    for (const auto &column : columnsOf(row.key_.kind_))
-        if (column.required_ && !row.cells_.contains(std::string(column.name_)))
+    for (const auto &column : columnsOf(row.key_.kind_)) {
+        if (column.required_ && !row.cells_.contains(std::string(column.name_))) {
             errors.push_back({ResultCode::MissingValue, row.key_, std::string(column.name_), "",
                               allowedText(column)});
+        }
+    }
 }
 
 void checkDrain(const Row &row, std::vector<CellError> &errors)
@@ -89,9 +93,10 @@
         return;
     const auto start = timeIn(row, "drain_start");
     const auto end = timeIn(row, "drain_end");
-    if (end && (!start || *end <= *start))
+    if (end && (!start || *end <= *start)) {
         errors.push_back({ResultCode::BadValue, row.key_, "drain_end",
                           cellOrDefault(row, "drain_end"), "a time after drain_start"});
+    }
 }
 
 } // namespace
@@ -131,9 +136,10 @@
     std::sort(table.rows_.begin(), table.rows_.end(), [](const auto &a, const auto &b) {
         return a.key_ < b.key_;
     });
-    for (const auto &row : table.rows_)
+    for (const auto &row : table.rows_) {
         if (!row.deleted_)
             table.addTypedRow(row);
+    }
     for (const auto &target : table.targets_)
         table.slots_[{target.service_, target.domain_}] += target.slots_;
     table.shiftStarts_ = std::move(shiftStarts);
@@ -230,9 +236,10 @@
 
 const ShiftStart *Table::shiftStart(const ServiceId &service, const RegionId &origin) const
 {
-    for (const auto &start : shiftStarts_)
+    for (const auto &start : shiftStarts_) {
         if (start.service_ == service && start.origin_ == origin)
             return &start;
+    }
     return nullptr;
 }
 
--- a/Libraries/LibObserve/Audit.cpp
+++ b/Libraries/LibObserve/Audit.cpp
@@ -7,11 +7,12 @@
 std::string toText(const AuditRecord &record)
 {
     nlohmann::json changes = nlohmann::json::array();
-    for (const auto &change : record.changes_)
+    for (const auto &change : record.changes_) {
         changes.push_back({{"row", Model::toText(change.row_)},
                            {"column", change.column_},
                            {"before", change.before_},
                            {"after", change.after_}});
+    }
     const nlohmann::json json = {{"version", record.version_.value()},
                                  {"edit", record.edit_.value()},
                                  {"operator", record.operator_},
--- a/Libraries/LibObserve/Daemon.cpp
+++ b/Libraries/LibObserve/Daemon.cpp
@@ -37,9 +37,10 @@
     if (showHelpIfAsked(argc, argv, help, "LibObserve/Daemon"))
         return {std::nullopt, ExitCode::Ok};
     // Dashes are what users type; gflags knows names with underscores.
-    for (int i = 1; i < argc; ++i)
+    for (int i = 1; i < argc; ++i) {
         if (std::string(argv[i]) == "--check-settings")
             argv[i] = const_cast<char *>("--check_settings");
+    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     // The daemons run on instances without disks: the log goes to standard error.
     FLAGS_logtostderr = true;
@@ -75,10 +76,12 @@
     std::cout << help << "\n\nFlags:\n";
     std::vector<gflags::CommandLineFlagInfo> flags;
     gflags::GetAllFlags(&flags);
-    for (const auto &flag : flags)
-        if (flag.filename.find(flagFile) != std::string::npos)
+    for (const auto &flag : flags) {
+        if (flag.filename.find(flagFile) != std::string::npos) {
             std::cout << "  --" << flag.name << "  " << flag.description << " (default '"
                       << flag.default_value << "')\n";
+        }
+    }
     return true;
 }
 
--- a/Libraries/LibObserve/Settings.cpp
+++ b/Libraries/LibObserve/Settings.cpp
@@ -96,10 +96,11 @@
             item.erase(0, item.find_first_not_of(' '));
             item.erase(item.find_last_not_of(' ') + 1);
             const auto parsed = Model::addressFromText(item);
-            if (parsed)
+            if (parsed) {
                 result.push_back(*parsed);
-            else
+            } else {
                 add(ResultCode::SettingsBadValue, info(section, key), item);
+            }
         }
         return result;
     }
@@ -141,11 +142,12 @@
         for (const auto &[from, node] : section->second) {
             const auto key = Model::addressFromText(from);
             const auto value = Model::addressFromText(node.data());
-            if (key && value)
+            if (key && value) {
                 result[*key] = *value;
-            else
+            } else {
                 mistakes_.push_back("[603] [dial] " + from + " = " + node.data()
                                     + ": allowed: IP:port = IP:port");
+            }
         }
         return result;
     }
@@ -157,9 +159,10 @@
                 continue;
             if (keys.empty() && !keys.data().empty())
                 mistakes_.push_back("[602] " + section + ": stands outside any section");
-            for (const auto &[key, value] : keys)
+            for (const auto &[key, value] : keys) {
                 if (!isKnown(section, key))
                     mistakes_.push_back("[602] [" + section + "] " + key + ": no such setting");
+            }
         }
     }
 
@@ -175,17 +178,19 @@
 
     static bool isKnown(std::string_view section, std::string_view key)
     {
-        for (const auto &known : infos)
+        for (const auto &known : infos) {
             if (known.section_ == section && known.key_ == key)
                 return true;
+        }
         return false;
     }
 
     static const SettingInfo &info(std::string_view section, std::string_view key)
     {
-        for (const auto &known : infos)
+        for (const auto &known : infos) {
             if (known.section_ == section && known.key_ == key)
                 return known;
+        }
         return infos.front();
     }
 
--- a/Libraries/LibPeers/Gossip.cpp
+++ b/Libraries/LibPeers/Gossip.cpp
@@ -21,9 +21,10 @@
 bool takeMarks(Policy::LeavingMarks &marks, const Message &message)
 {
     bool isNews = false;
-    for (const auto &mark : message.marks())
+    for (const auto &mark : message.marks()) {
         isNews |= Policy::markLeaving(marks, Model::TargetId(mark.target()),
                                       Model::Incarnation(mark.incarnation()));
+    }
     return isNews;
 }
 
--- a/Libraries/LibPeers/InstanceView.cpp
+++ b/Libraries/LibPeers/InstanceView.cpp
@@ -34,16 +34,19 @@
     view.isLeaving_ = live.leaving();
     view.fleetSize_ = live.fleet_size();
     view.members_.clear();
-    for (const auto &message : live.members())
+    for (const auto &message : live.members()) {
         if (auto record = fromMessage(message))
             view.members_.push_back(std::move(*record));
+    }
     view.summaries_.clear();
-    for (const auto &message : live.summaries())
+    for (const auto &message : live.summaries()) {
         if (auto summary = fromMessage(message))
             view.summaries_.push_back(std::move(*summary));
-    for (const auto &mark : live.marks())
+    }
+    for (const auto &mark : live.marks()) {
         Policy::markLeaving(view.marks_, Model::TargetId(mark.target()),
                             Model::Incarnation(mark.incarnation()));
+    }
 }
 
 void takeBlocks(InstanceView &view, const std::string &text)
@@ -70,12 +73,14 @@
         takeBlocks(view, snapshot.client_blocks());
     if (snapshot.has_live())
         takeLive(view, snapshot.live());
-    if (change.tableChanged_)
+    if (change.tableChanged_) {
         Observe::logEvent(Observe::Event::SnapshotApplied,
                           {{"version", std::to_string(view.table_->version().value())}});
-    if (change.tableRefused_)
+    }
+    if (change.tableRefused_) {
         Observe::logEvent(Observe::Event::SnapshotRefused,
                           {{"reason", toText(Model::lastReason())}});
+    }
     return change;
 }
 
--- a/Libraries/LibPlatform/ClaimBatcher.cpp
+++ b/Libraries/LibPlatform/ClaimBatcher.cpp
@@ -63,8 +63,9 @@
 {
     while (!queue_.empty()) {
         const Model::SteadyTime next = lastWrite_ + interval_;
-        if (next > std::chrono::steady_clock::now())
+        if (next > std::chrono::steady_clock::now()) {
             co_await Http::sleepUntil(next);
+        }
         std::vector<std::shared_ptr<Operation>> batch;
         std::list<std::shared_ptr<Operation>> later;
         for (auto &operation : queue_) {
@@ -72,10 +73,11 @@
             const bool isRepeated = std::any_of(batch.begin(), batch.end(), [&](const auto &other) {
                 return other->key_ == operation->key_;
             });
-            if (isRepeated || batch.size() >= mostInOneWrite)
+            if (isRepeated || batch.size() >= mostInOneWrite) {
                 later.push_back(operation);
-            else
+            } else {
                 batch.push_back(operation);
+            }
         }
         queue_ = std::move(later);
         lastWrite_ = std::chrono::steady_clock::now();
--- a/Libraries/LibPlatform/Edits.cpp
+++ b/Libraries/LibPlatform/Edits.cpp
@@ -99,9 +99,10 @@
     const auto rows = co_await readRows(store, key, Revision(0));
     if (!rows)
         co_return std::nullopt;
-    for (const auto &row : rows->rows_)
+    for (const auto &row : rows->rows_) {
         if (row.key_ == key && row.value_)
             co_return Model::TableVersion(std::strtoull(row.value_->c_str(), nullptr, 10));
+    }
     co_return Model::TableVersion(0);
 }
 
@@ -128,10 +129,11 @@
             row.cells_.clear();
         row.deleted_ = rowEdit.removesRow_;
         for (const auto &[column, value] : rowEdit.cells_) {
-            if (value)
+            if (value) {
                 row.cells_[column] = *value;
-            else
+            } else {
                 row.cells_.erase(column);
+            }
         }
     }
     std::vector<Model::Row> result;
@@ -161,8 +163,9 @@
         if (accepted && *accepted > Model::TableVersion(0))
             co_return *accepted;
         std::optional<TableMirror> mirror;
-        if (accepted)
+        if (accepted) {
             mirror = co_await readTable(store);
+        }
         if (!mirror) {
             if (!mayHaveTakenEffect)
                 co_return std::nullopt;
--- a/Libraries/LibPlatform/Store.cpp
+++ b/Libraries/LibPlatform/Store.cpp
@@ -53,9 +53,10 @@
     const auto result = co_await send(store, Http::http::verb::get, target, "");
     if (!result.answer_)
         co_return Model::fail(ResultCode::PlatformUnreachable, target);
-    if (result.answer_->result() != Http::http::status::ok)
+    if (result.answer_->result() != Http::http::status::ok) {
         co_return Model::fail(ResultCode::PlatformError,
                               target + ": " + std::to_string(result.answer_->result_int()));
+    }
     auto parsed = json::parse(result.answer_->body(), nullptr, false);
     if (parsed.is_discarded())
         co_return Model::fail(ResultCode::PlatformBadAnswer, target);
@@ -185,9 +186,10 @@
         = co_await send(store, Http::http::verb::get, "/v1/objects/" + escaped(name), "");
     if (!result.answer_)
         co_return Model::fail(ResultCode::PlatformUnreachable, name);
-    if (result.answer_->result() != Http::http::status::ok)
+    if (result.answer_->result() != Http::http::status::ok) {
         co_return Model::fail(ResultCode::PlatformError,
                               name + ": " + std::to_string(result.answer_->result_int()));
+    }
     co_return std::optional<std::string>(result.answer_->body());
 }
 
--- a/Libraries/LibPlatform/TableMirror.cpp
+++ b/Libraries/LibPlatform/TableMirror.cpp
@@ -39,9 +39,10 @@
         start.origin_ = Model::RegionId(parsed.at("origin").get<std::string>());
         start.at_ = Model::WallTime(Model::Milliseconds(parsed.at("at_ms").get<long long>()));
         start.changedAt_ = Model::TableVersion(parsed.at("changed_at").get<std::uint64_t>());
-        for (const auto &[domain, share] : parsed.at("shares").items())
+        for (const auto &[domain, share] : parsed.at("shares").items()) {
             start.shares_.push_back(
                 {Model::FailureDomainId(domain), Model::Share(share.get<double>())});
+        }
         return start;
     } catch (const json::exception &error) {
         return Model::fail(ResultCode::PlatformBadAnswer, key + ": " + error.what());
@@ -102,12 +103,14 @@
     TableDelta delta;
     delta.base_ = base;
     delta.version_ = mirror.version_;
-    for (const auto &[key, row] : mirror.rows_)
+    for (const auto &[key, row] : mirror.rows_) {
         if (row.changedAt_ > base)
             delta.rows_.push_back(row);
-    for (const auto &[key, start] : mirror.shiftStarts_)
+    }
+    for (const auto &[key, start] : mirror.shiftStarts_) {
         if (start.changedAt_ > base)
             delta.shiftStarts_.push_back(start);
+    }
     return delta;
 }
 
--- a/Libraries/LibPolicy/Claims.cpp
+++ b/Libraries/LibPolicy/Claims.cpp
@@ -23,9 +23,10 @@
 
 std::optional<ClaimState> stateFromText(const std::string &text)
 {
-    for (auto state : {ClaimState::Claimed, ClaimState::Run, ClaimState::Released})
+    for (auto state : {ClaimState::Claimed, ClaimState::Run, ClaimState::Released}) {
         if (text == stateText(state))
             return state;
+    }
     return std::nullopt;
 }
 
--- a/Libraries/LibPolicy/Shares.cpp
+++ b/Libraries/LibPolicy/Shares.cpp
@@ -81,9 +81,10 @@
         point.shares_ = movedShares(table, point.shares_, goal, caps, until - point.at_);
         point.at_ = until;
     };
-    for (WallTime time : scheduledTimes(table))
+    for (WallTime time : scheduledTimes(table)) {
         if (time > point.at_ && time < now)
             walkTo(time);
+    }
     if (point.at_ < now)
         walkTo(now);
     return point;
@@ -189,9 +190,10 @@
     // The progress is linear in time, so the progress of one second tells the whole time.
     const auto oneDay = std::chrono::hours(24);
     const double inADay = allowedProgress(table, shares, goal, capsOf(*row), oneDay);
-    if (inADay < 1)
+    if (inADay < 1) {
         return Milliseconds(
             static_cast<long long>(std::ceil(Milliseconds(oneDay).count() / inADay)));
+    }
     const double inAMillisecond
         = allowedProgress(table, shares, goal, capsOf(*row), Milliseconds(1));
     return Milliseconds(static_cast<long long>(std::ceil(1.0 / inAMillisecond)));
@@ -221,19 +223,22 @@
 std::vector<Model::DomainShare> namedShares(const Model::Table &table, const ShareVector &shares)
 {
     std::vector<Model::DomainShare> named;
-    for (std::size_t i = 0; i < shares.shares_.size(); ++i)
+    for (std::size_t i = 0; i < shares.shares_.size(); ++i) {
         if (shares.shares_[i] > 0)
             named.push_back({table.domains()[i].id_, Model::Share(shares.shares_[i])});
+    }
     return named;
 }
 
 ShareVector indexedShares(const Model::Table &table, const std::vector<Model::DomainShare> &shares)
 {
     ShareVector vector{std::vector<double>(table.domains().size(), 0.0)};
-    for (const auto &share : shares)
-        for (std::size_t i = 0; i < vector.shares_.size(); ++i)
+    for (const auto &share : shares) {
+        for (std::size_t i = 0; i < vector.shares_.size(); ++i) {
             if (table.domains()[i].id_ == share.domain_)
                 vector.shares_[i] = share.share_.value();
+        }
+    }
     return vector;
 }
 
--- a/Libraries/LibPolicy/TargetPicker.cpp
+++ b/Libraries/LibPolicy/TargetPicker.cpp
@@ -49,9 +49,10 @@
 {
     std::vector<std::size_t> free;
     free.reserve(targets.size());
-    for (std::size_t i = 0; i < targets.size(); ++i)
+    for (std::size_t i = 0; i < targets.size(); ++i) {
         if (canTake(targets[i]))
             free.push_back(i);
+    }
     if (free.empty())
         return std::nullopt;
     const std::size_t first = free[firstDraw % free.size()];
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -8,8 +8,16 @@
 build=build/lint
 cmake -S . -B "$build" -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null || exit 1
 mapfile -t files < <(find Libraries Services Utilities Tests -name '*.cpp' | grep -v /Generated/ | sort)
-printf '%s\n' "${files[@]}" \
-    | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null | grep -E 'error|warning' && status=1
+# Clang 14 has coroutines but does not say so in the way that Boost and libstdc++ ask for.
+findings="$(printf '%s\n' "${files[@]}" \
+    | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet \
+        --extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 \
+        --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1 --extra-arg=-Wno-unknown-warning-option 2>/dev/null \
+    | grep -E ' (error|warning): ' | sort -u)"
+if [ -n "$findings" ]; then
+    echo "$findings"
+    status=1
+fi
 
 say() { echo "lint: $1"; status=1; }
 # A library is used through its one public header.
--- a/Services/Controld/ControlState.cpp
+++ b/Services/Controld/ControlState.cpp
@@ -165,14 +165,16 @@
               if (seen.insert(address).second)
                   targets.push_back({id, Observe::dialAddress(settings_, address), isSameRegion});
           };
-    for (const auto &[id, member] : gossip_.members_.members_)
+    for (const auto &[id, member] : gossip_.members_.members_) {
         if (Peers::isAlive(member, steadyNow()))
             add(id, member.record_.instance_.addresses_.control_, true);
+    }
     for (const auto &instance : listed_)
         add(instance.id_, instance.addresses_.control_, instance.region_ == settings_.region_);
-    for (const auto &[region, summary] : gossip_.members_.summaries_)
+    for (const auto &[region, summary] : gossip_.members_.summaries_) {
         for (const auto &contact : summary.contacts_)
             add(contact.id_, contact.addresses_.control_, region == settings_.region_);
+    }
     // A seed's region is not known; asking as for the own region only costs some bytes.
     for (const auto &seed : settings_.seeds_)
         add(Model::InstanceId(), seed, true);
@@ -215,9 +217,10 @@
         ++self.heartbeat_;
     }
     bool isNews = false;
-    for (const auto &mark : report.marks())
+    for (const auto &mark : report.marks()) {
         isNews |= Policy::markLeaving(gossip_.members_.marks_, Model::TargetId(mark.target()),
                                       Model::Incarnation(mark.incarnation()));
+    }
     if (isNews || report.stopping())
         noteChange();
 }
@@ -268,9 +271,10 @@
     live.set_ready(gossip_.self_.isReady_);
     live.set_leaving(gossip_.self_.instance_.isLeaving_);
     *live.add_members() = Peers::toMessage(gossip_.self_);
-    for (const auto &[id, member] : gossip_.members_.members_)
+    for (const auto &[id, member] : gossip_.members_.members_) {
         if (Peers::isAlive(member, now))
             *live.add_members() = Peers::toMessage(member.record_);
+    }
     for (const auto &[region, summary] : gossip_.members_.summaries_) {
         const auto heardAt = gossip_.members_.summaryHeardAt_.find(region);
         const bool isFresh = heardAt != gossip_.members_.summaryHeardAt_.end()
--- a/Services/Controld/GossipRounds.cpp
+++ b/Services/Controld/GossipRounds.cpp
@@ -34,9 +34,10 @@
 std::vector<PeerTarget> GossipRounds::choose(std::vector<PeerTarget> targets)
 {
     std::vector<PeerTarget> near;
-    for (const auto &target : targets)
+    for (const auto &target : targets) {
         if (target.isSameRegion_)
             near.push_back(target);
+    }
     std::vector<PeerTarget> chosen;
     for (std::size_t position : Policy::choosePeers(near.size(), 1, {draw()}))
         chosen.push_back(near[position]);
--- a/Services/Controld/StorePoller.cpp
+++ b/Services/Controld/StorePoller.cpp
@@ -51,10 +51,11 @@
         const auto rows
             = co_await Platform::readRows(store_, Platform::tablePrefix, state_.seenRevision());
         reads_ = store_.reads_;
-        if (rows)
+        if (rows) {
             state_.onStoreRows(*rows);
-        else
+        } else {
             state_.onStoreFailure();
+        }
         const Milliseconds pause = state_.isReady() ? pausePer(tableShare) : startPause;
         co_await Http::sleepFor(pause);
     }
--- a/Services/Entryd/CallerRequest.cpp
+++ b/Services/Entryd/CallerRequest.cpp
@@ -60,9 +60,10 @@
     for (const auto token : http::token_list(message[http::field::connection]))
         named.emplace_back(token.data(), token.size());
     std::vector<std::string> names;
-    for (const auto &field : message)
+    for (const auto &field : message) {
         if (isHopByHop(field.name()) || (stripsInternal && isInternal(field.name_string())))
             names.emplace_back(field.name_string().data(), field.name_string().size());
+    }
     names.insert(names.end(), named.begin(), named.end());
     for (const auto &name : names)
         message.erase(viewOf(name));
@@ -197,9 +198,10 @@
     const auto region = snapshot.regionIndex_.find(Model::RegionId(origin));
     request->origin_ = region == snapshot.regionIndex_.end() ? snapshot.ownRegion_ : region->second;
     const auto &domains = snapshot.table_->domains();
-    for (std::size_t i = 0; i < domains.size(); ++i)
+    for (std::size_t i = 0; i < domains.size(); ++i) {
         if (domains[i].id_.value() == domain)
             request->fixedDomain_ = i;
+    }
     if (!request->fixedDomain_)
         return Model::fail(ResultCode::NoTarget, "no failure domain '" + domain + "'");
     return request;
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -107,10 +107,11 @@
     if (!request)
         co_return refuse(version);
     Verdict verdict;
-    if (request->claimKey_.empty())
+    if (request->claimKey_.empty()) {
         verdict = co_await carry(*request);
-    else
+    } else {
         verdict = co_await carryClaimed(*request);
+    }
     co_return toAnswer(std::move(verdict), *request, version);
 }
 
@@ -212,8 +213,9 @@
 Http::Task<Verdict> Dispatcher::attempt(CallerRequest &request, Placement placement, int attempts,
                                         bool &isRefusedAsFull)
 {
-    if (auto *entry = std::get_if<ToEntry>(&placement))
+    if (auto *entry = std::get_if<ToEntry>(&placement)) {
         co_return co_await attemptEntry(request, *entry);
+    }
     ToTarget target = std::move(std::get<ToTarget>(placement));
     co_return co_await attemptTarget(request, std::move(target), attempts, isRefusedAsFull);
 }
@@ -285,10 +287,11 @@
         verdict.code_ = ResultCode::TargetRefused;
         verdict.comeBack_ = Policy::leastComeBack;
         isRefusedAsFull = true;
-        if (refusedBecause == "draining")
+        if (refusedBecause == "draining") {
             target.isLeaving_ = true;
-        else
+        } else {
             noteFull(target, steadyNow());
+        }
         return verdict;
     }
     verdict.outcome_ = Policy::outcomeOf(AttemptStage::Answered);
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -189,9 +189,10 @@
     for (const auto &summary : view_.summaries_) {
         if (summary.region_ == settings_.region_)
             continue;
-        for (std::size_t i = 0; i < table.domains().size(); ++i)
+        for (std::size_t i = 0; i < table.domains().size(); ++i) {
             if (table.domains()[i].region_ == summary.region_)
                 snapshot->handOver_[i] = summary.contacts_;
+        }
     }
     const Model::WallTime now = wallNow();
     for (const auto &service : table.services()) {
@@ -210,9 +211,10 @@
     for (const auto &[id, state] : targets_) {
         if (state->target_.service_ != service.id_)
             continue;
-        for (std::size_t i = 0; i < table.domains().size(); ++i)
+        for (std::size_t i = 0; i < table.domains().size(); ++i) {
             if (table.domains()[i].id_ == state->target_.domain_)
                 plan.targets_[i].push_back(state);
+        }
     }
     findOutage(service, plan);
     for (const auto &region : table.regions())
@@ -233,10 +235,12 @@
                       return !t->isSuspect_ && !t->isLeaving_;
                   });
         } else {
-            for (const auto &summary : view_.summaries_)
-                for (const auto &load : summary.loads_)
+            for (const auto &summary : view_.summaries_) {
+                for (const auto &load : summary.loads_) {
                     canServe |= !summary.contacts_.empty() && load.service_ == service.id_
                                 && load.domain_ == domain.id_ && load.slots_ > Model::Slots(0);
+                }
+            }
         }
         plan.outage_.isOut_[i] = !canServe;
         bool &wasOut = knownOut_[{service.id_, domain.id_}];
@@ -257,11 +261,13 @@
     if (isNew) {
         walk.shares_ = planned;
         // An entry that starts while failure domains are out takes over where its peers stand.
-        for (const auto &member : view_.members_)
-            for (const auto &walked : member.walked_)
+        for (const auto &member : view_.members_) {
+            for (const auto &walked : member.walked_) {
                 if (member.instance_.id_ != settings_.instance_ && walked.service_ == service.id_
                     && walked.origin_ == origin)
                     walk.shares_ = Policy::indexedShares(table, walked.shares_);
+            }
+        }
     } else if (walk.version_ != table.version()) {
         // The rows may have moved; the shares stay with their names.
         std::vector<Model::DomainShare> named;
@@ -330,9 +336,10 @@
         return report;
     for (const auto &[key, walk] : walks_) {
         const auto planned = Policy::plannedShares(*view_.table_, key.first, key.second, wallNow());
-        if (distance(planned, walk.shares_) > notableDistance)
+        if (distance(planned, walk.shares_) > notableDistance) {
             *report.add_walked() = Peers::toMessage(
                 {key.first, key.second, Policy::namedShares(*view_.table_, walk.shares_)});
+        }
     }
     return report;
 }
@@ -352,12 +359,13 @@
                               {"origin", key.second.value()},
                               {"shares", byDomain}});
         }
-        for (const auto &[id, state] : targets_)
+        for (const auto &[id, state] : targets_) {
             targets.push_back({{"id", id.value()},
                                {"in_flight", state->ownInFlight_.load()},
                                {"latency_us", state->latencyUs_.load()},
                                {"suspect", state->isSuspect_.load()},
                                {"leaving", state->isLeaving_.load()}});
+        }
     }
     const json status = {{"id", settings_.instance_.value()},
                          {"ready", isReady_.load()},
--- a/Services/Entryd/Prober.cpp
+++ b/Services/Entryd/Prober.cpp
@@ -28,9 +28,10 @@
             std::vector<std::shared_ptr<TargetState>> all;
             if (!snapshot)
                 return all;
-            for (const auto &service : snapshot->services_)
+            for (const auto &service : snapshot->services_) {
                 for (const auto &domain : service.targets_)
                     all.insert(all.end(), domain.begin(), domain.end());
+            }
             return all;
         });
         for (const auto &target : targets)
--- a/Services/Entryd/ServiceQueue.cpp
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -237,9 +237,10 @@
         const auto &entry = entries[random_() % entries.size()];
         return Placement(ToEntry{choice.domain_, entry.addresses_.entryPeer_});
     }
-    if (views[choice.domain_].hasFreeSlot_)
+    if (views[choice.domain_].hasFreeSlot_) {
         if (auto placement = tryTarget(plan, choice.domain_, request, now))
             return placement;
+    }
     // The request stays in the queue, so the choice must leave no trace in the credits.
     credits = before;
     return std::nullopt;
--- a/Services/Entryd/main.cpp
+++ b/Services/Entryd/main.cpp
@@ -32,18 +32,20 @@
                   },
                   {}})
     {
-        for (int i = 0; i < settings.entryThreads_; ++i)
+        for (int i = 0; i < settings.entryThreads_; ++i) {
             threads_.push_back(std::make_unique<Entryd::EntryThread>(
                 settings, cell_, planner_, claims_, i, [this, i](std::size_t service) {
                     wakeOthers(i, service);
                 }));
+        }
     }
 
     bool start()
     {
-        for (const auto &thread : threads_)
+        for (const auto &thread : threads_) {
             if (!thread->start())
                 return false;
+        }
         if (!admin_.start(settings_.entryAdmin_))
             return false;
         claims_.start();
@@ -75,17 +77,19 @@
     {
         if (planner_.waiting() == 0)
             return;
-        for (int i = 0; i < static_cast<int>(threads_.size()); ++i)
+        for (int i = 0; i < static_cast<int>(threads_.size()); ++i) {
             if (i != from)
                 threads_[static_cast<std::size_t>(i)]->wake(service);
+        }
     }
 
     void waitForRequests()
     {
         const auto end = std::chrono::steady_clock::now() + longestFinish;
-        for (const auto &thread : threads_)
+        for (const auto &thread : threads_) {
             while (thread->requestsInProgress() > 0 && std::chrono::steady_clock::now() < end)
                 std::this_thread::sleep_for(stopStep);
+        }
     }
 
     std::string metricsText()
--- a/Services/Lookupd/LookupPage.cpp
+++ b/Services/Lookupd/LookupPage.cpp
@@ -27,9 +27,10 @@
 std::string reasonText(const LookupSnapshot &snapshot, const Policy::LookupQuery &query)
 {
     std::size_t alive = 0;
-    for (const auto &candidate : snapshot.candidates_)
+    for (const auto &candidate : snapshot.candidates_) {
         if (candidate.isAlive_ && candidate.instance_.region_ == query.origin_)
             ++alive;
+    }
     std::string text = std::to_string(alive) + " entries of " + query.origin_.value() + " serve";
     if (!query.nearDomain_.isEmpty())
         text += "; those in " + query.nearDomain_.value() + " come first";
@@ -73,11 +74,12 @@
     using nlohmann::json;
     const auto ranked = Policy::rankEntries(query, snapshot.candidates_, snapshot.mostEntries_);
     json entries = json::array();
-    for (const auto &instance : ranked)
+    for (const auto &instance : ranked) {
         entries.push_back({{"id", instance.id_.value()},
                            {"address", Model::toText(instance.addresses_.entry_)},
                            {"region", instance.region_.value()},
                            {"domain", instance.domain_.value()}});
+    }
     const json answer = {{"entries", entries},
                          {"ttl_ms", snapshot.timeToLive_.count()},
                          {"origin", query.origin_.value()},
--- a/Tests/Harness/Demo.cpp
+++ b/Tests/Harness/Demo.cpp
@@ -28,11 +28,12 @@
 
 std::vector<ServiceLoad> loadsOf(const std::string &example)
 {
-    if (example == "koper")
+    if (example == "koper") {
         return {{"gauging", "pilot-", 30, false},
                 {"gauging", "dispatch-", 60, false},
                 {"gauging", "partner-", 100, false},
                 {"transfers", "customs-", 15, true}};
+    }
     return {{"booking-desk", "family-", 30, false},
             {"booking-desk", "desk-", 60, false},
             {"booking-desk", "hotel-", 100, false},
--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -95,10 +95,12 @@
 
 Site::~Site()
 {
-    for (auto &instance : instances_)
-        for (Process *process : instance.processes())
+    for (auto &instance : instances_) {
+        for (Process *process : instance.processes()) {
             if (process)
                 process->kill();
+        }
+    }
     if (netLock_ >= 0)
         close(netLock_);
 }
@@ -125,9 +127,10 @@
         throw std::runtime_error(toText(Model::lastReason()));
     for (auto &row : *rows) {
         const auto wanted = options_.cells_.find(Model::toText(row.key_));
-        if (wanted != options_.cells_.end())
+        if (wanted != options_.cells_.end()) {
             for (const auto &[column, value] : wanted->second)
                 row.cells_[column] = value;
+        }
         if (row.key_.kind_ != Model::RowKind::Target)
             continue;
         std::string &address = row.cells_["address"];
@@ -227,17 +230,19 @@
 
 SiteInstance &Site::instance(const std::string &id)
 {
-    for (auto &instance : instances_)
+    for (auto &instance : instances_) {
         if (instance.row_.id_.value() == id)
             return instance;
+    }
     throw std::runtime_error("no instance " + id);
 }
 
 SiteTarget &Site::target(const std::string &id)
 {
-    for (auto &target : targets_)
+    for (auto &target : targets_) {
         if (target.row_.id_.value() == id)
             return target;
+    }
     throw std::runtime_error("no target " + id);
 }
 
@@ -276,10 +281,11 @@
         }
         for (const auto &target : targets_) {
             const auto *domain = table_->domain(target.row_.domain_);
-            if (domain->region_ == from.row_.region_)
+            if (domain->region_ == from.row_.region_) {
                 addWay(from, target.row_.address_,
                        delayBetween(from.row_, domain->region_, domain->id_),
                        "target-" + target.row_.id_.value());
+            }
         }
         addWay(from, platform(), 1, "platform");
     }
@@ -333,18 +339,21 @@
     writeInstanceList();
     for (auto &instance : instances_)
         startInstance(instance);
-    for (auto &instance : instances_)
-        if (!waitUntilServing(instance, startPatience))
+    for (auto &instance : instances_) {
+        if (!waitUntilServing(instance, startPatience)) {
             throw std::runtime_error(instance.row_.id_.value() + " does not serve: "
                                      + instance.control_->log() + instance.entry_->log());
+        }
+    }
 }
 
 std::string Site::settingsText(const SiteInstance &instance) const
 {
     std::string seeds;
-    for (const auto &other : instances_)
+    for (const auto &other : instances_) {
         if (seeds.empty() && other.row_.id_ != instance.row_.id_)
             seeds = toText(other.row_.addresses_.control_);
+    }
     const std::string &host = instance.host_;
     std::string text = "[instance]\nid = " + instance.row_.id_.value()
                        + "\nregion = " + instance.row_.region_.value() + "\ndomain = "
@@ -400,14 +409,17 @@
 
 bool Site::stopAllInstances(Milliseconds patience)
 {
-    for (auto &instance : instances_)
-        for (Process *process : instance.processes())
+    for (auto &instance : instances_) {
+        for (Process *process : instance.processes()) {
             if (process)
                 process->signal(SIGTERM);
+        }
+    }
     bool isClean = true;
-    for (auto &instance : instances_)
+    for (auto &instance : instances_) {
         for (Process *process : instance.processes())
             isClean &= !process || process->wait(patience) == std::optional<int>(0);
+    }
     return isClean;
 }
 
--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -185,10 +185,11 @@
             if (swallows(*link, way, isAnswer))
                 continue;
             const auto arrival = std::chrono::steady_clock::now() + way.delay_;
-            if (error)
+            if (error) {
                 pipe->isEnded_ = true;
-            else
+            } else {
                 pipe->chunks_.emplace_back(arrival, chunk.substr(0, received));
+            }
             pipe->changed_.cancel();
         }
     }
--- a/Tests/StandIns/PlatformStandIn.cpp
+++ b/Tests/StandIns/PlatformStandIn.cpp
@@ -43,10 +43,12 @@
             co_return control(target, request.message_.body());
         if (switches_.isDown_)
             co_return jsonAnswer({{"error", "down"}}, http::status::service_unavailable);
-        if (switches_.delay_ > Milliseconds(0))
+        if (switches_.delay_ > Milliseconds(0)) {
             co_await Http::sleepFor(switches_.delay_);
-        if (target.starts_with("/v1/commit"))
+        }
+        if (target.starts_with("/v1/commit")) {
             co_return co_await commit(request.message_.body());
+        }
         co_return read(target, request.message_);
     }
 
--- a/Tests/StandIns/StandInMain.h
+++ b/Tests/StandIns/StandInMain.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/LibHttp.h>
 #include <LibObserve/LibObserve.h>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -48,11 +48,13 @@
         const std::string target(request.message_.target());
         if (target.starts_with("/standin/"))
             co_return control(target, request.message_.body());
-        if (faults_.isMute_)
+        if (faults_.isMute_) {
             co_await Http::sleepFor(Milliseconds(600000));
+        }
         Http::Response answer = StandIns::jsonAnswer(json::object());
-        if (!target.starts_with("/cassiacrank/health"))
+        if (!target.starts_with("/cassiacrank/health")) {
             answer = co_await work(request);
+        }
         setHeaders(request.message_, answer);
         co_return answer;
     }
@@ -77,8 +79,9 @@
         const bool isDone = co_await workUntil(until, now + left, request);
         --inFlight_;
         ++finished_;
-        if (faults_.late_ > Milliseconds(0))
+        if (faults_.late_ > Milliseconds(0)) {
             co_await Http::sleepFor(faults_.late_);
+        }
         if (!isDone)
             co_return deadlineAnswer();
         co_return doneAnswer(token, request.message_.body().size());
--- a/Utilities/Loadtool/Load.cpp
+++ b/Utilities/Loadtool/Load.cpp
@@ -125,8 +125,9 @@
     int repeatsLeft = stream.repeats_;
     std::size_t position = 0;
     while (steadyNow() < deadline) {
-        if (steadyNow() >= caller.entriesUntil_)
+        if (steadyNow() >= caller.entriesUntil_) {
             co_await refreshEntries(stream, caller);
+        }
         if (caller.entries_.empty()) {
             co_await Http::sleepFor(repeatPause);
             continue;
@@ -176,9 +177,10 @@
             continue;
         const auto answer = nlohmann::json::parse(result.answer_->body(), nullptr, false);
         std::vector<Model::Address> entries;
-        for (const auto &entry : answer.value("entries", nlohmann::json::array()))
+        for (const auto &entry : answer.value("entries", nlohmann::json::array())) {
             if (const auto address = Model::addressFromText(entry.value("address", "")))
                 entries.push_back(*address);
+        }
         if (entries.empty())
             continue;
         caller.entries_ = std::move(entries);
@@ -213,14 +215,16 @@
     exchange.deadline_ = deadline;
     exchange.connectionLimit_ = connectionsOfStream;
     exchange.sourceHost_ = stream.source_;
-    if (stream.delay_ > Milliseconds(0))
+    if (stream.delay_ > Milliseconds(0)) {
         co_await Http::sleepFor(stream.delay_);
+    }
     const Http::Request request = makeRequest(stream, caller, sample);
     const auto result = co_await Http::exchange(caller.pool_, exchange, request, Http::anyAnswer);
     if (result.stage_ == Http::ExchangeStage::NotConnected)
         co_return false;
-    if (stream.delay_ > Milliseconds(0))
+    if (stream.delay_ > Milliseconds(0)) {
         co_await Http::sleepFor(stream.delay_);
+    }
 
     ++sample.sends_;
     sample.told_ = Told::Nothing;
--- a/Utilities/Loadtool/Profile.cpp
+++ b/Utilities/Loadtool/Profile.cpp
@@ -130,9 +130,10 @@
             const auto setter = setters().find(key);
             if (setter == setters().end())
                 return Model::fail(ResultCode::SettingsUnknownKey, "[" + section + "] " + key);
-            if (!setter->second(stream, value.data()))
+            if (!setter->second(stream, value.data())) {
                 return Model::fail(ResultCode::SettingsBadValue,
                                    "[" + section + "] " + key + " = " + value.data());
+            }
         }
         streams.push_back(std::move(stream));
     }
--- a/Utilities/Loadtool/main.cpp
+++ b/Utilities/Loadtool/main.cpp
@@ -87,9 +87,10 @@
     const auto direct = lookups ? addressList(FLAGS_direct) : std::nullopt;
     if (!direct)
         return std::nullopt;
-    if (streams->empty() || (lookups->empty() && direct->empty()))
+    if (streams->empty() || (lookups->empty() && direct->empty())) {
         return Model::fail(Model::ResultCode::SettingsMissing,
                            "a profile with streams and --lookups or --direct are needed");
+    }
     options.streams_ = *streams;
     options.lookups_ = *lookups;
     options.direct_ = *direct;
--- a/Utilities/Tablectl/Commands.cpp
+++ b/Utilities/Tablectl/Commands.cpp
@@ -73,9 +73,10 @@
             return row.key_ == change.row_ && !row.deleted_;
         });
         edit.removesRow_ = added == after.end();
-        if (!edit.removesRow_)
+        if (!edit.removesRow_) {
             for (const auto &[column, value] : added->cells_)
                 edit.cells_[column] = value;
+        }
     }
     Platform::Edit edit;
     for (auto &[key, rowEdit] : edits)
@@ -105,9 +106,10 @@
         return ExitCode::Ok;
     }
     std::vector<Model::Row> chosen;
-    for (const auto &row : rows)
+    for (const auto &row : rows) {
         if (Model::toText(row.key_).starts_with(options.arguments_[1]))
             chosen.push_back(row);
+    }
     std::cout << Model::toText(chosen);
     return chosen.empty() ? ExitCode::Failed : ExitCode::Ok;
 }
@@ -344,9 +346,10 @@
 {
     if (options.arguments_.empty())
         return usage("COMMAND ...; commands:\n" + commandsText());
-    for (const auto &command : commands)
+    for (const auto &command : commands) {
         if (command.name_ == options.arguments_.front())
             return command.run_(options);
+    }
     return usage("COMMAND ...; no command '" + options.arguments_.front() + "'; commands:\n"
                  + commandsText());
 }
--- a/Utilities/Tablectl/Explain.cpp
+++ b/Utilities/Tablectl/Explain.cpp
@@ -43,9 +43,10 @@
     if (callerClass->isBulk_)
         text += ", bulk";
     text += ", may hold " + percentText(callerClass->useLimit_.value()) + " of the slots";
-    if (callerClass->limit_.value() > 0)
+    if (callerClass->limit_.value() > 0) {
         text += ", at most " + std::to_string(static_cast<int>(callerClass->limit_.value()))
                 + " requests a second in all";
+    }
     return text + ")\n";
 }
 
@@ -77,12 +78,13 @@
                 + std::to_string(slots) + " slots" + drainText(domain, at) + "\n";
     }
     const auto left = Policy::timeToGoal(table, service, origin, at);
-    if (left > Model::Milliseconds(0))
+    if (left > Model::Milliseconds(0)) {
         text += "moving: goal reached in " + secondsText(left) + "; cap "
                 + percentText(row->shiftCap_.value()) + " a second between failure domains, "
                 + percentText(row->regionShiftCap_.value()) + " between regions\n";
-    else
+    } else {
         text += "not moving\n";
+    }
     text += "refused: requests that wait over " + std::to_string(row->queueLimit_.count())
             + " ms for a slot, and those that fall to a "
             + "failure domain that is out while the cap holds back their move\n";
@@ -102,12 +104,13 @@
             text += "drain " + domain.id_.value() + " of " + service.id_.value() + ": "
                     + percentText(shares.shares_[i]) + " of " + domain.region_.value()
                     + "'s traffic left";
-            if (now < *domain.drainStart_)
+            if (now < *domain.drainStart_) {
                 text += ", begins at " + Model::toText(*domain.drainStart_);
-            else if (left > Model::Milliseconds(0))
+            } else if (left > Model::Milliseconds(0)) {
                 text += ", done in " + secondsText(left);
-            else
+            } else {
                 text += ", done";
+            }
             text += "\n";
         }
     }
