LibHttp: Tell a slow caller why before closing

Cause: the timeout of Beast's stream closes the socket, so a request that came too slowly ended without the numbered refusal. Found by the new TestServer::slowBodyIsRefused, red before (empty answer). Ruled out: the write of the refusal (other refusals arrive). The limit is now a timer that only ends the read.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -22,8 +22,6 @@
 
 ResultCode codeOf(const ErrorCode &error)
 {
-    if (error == beast::error::timeout)
-        return ResultCode::RequestTooSlow;
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return ResultCode::HeadTooLarge;
     if (error == http::error::body_limit)
@@ -70,13 +68,52 @@
     Session(tcp::socket socket, std::size_t bufferBytes)
         : stream_(std::move(socket))
         , buffer_(bufferBytes)
+        , readTimer_(stream_.get_executor())
     {
     }
 
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     std::string remoteHost_;
+    asio::steady_timer readTimer_;
     bool isIdle_ = true;
+    bool isReading_ = false;
+    bool isTooSlow_ = false;
+};
+
+/// Ends the reads of a request after a while, and leaves the connection open for the refusal.
+///
+/// The stream's own timeout closes the socket, so that a slow caller would never learn why.
+class Server::ReadLimit
+{
+public:
+    ReadLimit(std::shared_ptr<Session> session, Milliseconds limit)
+        : session_(std::move(session))
+    {
+        session_->isTooSlow_ = false;
+        session_->isReading_ = true;
+        session_->stream_.expires_never();
+        session_->readTimer_.expires_after(limit);
+        session_->readTimer_.async_wait([weak = std::weak_ptr(session_)](const ErrorCode &error) {
+            const auto session = weak.lock();
+            // The timer may have run out in the moment in which the request became whole.
+            if (error || !session || !session->isReading_)
+                return;
+            session->isTooSlow_ = true;
+            ErrorCode ignored;
+            session->stream_.socket().cancel(ignored);
+        });
+    }
+    ~ReadLimit()
+    {
+        session_->isReading_ = false;
+        session_->readTimer_.cancel();
+    }
+    ReadLimit(const ReadLimit &) = delete;
+    ReadLimit &operator=(const ReadLimit &) = delete;
+
+private:
+    std::shared_ptr<Session> session_;
 };
 
 Server::Server(asio::io_context &context, ServerLimits limits, Handler handler)
@@ -150,15 +187,16 @@
 {
     bool goesOn = true;
     while (goesOn) {
-        goesOn = co_await serveOne(*session);
+        goesOn = co_await serveOne(session);
     }
     ErrorCode ignored;
     session->stream_.socket().close(ignored);
     --openSessions_;
 }
 
-Task<bool> Server::serveOne(Session &session)
+Task<bool> Server::serveOne(std::shared_ptr<Session> kept)
 {
+    Session &session = *kept;
     if (session.buffer_.size() == 0) {
         session.isIdle_ = true;
         session.stream_.expires_after(limits_.idle_);
@@ -173,7 +211,13 @@
     session.isIdle_ = false;
 
     IncomingRequest incoming;
-    const ResultCode code = co_await readRequest(session, incoming.message_);
+    ResultCode code = ResultCode::Ok;
+    {
+        const ReadLimit limit(kept, limits_.request_);
+        code = co_await readRequest(session, incoming.message_);
+    }
+    if (code != ResultCode::Ok && session.isTooSlow_)
+        code = ResultCode::RequestTooSlow;
     if (code != ResultCode::Ok) {
         co_await refuse(session, code);
         co_return false;
@@ -216,7 +260,6 @@
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.headBytes_));
     parser.body_limit(limits_.bodyBytes_);
-    session.stream_.expires_after(limits_.request_);
     ErrorCode error;
     co_await http::async_read_header(session.stream_, session.buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -62,10 +62,11 @@
 
 private:
     struct Session;
+    class ReadLimit;
 
     Task<void> acceptLoop(std::shared_ptr<tcp::acceptor> acceptor);
     Task<void> serve(std::shared_ptr<Session> session);
-    Task<bool> serveOne(Session &session);
+    Task<bool> serveOne(std::shared_ptr<Session> kept);
     Task<Model::ResultCode> readRequest(Session &session, Request &request);
     Task<void> refuse(Session &session, Model::ResultCode code);
     Task<void> closeGently(Session &session);
--- /dev/null
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -0,0 +1,169 @@
+#include <LibHttp/LibHttp.h>
+#include <Support/Property.h>
+#include <thread>
+
+namespace {
+
+using Http::tcp;
+using Model::Milliseconds;
+using Model::ResultCode;
+
+/// A peer that accepts one connection after another and plays a fixed text on each.
+class ScriptedPeer
+{
+public:
+    explicit ScriptedPeer(std::vector<std::string> answers)
+        : answers_(std::move(answers))
+        , acceptor_(context_, {Http::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        thread_ = std::thread([this] {
+            run();
+        });
+    }
+
+    ~ScriptedPeer() { thread_.join(); }
+
+    Model::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+    void run()
+    {
+        for (const auto &answer : answers_) {
+            tcp::socket socket(context_);
+            acceptor_.accept(socket);
+            char buffer[4096];
+            Http::ErrorCode error;
+            socket.read_some(Http::asio::buffer(buffer), error);
+            if (answer.empty()) {
+                // Silence until the other end gives up.
+                socket.read_some(Http::asio::buffer(buffer), error);
+                continue;
+            }
+            Http::asio::write(socket, Http::asio::buffer(answer), error);
+        }
+    }
+
+    std::vector<std::string> answers_;
+    Http::asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+Http::ExchangeResult exchangeWith(const Model::Address &address)
+{
+    Http::asio::io_context context;
+    Http::ConnectionPool pool(context);
+    Http::Request request(Http::http::verb::get, "/", 11);
+    request.set(Http::http::field::host, "h");
+    request.set("Cassiacrank-Request-Id", "mine");
+    Http::ExchangeOptions options;
+    options.address_ = address;
+    options.deadline_ = std::chrono::steady_clock::now() + Milliseconds(300);
+    Http::ExchangeResult result;
+    const auto isOwn = [](const Http::Request &sent, const Http::Response &answer) {
+        return sent["Cassiacrank-Request-Id"] == answer["Cassiacrank-Request-Id"];
+    };
+    const auto run = [&]() -> Http::Task<void> {
+        result = co_await Http::exchange(pool, options, request, isOwn);
+    };
+    Http::asio::co_spawn(context, run(), Http::asio::detached);
+    context.run();
+    return result;
+}
+
+std::string answerWith(const std::string &id, const std::string &length, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nCassiacrank-Request-Id: " + id + "\r\n" + length + "\r\n" + body;
+}
+
+class TestExchange : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestExchange);
+    CPPUNIT_TEST(ownAnswerComesThrough);
+    CPPUNIT_TEST(foreignAnswerIsDropped);
+    CPPUNIT_TEST(truncatedAnswerIsAnError);
+    CPPUNIT_TEST(silenceEndsAtTheDeadline);
+    CPPUNIT_TEST(refusedConnectionMeansNothingWasSent);
+    CPPUNIT_TEST(strayBytesKeepAConnectionFromReuse);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void ownAnswerComesThrough()
+    {
+        const ScriptedPeer peer({answerWith("mine", "Content-Length: 2\r\n", "ok")});
+        const auto result = exchangeWith(peer.address());
+        CPPUNIT_ASSERT(result.stage_ == Http::ExchangeStage::Answered);
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), result.answer_->body());
+    }
+
+    // Symptom: a pilot gets a customs officer's figure.
+    // Sequence: an answer to an earlier request arrives late, on a connection that was reused.
+    // Cause: taking whatever answer comes next.
+    void foreignAnswerIsDropped()
+    {
+        const ScriptedPeer peer({answerWith("another's", "Content-Length: 2\r\n", "no")});
+        const auto result = exchangeWith(peer.address());
+        CPPUNIT_ASSERT(result.code_ == ResultCode::ForeignAnswer);
+        CPPUNIT_ASSERT(!result.answer_);
+        CPPUNIT_ASSERT(result.stage_ == Http::ExchangeStage::Sent);
+    }
+
+    // Symptom: half an answer is shown as a whole one.
+    // Sequence: the connection ends inside the body, or the answer has no length.
+    // Cause: taking the end of the connection for the end of the answer.
+    void truncatedAnswerIsAnError()
+    {
+        const ScriptedPeer peer({answerWith("mine", "Content-Length: 9\r\n", "half"),
+                                 answerWith("mine", "", "no length")});
+        for (int i = 0; i < 2; ++i) {
+            const auto result = exchangeWith(peer.address());
+            CPPUNIT_ASSERT(result.code_ == ResultCode::TruncatedAnswer);
+            CPPUNIT_ASSERT(!result.answer_);
+        }
+    }
+
+    void silenceEndsAtTheDeadline()
+    {
+        const ScriptedPeer peer({""});
+        const auto result = exchangeWith(peer.address());
+        CPPUNIT_ASSERT(result.code_ == ResultCode::TargetTimeout);
+        CPPUNIT_ASSERT(result.stage_ == Http::ExchangeStage::Sent);
+    }
+
+    void refusedConnectionMeansNothingWasSent()
+    {
+        Model::Address address;
+        {
+            Http::asio::io_context context;
+            tcp::acceptor acceptor(context, {Http::asio::ip::make_address("127.0.0.1"), 0});
+            address = {"127.0.0.1", acceptor.local_endpoint().port()};
+        }
+        const auto result = exchangeWith(address);
+        CPPUNIT_ASSERT(result.stage_ == Http::ExchangeStage::NotConnected);
+        CPPUNIT_ASSERT(result.code_ == ResultCode::TargetUnreachable);
+    }
+
+    void strayBytesKeepAConnectionFromReuse()
+    {
+        Http::asio::io_context context;
+        tcp::acceptor acceptor(context, {Http::asio::ip::make_address("127.0.0.1"), 0});
+        const Model::Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+        Http::ConnectionPool pool(context);
+        auto connection = pool.openNew(address, 1);
+        connection->stream_.connect(Http::endpointOf(address));
+        tcp::socket other = acceptor.accept();
+        pool.giveBack(address, std::move(connection));
+        auto kept = pool.takeIdle(address, Milliseconds(10000));
+        CPPUNIT_ASSERT(kept);
+        CPPUNIT_ASSERT(!pool.openNew(address, 1));
+        pool.giveBack(address, std::move(kept));
+        Http::asio::write(other, Http::asio::buffer(std::string("late")));
+        std::this_thread::sleep_for(Milliseconds(50));
+        CPPUNIT_ASSERT(!pool.takeIdle(address, Milliseconds(10000)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool.openCount(address));
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestExchange);
--- /dev/null
+++ b/Tests/LibHttp/TestServer.cpp
@@ -0,0 +1,220 @@
+#include <LibHttp/LibHttp.h>
+#include <Support/Property.h>
+#include <thread>
+
+namespace {
+
+using Http::tcp;
+using Model::Milliseconds;
+
+/// A server on a thread of its own that answers with the method, the path and the body's length.
+class EchoServer
+{
+public:
+    EchoServer()
+        : server_(context_, limits(), [](Http::IncomingRequest request) {
+            return echo(request);
+        })
+    {
+        for (std::uint16_t port = 21000; port < 22000; ++port) {
+            address_ = {"127.0.0.1", port};
+            tcp::acceptor probe(context_);
+            Http::ErrorCode error;
+            probe.open(tcp::v4(), error);
+            probe.bind(Http::endpointOf(address_), error);
+            if (error)
+                continue;
+            probe.close();
+            if (server_.listen(address_))
+                break;
+        }
+        thread_ = std::thread([this] {
+            context_.run();
+        });
+    }
+
+    ~EchoServer()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    static Http::ServerLimits limits()
+    {
+        Http::ServerLimits limits;
+        limits.headBytes_ = 1024;
+        limits.bodyBytes_ = 2048;
+        limits.idle_ = Milliseconds(2000);
+        limits.request_ = Milliseconds(300);
+        return limits;
+    }
+
+    static Http::Task<Http::Response> echo(Http::IncomingRequest request)
+    {
+        const auto &message = request.message_;
+        std::string body(message.method_string());
+        body += " " + std::string(message.target()) + " " + std::to_string(message.body().size());
+        co_return Http::textAnswer(Http::http::status::ok, "text/plain", body, message.version());
+    }
+
+    Http::asio::io_context context_{1};
+    Http::Server server_;
+    Model::Address address_;
+    std::thread thread_;
+};
+
+/// Sends \a text, ends the sending side if asked, and returns everything that comes back.
+std::string talk(const EchoServer &server, const std::string &text, bool halfCloses)
+{
+    Http::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(Http::endpointOf(server.address_));
+    Http::asio::write(socket, Http::asio::buffer(text));
+    if (halfCloses)
+        socket.shutdown(tcp::socket::shutdown_send);
+    std::string answer;
+    Http::ErrorCode error;
+    while (!error) {
+        char buffer[4096];
+        const auto received = socket.read_some(Http::asio::buffer(buffer), error);
+        answer.append(buffer, received);
+    }
+    return answer;
+}
+
+int count(const std::string &text, const std::string &part)
+{
+    int found = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+class TestServer : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestServer);
+    CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
+    CPPUNIT_TEST(halfClosedCallerGetsItsAnswer);
+    CPPUNIT_TEST(chunkedBodyIsRead);
+    CPPUNIT_TEST(expectationIsMet);
+    CPPUNIT_TEST(ambiguousRequestsAreRefusedAndTheConnectionCloses);
+    CPPUNIT_TEST(slowBodyIsRefused);
+    CPPUNIT_TEST(headGetsNoBody);
+    CPPUNIT_TEST(randomBytesNeverBreakTheServer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void pipelinedRequestsAreAnsweredInOrder()
+    {
+        const EchoServer server;
+        const std::string answer
+            = talk(server,
+                   "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                   "GET /3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                   false);
+        CPPUNIT_ASSERT_EQUAL(3, count(answer, "HTTP/1.1 200"));
+        CPPUNIT_ASSERT(answer.find("/1") < answer.find("/2"));
+        CPPUNIT_ASSERT(answer.find("/2") < answer.find("/3"));
+    }
+
+    void halfClosedCallerGetsItsAnswer()
+    {
+        const EchoServer server;
+        const std::string answer = talk(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", true);
+        CPPUNIT_ASSERT(answer.find("GET /x 0") != std::string::npos);
+    }
+
+    void chunkedBodyIsRead()
+    {
+        const EchoServer server;
+        const std::string answer
+            = talk(server,
+                   "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                   "Connection: close\r\n\r\n5\r\nabcde\r\n3\r\nfgh\r\n0\r\n\r\n",
+                   false);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("POST /x 8") != std::string::npos);
+    }
+
+    void expectationIsMet()
+    {
+        const EchoServer server;
+        const std::string answer = talk(server,
+                                        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                                        "Expect: 100-continue\r\nConnection: close\r\n\r\nabc",
+                                        false);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 100"));
+        CPPUNIT_ASSERT(answer.find("POST /x 3") != std::string::npos);
+    }
+
+    // Symptom: a second request is smuggled inside the body of the first.
+    // Sequence: a caller gives the body's length in two ways, or in a way two readers read apart.
+    // Cause: a reader that picks one of the lengths.
+    void ambiguousRequestsAreRefusedAndTheConnectionCloses()
+    {
+        const EchoServer server;
+        struct Case
+        {
+            std::string head_;
+            std::string code_;
+        };
+        const std::vector<Case> cases = {
+            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+             "102"},
+            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n",
+             "102"},
+            {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+             "3\r\n\r\n",
+             "102"},
+            {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+             "102"},
+            {"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "102"},
+            {"GET / HTTP/1.1\r\n\r\n", "106"},
+            {"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "106"},
+            {"GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n", "103"},
+            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n", "104"},
+            {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nExpect: 200-ok\r\n\r\n", "112"},
+            {"GET  / HTTP/1.1\r\nHost h\r\n\r\n", "101"},
+            {"\x16\x03\x01\r\n\r\n", "101"},
+        };
+        for (const auto &item : cases) {
+            const std::string answer = talk(server, item.head_, false);
+            CPPUNIT_ASSERT_MESSAGE(item.head_ + "\n" + answer,
+                                   answer.find("Cassiacrank-Code: " + item.code_ + "\r\n")
+                                       != std::string::npos);
+            CPPUNIT_ASSERT_EQUAL(1, count(answer, "HTTP/1.1 4"));
+        }
+    }
+
+    void slowBodyIsRefused()
+    {
+        const EchoServer server;
+        const std::string answer
+            = talk(server, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", false);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("Cassiacrank-Code: 105") != std::string::npos);
+    }
+
+    void headGetsNoBody()
+    {
+        const EchoServer server;
+        const std::string answer
+            = talk(server, "HEAD /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", false);
+        CPPUNIT_ASSERT(answer.ends_with("\r\n\r\n"));
+    }
+
+    void randomBytesNeverBreakTheServer()
+    {
+        const EchoServer server;
+        Support::assertProperty("after any bytes the server still serves", [&] {
+            const auto bytes = *rc::gen::container<std::string>(
+                rc::gen::elementOf(std::string("GET /POST HTTP/1.1\r\n:Host-Length0123 \x00\xff")));
+            talk(server, bytes, true);
+            const std::string answer = talk(server, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", true);
+            RC_ASSERT(answer.find("GET /x 0") != std::string::npos);
+        });
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestServer);
--- /dev/null
+++ b/Tests/LibObserve/TestObserve.cpp
@@ -0,0 +1,130 @@
+#include <LibObserve/LibObserve.h>
+#include <Support/Property.h>
+#include <fstream>
+#include <sstream>
+
+namespace {
+
+const std::string goodSettings
+    = "[instance]\nid = i-1\nregion = r\ndomain = d\n[listen]\nlookup = 127.0.0.1:1\n"
+      "entry = 127.0.0.1:2\nentry_peer = 127.0.0.1:3\ncontrol = 127.0.0.1:4\n"
+      "control_local = 127.0.0.1:5\nentry_admin = 127.0.0.1:6\nlookup_admin = 127.0.0.1:7\n"
+      "control_admin = 127.0.0.1:8\n[platform]\naddress = 127.0.0.1:9\n";
+
+class TestObserve : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestObserve);
+    CPPUNIT_TEST(pageListsExactlyTheEvents);
+    CPPUNIT_TEST(pageListsExactlyTheSettings);
+    CPPUNIT_TEST(goodSettingsAreRead);
+    CPPUNIT_TEST(allMistakesAreListedAtOnce);
+    CPPUNIT_TEST(dialTranslatesAddresses);
+    CPPUNIT_TEST(auditRecordsComeBackAsTheyWere);
+    CPPUNIT_TEST(summaryFindsTheQuantiles);
+    CPPUNIT_TEST(metricsTextDescribesEachNameOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static std::string page(const std::string &name)
+    {
+        std::ifstream file(CASSIACRANK_SOURCE "/docs/" + name);
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    void pageListsExactlyTheEvents()
+    {
+        const char *severities[] = {"Info", "Warning", "Error"};
+        std::string expected;
+        for (const auto &info : Observe::events())
+            expected += "| " + std::to_string(static_cast<int>(info.event_)) + " | "
+                        + severities[static_cast<int>(info.severity_)] + " | "
+                        + std::string(info.name_) + " | " + std::string(info.meaning_) + " |\n";
+        CPPUNIT_ASSERT_MESSAGE(expected, page("events.md").find(expected) != std::string::npos);
+    }
+
+    void pageListsExactlyTheSettings()
+    {
+        std::string expected;
+        for (const auto &info : Observe::settingInfos())
+            expected += "| " + std::string(info.section_) + " | " + std::string(info.key_) + " | "
+                        + (info.required_ ? "needed" : std::string(info.default_)) + " | "
+                        + std::string(info.allowed_) + " | " + std::string(info.meaning_) + " |\n";
+        CPPUNIT_ASSERT_MESSAGE(expected, page("settings.md").find(expected) != std::string::npos);
+    }
+
+    void goodSettingsAreRead()
+    {
+        const auto check = Observe::settingsFromText(goodSettings);
+        CPPUNIT_ASSERT(check.mistakes_.empty());
+        CPPUNIT_ASSERT(check.settings_);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), check.settings_->instance_.value());
+        CPPUNIT_ASSERT_EQUAL(2, check.settings_->entryThreads_);
+    }
+
+    void allMistakesAreListedAtOnce()
+    {
+        const auto check = Observe::settingsFromText(
+            "[instance]\nid = a b\nregion = r\n[listen]\nlookup = here\n[entry]\nthreads = 2.5\n"
+            "speed = 9\n[dial]\nx = y\n");
+        CPPUNIT_ASSERT(!check.settings_);
+        std::string all;
+        for (const auto &mistake : check.mistakes_)
+            all += mistake + "\n";
+        for (const std::string part : {"id = 'a b'", "domain", "lookup = 'here'", "threads = '2.5'",
+                                       "speed", "[dial] x = y", "[platform] address"})
+            CPPUNIT_ASSERT_MESSAGE(part + " not in\n" + all, all.find(part) != std::string::npos);
+        CPPUNIT_ASSERT(!Observe::settingsFromText("nonsense").mistakes_.empty());
+        CPPUNIT_ASSERT(!Observe::settingsFromFile("/nonexistent").mistakes_.empty());
+    }
+
+    void dialTranslatesAddresses()
+    {
+        const auto check
+            = Observe::settingsFromText(goodSettings + "[dial]\n10.0.0.1:80 = 127.0.0.1:8080\n");
+        CPPUNIT_ASSERT(check.settings_);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080),
+                             Observe::dialAddress(*check.settings_, {"10.0.0.1", 80}).port_);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(81),
+                             Observe::dialAddress(*check.settings_, {"10.0.0.1", 81}).port_);
+    }
+
+    void auditRecordsComeBackAsTheyWere()
+    {
+        Observe::AuditRecord record;
+        record.version_ = Model::TableVersion(7);
+        record.edit_ = Model::EditId("e-1");
+        record.operator_ = "Ana \"the\" operator";
+        record.at_ = Model::WallTime(Model::Milliseconds(1234567890123));
+        record.changes_.push_back({{Model::RowKind::Service, "s"}, "timeout_ms", "1", "2"});
+        CPPUNIT_ASSERT(Observe::auditFromText(toText(record)) == record);
+        CPPUNIT_ASSERT(!Observe::auditFromText("{}"));
+    }
+
+    void summaryFindsTheQuantiles()
+    {
+        Observe::DurationSummary summary;
+        CPPUNIT_ASSERT_EQUAL(0LL, static_cast<long long>(summary.quantile(0.5).count()));
+        for (int i = 1; i <= 10000; ++i)
+            summary.add(Model::Microseconds((i * 7919) % 10000 + 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10000), summary.count());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(5000.0, double(summary.quantile(0.5).count()), 200);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(9900.0, double(summary.quantile(0.99).count()), 100);
+        CPPUNIT_ASSERT_EQUAL(10000LL, static_cast<long long>(summary.maximum().count()));
+    }
+
+    void metricsTextDescribesEachNameOnce()
+    {
+        Observe::MetricsText text;
+        text.add("a_total", "Help.", "counter", 1, "thread=\"0\"");
+        text.add("a_total", "Help.", "counter", 2, "thread=\"1\"");
+        const std::string expected = "# HELP a_total Help.\n# TYPE a_total counter\n"
+                                     "a_total{thread=\"0\"} 1\na_total{thread=\"1\"} 2\n";
+        CPPUNIT_ASSERT_EQUAL(expected, text.text());
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestObserve);
