Controld: Speak for the region only after hearing its members

Cause: a controld that has just started knows nobody, yet its summary of the region is the newest, so for up to 0.6 s other regions believed that the region had no entries; their look-ups sent its callers to far entries, which could not hand over and refused with 202. Ruled out: targets marked suspect (0 such events) and the walk of the shares (own region never out). A process now waits as long as a member may be silent before it makes summaries.

--- a/Services/Controld/ControlState.cpp
+++ b/Services/Controld/ControlState.cpp
@@ -38,6 +38,7 @@
     self.domain_ = settings.domain_;
     self.addresses_ = settings.addresses_;
     gossip_.self_.incarnation_ = incarnation;
+    startedAt_ = steadyNow();
 }
 
 void ControlState::onStoreRows(const Platform::StoredRows &rows)
@@ -115,8 +116,14 @@
         gossip_.self_.lookupVersion_ = Model::TableVersion(0);
 }
 
+/// Speaks for the region, once this process has had time to hear of every live member.
+///
+/// What goes wrong without the wait: a process that has just started knows nobody, its summary is
+/// the newest, and every other region believes for a moment that this one has no entries.
 void ControlState::refreshSummary()
 {
+    if (steadyNow() - startedAt_ < Peers::memberLifetime)
+        return;
     Peers::Members all = gossip_.members_;
     all.members_[gossip_.self_.instance_.id_] = {gossip_.self_, steadyNow()};
     const Model::RegionId &region = gossip_.self_.instance_.region_;
--- a/Services/Controld/ControlState.h
+++ b/Services/Controld/ControlState.h
@@ -86,6 +86,7 @@
     std::string clientBlocks_;
     std::uint64_t liveCount_ = 1;
     std::uint64_t blocksCount_ = 0;
+    Model::SteadyTime startedAt_;
     Model::SteadyTime entryReportAt_;
     Model::SteadyTime lookupReportAt_;
     bool entryIsStopping_ = false;
