Entryd: Say "not run" of a request, not of its last attempt

Cause, first: an idempotent request whose first attempt ran (foreign or cut answer) and whose second found no slot was told not-run. Second: a keyed request repeated while the store was down was refused as not-run though its earlier request had run. Ruled out: the targets' own counts (each counted at the start of work). An outcome now covers all attempts, and a keyed request whose claim could not be read is unknown unless the caller numbers it as the first (Request-Attempt: 1).

--- a/Libraries/LibHttp/HeaderNames.h
+++ b/Libraries/LibHttp/HeaderNames.h
@@ -31,5 +31,7 @@
 constexpr std::string_view callerNameHeader = "Caller";
 constexpr std::string_view callerDeadlineHeader = "Request-Timeout-Ms";
 constexpr std::string_view idempotencyKeyHeader = "Idempotency-Key";
+/// How many times the caller has sent the request under its key, this time included.
+constexpr std::string_view attemptHeader = "Request-Attempt";
 
 } // namespace Http
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -51,6 +51,37 @@
     return verdict;
 }
 
+/// Returns what may be said of a request when its last attempt ended with \a verdict.
+///
+/// What goes wrong without it: the first attempt ran but its answer was lost, the second found no
+/// slot, and the caller was told "not run", which was true of the second attempt only.
+Verdict ofAllAttempts(Verdict verdict, const std::optional<ResultCode> &unknownBecause)
+{
+    if (!unknownBecause || verdict.outcome_ != Outcome::NotRun)
+        return verdict;
+    verdict.outcome_ = Outcome::Unknown;
+    verdict.code_ = *unknownBecause;
+    verdict.comeBack_.reset();
+    return verdict;
+}
+
+/// Tells whether the outcome of earlier requests with the same key, if there were any, is open.
+///
+/// A caller that numbers its requests with "Request-Attempt: 1" says that there were none.
+bool mayBeRepeat(const Http::Request &message)
+{
+    const bool hasKey = message.count(viewOf(Http::idempotencyKeyHeader)) > 0;
+    return hasKey && message[viewOf(Http::attemptHeader)] != "1";
+}
+
+/// As ofAllAttempts(), for requests that ended before the claim of their key could be read.
+Verdict beforeClaim(Verdict verdict, const CallerRequest &request)
+{
+    if (mayBeRepeat(request.message_))
+        verdict.outcome_ = Outcome::Unknown;
+    return verdict;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(Http::asio::io_context &context, const Observe::Settings &settings,
@@ -86,11 +117,12 @@
     return *queue;
 }
 
-Http::Response Dispatcher::refuse(unsigned version)
+Http::Response Dispatcher::refuse(unsigned version, Outcome outcome)
 {
-    ++counters_.notRun_;
+    auto &counter = outcome == Outcome::NotRun ? counters_.notRun_ : counters_.unknown_;
+    ++counter;
     Http::Response answer = Http::refusal(Model::lastReason(), version);
-    answer.set(viewOf(Http::outcomeHeader), std::string(toText(Outcome::NotRun)));
+    answer.set(viewOf(Http::outcomeHeader), std::string(toText(outcome)));
     answer.set(viewOf(Http::instanceHeader), settings_.instance_.value());
     return answer;
 }
@@ -99,13 +131,14 @@
 {
     ++counters_.requests_;
     const unsigned version = incoming.message_.version();
+    const Outcome refused = mayBeRepeat(incoming.message_) ? Outcome::Unknown : Outcome::NotRun;
     auto request = cell_.read([&](const EntrySnapshot *snapshot) -> std::optional<CallerRequest> {
         if (!snapshot || !snapshot->isReady_)
             return Model::fail(ResultCode::NotReady, "");
         return readCallerRequest(*snapshot, std::move(incoming), newRequestId());
     });
     if (!request)
-        co_return refuse(version);
+        co_return refuse(version, refused);
     Verdict verdict;
     if (request->claimKey_.empty()) {
         verdict = co_await carry(*request);
@@ -126,7 +159,7 @@
         return readHandedOver(*snapshot, std::move(incoming));
     });
     if (!request)
-        co_return refuse(version);
+        co_return refuse(version, Outcome::NotRun);
     Verdict verdict = co_await carry(*request);
     Http::Response answer = toAnswer(std::move(verdict), *request, version);
     answer.set(viewOf(Http::requestIdHeader), request->id_.value());
@@ -138,11 +171,11 @@
     // A request that would be refused anyway must not cost the store two writes.
     ServiceQueue &queue = queueFor(request);
     if (queue.wouldRefuse(request))
-        co_return notRun(ResultCode::OverCapacity, queue.comeBackAfter());
+        co_return beforeClaim(notRun(ResultCode::OverCapacity, queue.comeBackAfter()), request);
 
     const Platform::ClaimResult held = co_await claims_.claim(request);
     if (!held.verdict_)
-        co_return notRun(ResultCode::StoreUnavailable, Milliseconds(1000));
+        co_return beforeClaim(notRun(ResultCode::StoreUnavailable, Milliseconds(1000)), request);
     Verdict verdict;
     switch (*held.verdict_) {
     case Policy::ClaimVerdict::Replay: {
@@ -184,13 +217,16 @@
     Policy::earnRetryCredit(retryBudget_);
     ServiceQueue &queue = queueFor(request);
     int attempts = 0;
+    std::optional<ResultCode> unknownBecause;
     while (true) {
         const auto waitingSince = steadyNow();
         Placement placement = co_await queue.place(request);
         counters_.waiting_.add(
             std::chrono::duration_cast<Model::Microseconds>(steadyNow() - waitingSince));
-        if (const auto *givenUp = std::get_if<GivenUp>(&placement))
-            co_return notRun(givenUp->code_, givenUp->comeBack_);
+        if (const auto *givenUp = std::get_if<GivenUp>(&placement)) {
+            Verdict verdict = notRun(givenUp->code_, givenUp->comeBack_);
+            co_return ofAllAttempts(std::move(verdict), unknownBecause);
+        }
 
         ++attempts;
         bool isRefusedAsFull = false;
@@ -204,8 +240,10 @@
             ++counters_.refusedByTargets_;
             continue;
         }
+        if (verdict.outcome_ == Outcome::Unknown)
+            unknownBecause = verdict.code_;
         if (!Policy::mayRetry(retryBudget_, verdict.outcome_, request.isIdempotent_, attempts))
-            co_return verdict;
+            co_return ofAllAttempts(std::move(verdict), unknownBecause);
         ++counters_.retries_;
     }
 }
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -58,7 +58,7 @@
     Model::SteadyTime attemptDeadline(const CallerRequest &request, const TargetState &target,
                                       int attempts) const;
     Http::Response toAnswer(Verdict verdict, const CallerRequest &request, unsigned version);
-    Http::Response refuse(unsigned version);
+    Http::Response refuse(unsigned version, Policy::Outcome outcome);
     void release(SlotHold slot, std::size_t serviceIndex);
     ServiceQueue &queueFor(const CallerRequest &request);
     Model::RequestId newRequestId();
--- a/Utilities/Loadtool/Load.cpp
+++ b/Utilities/Loadtool/Load.cpp
@@ -202,6 +202,8 @@
         request.set(Http::requestIdHeader.data(), sample.token_);
     if (stream.hasKey_)
         request.set(Http::idempotencyKeyHeader.data(), sample.token_);
+    if (stream.hasKey_)
+        request.set(Http::attemptHeader.data(), std::to_string(sample.sends_ + 1));
     request.body() = std::string(stream.bodyBytes_, 'x');
     request.prepare_payload();
     return request;
