--- /dev/null
+++ b/Tests/Integration/TestEdits.cpp
@@ -0,0 +1,168 @@
+#include "Load.h"
+
+namespace {
+
+using Harness::Site;
+using Model::Milliseconds;
+
+std::uint64_t versionAt(const Harness::SiteInstance &instance)
+{
+    const auto status = Harness::getJson({instance.host_, 7006}, "/status", Milliseconds(300));
+    return status ? status->value("table_version", std::uint64_t(0)) : 0;
+}
+
+/// Waits until every listed instance's entry uses the version; returns the seconds it took.
+double secondsUntilInForce(Site &site, std::uint64_t version, Milliseconds patience,
+                           const std::string &except = "none")
+{
+    const auto start = std::chrono::steady_clock::now();
+    for (auto &instance : site.instances()) {
+        if (instance.row_.region_.value() == except)
+            continue;
+        const bool isThere = Harness::waitUntil(patience, [&] {
+            return versionAt(instance) >= version;
+        });
+        CPPUNIT_ASSERT_MESSAGE(instance.row_.id_.value(), isThere);
+    }
+    return Model::inSeconds(std::chrono::steady_clock::now() - start);
+}
+
+void edit(Site &site, const std::string &cell)
+{
+    std::string output;
+    const int code = site.tablectl({"--operator=test", "set", "service gauging", cell}, &output);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(output, 0, code);
+}
+
+class TestEdits : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestEdits);
+    CPPUNIT_TEST(editIsInForceEverywhereWithinTwoSeconds);
+    CPPUNIT_TEST(cutRegionCatchesUpWithinFiveSeconds);
+    CPPUNIT_TEST(editNeverReverts);
+    CPPUNIT_TEST(twoOperatorsOnOneCellNeverLoseAnEditSilently);
+    CPPUNIT_TEST(lostConfirmationDoesNotApplyAnEditTwice);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void editIsInForceEverywhereWithinTwoSeconds()
+    {
+        Site site({});
+        site.start();
+        for (std::uint64_t version = 2; version <= 6; ++version) {
+            edit(site, "queue_ms=" + std::to_string(200 + version));
+            const double seconds = secondsUntilInForce(site, version, Milliseconds(5000));
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(seconds), seconds <= 2.0);
+        }
+    }
+
+    // Symptom: a region goes on with an old table after its links came back.
+    // Sequence: Primorska is cut off from the other regions and from the store; an edit is made;
+    //   the links heal.
+    // Cause: state that only flows in one direction, or backs off for too long.
+    void cutRegionCatchesUpWithinFiveSeconds()
+    {
+        Harness::SiteOptions options;
+        options.hasProxy_ = true;
+        Site site(options);
+        site.start();
+        const std::vector<std::string> links
+            = {"Primorska-Osrednja", "Osrednja-Primorska", "Primorska-Stajerska",
+               "Stajerska-Primorska", "platform"};
+        for (const auto &link : links)
+            site.switchProxy(link, "black-hole");
+        // The store is out of reach for all, so the others learn of the edit from nobody either.
+        edit(site, "queue_ms=301");
+        site.switchProxy("platform", "pass");
+        for (const auto &link : links)
+            site.switchProxy(link, "pass");
+        const double seconds = secondsUntilInForce(site, 2, Milliseconds(10000));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(seconds), seconds <= 5.0);
+    }
+
+    // Symptom: an accepted edit is gone after a restart.
+    // Sequence: an edit is in force; the store falls back to an older state and then goes down;
+    //   instances restart meanwhile, one after the other and a fresh one.
+    // Cause: a fresh process that takes the first table it is offered.
+    void editNeverReverts()
+    {
+        Site site({});
+        site.start();
+        site.switchPlatform({{"stale", true}});
+        site.switchPlatform({{"stale", false}});
+        edit(site, "queue_ms=302");
+        secondsUntilInForce(site, 2, Milliseconds(5000));
+        // The store answers reads with what it held before the edit would be stale; here it is
+        // down.
+        site.switchPlatform({{"down", true}});
+        for (const char *id : {"primorska-a-1", "stajerska-b-2"}) {
+            auto &instance = site.instance(id);
+            for (auto *process : instance.processes())
+                process->kill();
+            site.startInstance(instance);
+            CPPUNIT_ASSERT(site.waitUntilServing(instance, Milliseconds(15000)));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), versionAt(instance));
+        }
+        site.switchPlatform({{"down", false}});
+        for (auto &instance : site.instances())
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), versionAt(instance));
+    }
+
+    // Symptom: an operator's accepted change vanishes, and nobody is told.
+    // Sequence: many operators change the same row at the same moment, each on what it last saw.
+    // Cause: writing without a condition on what was read.
+    void twoOperatorsOnOneCellNeverLoseAnEditSilently()
+    {
+        Harness::SiteOptions options;
+        options.instances_ = 1;
+        Site site(options);
+        site.start();
+        std::vector<std::unique_ptr<Harness::Process>> operators;
+        for (int i = 0; i < 6; ++i) {
+            const std::string name = "operator-" + std::to_string(i);
+            operators.push_back(std::make_unique<Harness::Process>(
+                name,
+                std::vector<std::string>{site.binary("tablectl"),
+                                         "--platform=" + toText(site.platform()),
+                                         "--operator=" + name, "--base=1", "set", "service gauging",
+                                         "queue_ms=" + std::to_string(400 + i)},
+                site.directory() + "/" + name + ".log"));
+        }
+        for (auto &one : operators)
+            one->start();
+        int accepted = 0;
+        for (auto &one : operators) {
+            const auto code = one->wait(Milliseconds(20000));
+            CPPUNIT_ASSERT(code);
+            accepted += *code == 0 ? 1 : 0;
+            if (*code != 0)
+                CPPUNIT_ASSERT_MESSAGE(one->log(), one->log().find("[408]") != std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, accepted);
+        std::string history;
+        site.tablectl({"history"}, &history);
+        CPPUNIT_ASSERT(history.find("version 2") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(history, history.find("version 3") == std::string::npos);
+    }
+
+    // Symptom: an edit is in the audit trail twice.
+    // Sequence: the commit takes effect; its confirmation is lost; the tool tries again.
+    // Cause: repeating a write without knowing whether it happened.
+    void lostConfirmationDoesNotApplyAnEditTwice()
+    {
+        Harness::SiteOptions options;
+        options.instances_ = 1;
+        Site site(options);
+        site.start();
+        site.switchPlatform({{"lose_confirmations", 1}});
+        edit(site, "queue_ms=303");
+        std::string history;
+        site.tablectl({"history"}, &history);
+        CPPUNIT_ASSERT(history.find("version 2") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(history, history.find("version 3") == std::string::npos);
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestEdits);
--- /dev/null
+++ b/Tests/Integration/TestStops.cpp
@@ -0,0 +1,99 @@
+#include "Load.h"
+
+namespace {
+
+using Harness::Site;
+using Integration::section;
+using Model::Milliseconds;
+
+class TestStops : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestStops);
+    CPPUNIT_TEST(rollingReplacementCutsNoRequest);
+    CPPUNIT_TEST(leavingTargetGetsNoNewWork);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Symptom: requests fail during planned maintenance.
+    // Sequence: instances are stopped and started again one after the other under load, while
+    //   callers hold look-ups that name them.
+    // Cause: a process that closes its port before its callers know.
+    void rollingReplacementCutsNoRequest()
+    {
+        Site site({});
+        site.start();
+        std::string profile;
+        for (const char *region : {"Primorska", "Osrednja", "Stajerska"}) {
+            profile += section(site, {.name_ = std::string("get-") + region,
+                                      .callerCount_ = 8,
+                                      .rate_ = 100,
+                                      .region_ = region});
+            profile += section(site, {.name_ = std::string("post-") + region,
+                                      .service_ = "transfers",
+                                      .callers_ = "customs-",
+                                      .rate_ = 10,
+                                      .region_ = region,
+                                      .more_ = "post = yes\nkey = yes\ntimeout_ms = 5000"});
+        }
+        const auto load = site.loadtool("rolling", profile, 18);
+        load->start();
+        // All failure domains at once, one of the two instances of each: six stop together.
+        for (const char *number : {"-1", "-2"}) {
+            std::vector<Harness::SiteInstance *> group;
+            for (auto &instance : site.instances())
+                if (instance.row_.id_.value().ends_with(number))
+                    group.push_back(&instance);
+            for (auto *instance : group)
+                for (auto *process : instance->processes())
+                    process->signal(SIGTERM);
+            for (auto *instance : group)
+                for (auto *process : instance->processes())
+                    CPPUNIT_ASSERT_MESSAGE(process->log(), process->wait(Milliseconds(20000)) == 0);
+            for (auto *instance : group)
+                site.startInstance(*instance);
+            for (auto *instance : group)
+                CPPUNIT_ASSERT(site.waitUntilServing(*instance, Milliseconds(15000)));
+        }
+        const auto result = Integration::finish(site, *load, "rolling");
+        Integration::assertTruth(result);
+        CPPUNIT_ASSERT(result.samples_.size() > 3000);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(result.log_, result.samples_.size(),
+                                     Harness::countTold(result.samples_, "run"));
+    }
+
+    // Symptom: a target that is going away still gets new work and has to refuse it.
+    // Sequence: a target begins to drain; the platform's list lags; the target itself says so only
+    //   when asked; nobody may have sent it anything for a while.
+    // Cause: knowing a leaving target by the list alone.
+    void leavingTargetGetsNoNewWork()
+    {
+        Site site({});
+        site.start();
+        site.switchPlatform({{"list_lag_ms", 30000}});
+        const auto load = site.loadtool(
+            "leaving", section(site, {.name_ = "all", .callerCount_ = 16, .rate_ = 300}), 9);
+        load->start();
+        Harness::pause(Milliseconds(2000));
+        site.switchTarget("gauging-13", {{"drain", true}});
+        const std::string id = site.targets().front().row_.id_.value();
+        for (const auto &target : site.targets())
+            if (target.row_.domain_.value().starts_with("primorska"))
+                site.switchTarget(target.row_.id_.value(),
+                                  {{"drain", target.row_.id_.value() == "gauging-01"}});
+        Harness::pause(Milliseconds(3000));
+        const auto before = site.targetCounts("gauging-01");
+        Harness::pause(Milliseconds(3000));
+        const auto after = site.targetCounts("gauging-01");
+        CPPUNIT_ASSERT_EQUAL(before.at("started").get<int>(), after.at("started").get<int>());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("asked after 3 s", before.at("refused").get<int>(),
+                                     after.at("refused").get<int>());
+        const auto result = Integration::finish(site, *load, "leaving");
+        Integration::assertTruth(result);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(result.log_, result.samples_.size(),
+                                     Harness::countTold(result.samples_, "run"));
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestStops);
