--- a/Tests/Harness/Samples.cpp
+++ b/Tests/Harness/Samples.cpp
@@ -47,9 +47,10 @@
 double latencyMs(const std::vector<SampleLine> &lines, double part)
 {
     std::vector<double> latencies;
-    for (const auto &line : lines)
+    for (const auto &line : lines) {
         if (line.told_ == "run")
             latencies.push_back(line.latencyMs_);
+    }
     if (latencies.empty())
         return 0;
     std::sort(latencies.begin(), latencies.end());
@@ -70,9 +71,10 @@
         for (const auto &target : table.targets()) {
             if (target.id_.value() != line.target_)
                 continue;
-            for (std::size_t i = 0; i < shares.size(); ++i)
+            for (std::size_t i = 0; i < shares.size(); ++i) {
                 if (table.domains()[i].id_ == target.domain_)
                     shares[i] += 1;
+            }
         }
         total += 1;
     }
--- a/Tests/Integration/TestShifts.cpp
+++ b/Tests/Integration/TestShifts.cpp
@@ -92,9 +92,10 @@
             "crash", section(site, {.name_ = "get", .callerCount_ = 32, .rate_ = 400}), 12);
         load->start();
         Harness::pause(Milliseconds(3000));
-        for (auto &target : site.targets())
+        for (auto &target : site.targets()) {
             if (target.row_.domain_.value() == "primorska-a")
                 target.process_->signal(SIGKILL);
+        }
         const auto result = Integration::finish(site, *load, "crash");
         Integration::assertTruth(result);
         // What the surviving domain serves, of all that is sent, grows no faster than the cap.
@@ -113,9 +114,10 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(soonAfter), soonAfter < 0.5 + 0.17 + 0.08);
         const double late = servedShare(10.5);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(late), late > 0.99);
-        for (const auto &line : result.samples_)
+        for (const auto &line : result.samples_) {
             if (line.told_ == "not-run")
                 CPPUNIT_ASSERT_MESSAGE(line.token_ + " held back", line.latencyMs_ < 500);
+        }
     }
 
     // Symptom: when a region dies, its callers flood the next one.
@@ -129,13 +131,16 @@
             "region", section(site, {.name_ = "get", .callerCount_ = 32, .rate_ = 300}), 20);
         load->start();
         Harness::pause(Milliseconds(3000));
-        for (auto &target : site.targets())
+        for (auto &target : site.targets()) {
             if (target.row_.domain_.value().starts_with("primorska"))
                 target.process_->signal(SIGKILL);
-        for (auto &instance : site.instances())
-            if (instance.row_.region_.value() == "Primorska")
+        }
+        for (auto &instance : site.instances()) {
+            if (instance.row_.region_.value() == "Primorska") {
                 for (auto *process : instance.processes())
                     process->signal(SIGKILL);
+            }
+        }
         const auto result = Integration::finish(site, *load, "region");
         Integration::assertTruth(result);
         double served = 0;
--- a/Tests/Integration/TestTruthUnderFaults.cpp
+++ b/Tests/Integration/TestTruthUnderFaults.cpp
@@ -58,7 +58,7 @@
         Site site(options);
         site.start();
         std::string profile;
-        for (const char *region : {"Primorska", "Osrednja", "Stajerska"})
+        for (const char *region : {"Primorska", "Osrednja", "Stajerska"}) {
             profile += section(site, {.name_ = std::string("post-") + region,
                                       .service_ = "transfers",
                                       .callers_ = "customs-",
@@ -67,6 +67,7 @@
                                       .region_ = region,
                                       .more_ = "post = yes\nkey = yes\nrepeats = 4\n"
                                                "timeout_ms = 2000"});
+        }
         const auto load = site.loadtool("once", profile, 16);
         load->start();
         Harness::pause(Milliseconds(2000));
--- a/Tests/LibModel/TestResultCode.cpp
+++ b/Tests/LibModel/TestResultCode.cpp
@@ -20,9 +20,10 @@
         std::ostringstream page;
         page << file.rdbuf();
         std::string expected;
-        for (const auto &info : Model::resultCodes())
+        for (const auto &info : Model::resultCodes()) {
             expected += "| " + std::to_string(number(info.code_)) + " | " + std::string(info.name_)
                         + " | " + std::string(info.meaning_) + " |\n";
+        }
         CPPUNIT_ASSERT_MESSAGE(expected, page.str().find(expected) != std::string::npos);
     }
 
--- a/Tests/LibObserve/TestObserve.cpp
+++ b/Tests/LibObserve/TestObserve.cpp
@@ -37,20 +37,22 @@
     {
         const char *severities[] = {"Info", "Warning", "Error"};
         std::string expected;
-        for (const auto &info : Observe::events())
+        for (const auto &info : Observe::events()) {
             expected += "| " + std::to_string(static_cast<int>(info.event_)) + " | "
                         + severities[static_cast<int>(info.severity_)] + " | "
                         + std::string(info.name_) + " | " + std::string(info.meaning_) + " |\n";
+        }
         CPPUNIT_ASSERT_MESSAGE(expected, page("events.md").find(expected) != std::string::npos);
     }
 
     void pageListsExactlyTheSettings()
     {
         std::string expected;
-        for (const auto &info : Observe::settingInfos())
+        for (const auto &info : Observe::settingInfos()) {
             expected += "| " + std::string(info.section_) + " | " + std::string(info.key_) + " | "
                         + (info.required_ ? "needed" : std::string(info.default_)) + " | "
                         + std::string(info.allowed_) + " | " + std::string(info.meaning_) + " |\n";
+        }
         CPPUNIT_ASSERT_MESSAGE(expected, page("settings.md").find(expected) != std::string::npos);
     }
 
--- a/Tests/LibPlatform/TestTableMirror.cpp
+++ b/Tests/LibPlatform/TestTableMirror.cpp
@@ -20,9 +20,10 @@
     Platform::StoredRows stored;
     stored.revision_ = Revision(version * 10);
     stored.rows_.push_back({Platform::versionKey, std::to_string(version), stored.revision_});
-    for (const auto &row : rows)
+    for (const auto &row : rows) {
         stored.rows_.push_back(
             {Platform::storeKey(row.key_), Platform::storeValue(row), stored.revision_});
+    }
     return stored;
 }
 
--- a/Tests/Support/TestMain.cpp
+++ b/Tests/Support/TestMain.cpp
@@ -51,10 +51,11 @@
     void endTest(CppUnit::Test *test) override
     {
         const bool isKnown = known_.contains(test->getName());
-        if (hasFailed_ && isKnown)
+        if (hasFailed_ && isKnown) {
             std::cout << "  known red" << std::endl;
-        else
+        } else {
             std::cout << (hasFailed_ ? "  FAILED" : "  ok") << std::endl;
+        }
         if (hasFailed_ && !isKnown)
             ++failed_;
         if (!hasFailed_)
