--- a/Libraries/LibPolicy/TargetPicker.cpp
+++ b/Libraries/LibPolicy/TargetPicker.cpp
@@ -27,11 +27,15 @@
 
 std::int64_t likelyInFlight(const TargetView &target)
 {
-    if (target.reportAge_ > reportLifetime)
-        return target.ownInFlight_;
     const std::int64_t others
         = std::max<std::int64_t>(0, target.reportedInFlight_ - target.ownInFlightAtReport_);
-    return target.ownInFlight_ + others;
+    const auto life
+        = std::clamp<Model::Microseconds>(target.latency_, shortestReportLife, longestReportLife);
+    const double left = 1 - Model::inSeconds(target.reportAge_) / Model::inSeconds(life);
+    if (left <= 0)
+        return target.ownInFlight_;
+    return target.ownInFlight_
+           + static_cast<std::int64_t>(std::ceil(static_cast<double>(others) * left - 1e-9));
 }
 
 std::int64_t usableSlots(const TargetView &target)
--- a/Tests/Harness/Process.cpp
+++ b/Tests/Harness/Process.cpp
@@ -78,6 +78,22 @@
     wait(Model::Milliseconds(5000));
 }
 
+double Process::cpuSeconds() const
+{
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    std::istringstream rest(text.substr(text.rfind(')') + 1));
+    std::vector<std::string> words;
+    for (std::string word; rest >> word;)
+        words.push_back(word);
+    constexpr std::size_t userTime = 11;
+    constexpr std::size_t systemTime = 12;
+    if (words.size() <= systemTime)
+        return 0;
+    const double ticks = std::stod(words[userTime]) + std::stod(words[systemTime]);
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 std::string Process::log() const
 {
     std::ifstream file(logPath_);
--- a/Tests/Harness/Process.h
+++ b/Tests/Harness/Process.h
@@ -25,6 +25,8 @@
     std::optional<int> wait(Model::Milliseconds patience);
     void kill();
     bool isRunning() const { return pid_ > 0; }
+    /// Returns the processor time used so far, in seconds.
+    double cpuSeconds() const;
     const std::string &name() const { return name_; }
     std::string log() const;
 
--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -246,22 +246,23 @@
     throw std::runtime_error("no target " + id);
 }
 
-int Site::delayBetween(const Model::Instance &from, const Model::RegionId &region,
-                       const Model::FailureDomainId &domain) const
+double Site::delayBetween(const Model::Instance &from, const Model::RegionId &region,
+                          const Model::FailureDomainId &domain) const
 {
     if (from.region_ != region)
         return options_.delayBetweenRegionsMs_;
     return from.domain_ == domain ? 0 : options_.delayBetweenDomainsMs_;
 }
 
-void Site::addWay(SiteInstance &from, const Model::Address &to, int delayMs,
+void Site::addWay(SiteInstance &from, const Model::Address &to, double delayMs,
                   const std::string &group)
 {
     const int number = lastWay_++;
     const std::string listen = "127." + std::to_string(net_) + ".200."
                                + std::to_string(1 + number / 2000) + ":"
                                + std::to_string(10000 + number % 2000);
-    ways_ += listen + " " + toText(to) + " " + std::to_string(delayMs) + " " + group + "\n";
+    ways_ += listen + " " + toText(to) + " " + std::to_string(static_cast<int>(delayMs * 1000))
+             + " " + group + "\n";
     dial_[from.row_.id_.value()] += toText(to) + " = " + listen + "\n";
 }
 
@@ -271,7 +272,7 @@
         for (const auto &to : instances_) {
             if (from.row_.id_ == to.row_.id_)
                 continue;
-            const int delay = delayBetween(from.row_, to.row_.region_, to.row_.domain_);
+            const double delay = delayBetween(from.row_, to.row_.region_, to.row_.domain_);
             const std::string group
                 = from.row_.region_ == to.row_.region_
                       ? "inside-" + from.row_.region_.value()
--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -27,8 +27,8 @@
     int lookupTimeToLiveMs_ = 1000;
     /// Runs connections between regions and failure domains through the fault-injecting proxy.
     bool hasProxy_ = false;
-    int delayBetweenDomainsMs_ = 0;
-    int delayBetweenRegionsMs_ = 0;
+    double delayBetweenDomainsMs_ = 0;
+    double delayBetweenRegionsMs_ = 0;
     /// Cells to change in the example: "service gauging" -> "shift_cap" -> "10".
     std::map<std::string, std::map<std::string, std::string>> cells_;
     /// Where the binaries are; empty for those beside this program.
@@ -117,9 +117,9 @@
     std::string write(const std::string &name, const std::string &text) const;
     std::unique_ptr<Process> makeProcess(const std::string &name,
                                          std::vector<std::string> command) const;
-    int delayBetween(const Model::Instance &from, const Model::RegionId &region,
-                     const Model::FailureDomainId &domain) const;
-    void addWay(SiteInstance &from, const Model::Address &to, int delayMs,
+    double delayBetween(const Model::Instance &from, const Model::RegionId &region,
+                        const Model::FailureDomainId &domain) const;
+    void addWay(SiteInstance &from, const Model::Address &to, double delayMs,
                 const std::string &group);
 
     SiteOptions options_;
--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -1,7 +1,7 @@
 // A TCP proxy that brings about the faults of a network: delay, cuts, loss in one direction, and
 // connections that go silent for good while new ones work.
 //
-// Its command file has one line for each way: "LISTEN TARGET DELAY_MS GROUP". POST /standin/switch
+// Its command file has one line for each way: "LISTEN TARGET DELAY_US GROUP". POST /standin/switch
 // {"group": G, "mode": M} sets the mode of every way of a group: "pass", "cut" (connections end and
 // none can be made), "freeze" (connections that are open now carry nothing any more; new ones do),
 // "black-hole" (everything is swallowed, new connections too), "lose-answers" (one direction only).
@@ -36,7 +36,7 @@
 {
     Model::Address listen_;
     Model::Address target_;
-    Milliseconds delay_{0};
+    Model::Microseconds delay_{0};
     std::string group_;
 };
 
@@ -238,7 +238,7 @@
         const auto targetAddress = Model::addressFromText(target);
         if (!listenAddress || !targetAddress)
             return false;
-        if (!proxy.addWay({*listenAddress, *targetAddress, Milliseconds(delay), group}))
+        if (!proxy.addWay({*listenAddress, *targetAddress, Model::Microseconds(delay), group}))
             return false;
     }
     return true;
