--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -8,6 +8,7 @@
 
 #include "StandInMain.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <deque>
 #include <fstream>
 #include <list>
@@ -18,6 +19,7 @@
 
 namespace {
 
+using boost::asio::ip::udp;
 using Http::ErrorCode;
 using Http::Task;
 using Http::tcp;
@@ -93,6 +95,8 @@
             return false;
         groups_[way.group_];
         Http::asio::co_spawn(context_, acceptLoop(acceptor, way), Http::asio::detached);
+        auto socket = std::make_shared<udp::socket>(context_, udpEndpoint(way.listen_));
+        Http::asio::co_spawn(context_, datagramLoop(socket, way), Http::asio::detached);
         return true;
     }
 
@@ -113,6 +117,36 @@
     }
 
 private:
+    static udp::endpoint udpEndpoint(const Model::Address &address)
+    {
+        const auto endpoint = Http::endpointOf(address);
+        return {endpoint.address(), endpoint.port()};
+    }
+
+    /// Datagrams go one way only; any mode but "pass" loses them.
+    Task<void> datagramLoop(std::shared_ptr<udp::socket> socket, Way way)
+    {
+        std::string bytes(chunkBytes, '\0');
+        while (true) {
+            udp::endpoint sender;
+            ErrorCode error;
+            const std::size_t received = co_await socket->async_receive_from(
+                Http::asio::buffer(bytes), sender,
+                Http::asio::redirect_error(Http::asio::use_awaitable, error));
+            if (error || groups_[way.group_].mode_ != "pass")
+                continue;
+            spawn(sendLater(socket, bytes.substr(0, received), way));
+        }
+    }
+
+    Task<void> sendLater(std::shared_ptr<udp::socket> socket, std::string bytes, Way way)
+    {
+        const Model::SteadyTime arrival = std::chrono::steady_clock::now() + way.delay_;
+        co_await Http::sleepUntil(arrival);
+        ErrorCode ignored;
+        socket->send_to(Http::asio::buffer(bytes), udpEndpoint(way.target_), 0, ignored);
+    }
+
     void cutLinks(const std::string &name)
     {
         ErrorCode ignored;
