Entryd: Leave freed slots to the longest waiting request; count waits once; time real work only

A freed slot went to a young request, or to nobody, while an old one waited at another entry. Each refusal by a full target gave a request its whole queue time anew: at 4 times the capacity bulk waited 767 ms at the median with a limit of 200 ms, and refusals came after up to 474 ms.

--- a/Services/Entryd/CallerRequest.cpp
+++ b/Services/Entryd/CallerRequest.cpp
@@ -119,7 +119,7 @@
         return Model::fail(ResultCode::UnknownService, "'" + request.service_.value() + "'");
     request.serviceIndex_ = index->second;
     const Model::Service &service = snapshot.table_->services()[index->second];
-    request.queueLimit_ = service.queueLimit_;
+    request.queueTimeLeft_ = service.queueLimit_;
     const auto method = request.message_.method();
     const bool isSafe
         = method == http::verb::get || method == http::verb::head || method == http::verb::options;
--- a/Services/Entryd/CallerRequest.h
+++ b/Services/Entryd/CallerRequest.h
@@ -23,7 +23,8 @@
     std::optional<std::size_t> fixedDomain_;
     Model::SteadyTime arrivedAt_;
     Model::SteadyTime deadline_;
-    Model::Milliseconds queueLimit_{0};
+    /// How much longer the request may wait for slots, over all of its attempts.
+    Model::Microseconds queueTimeLeft_{0};
     bool isIdempotent_ = false;
     /// Empty if the caller gave no idempotency key.
     std::string claimKey_;
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -1,31 +1,16 @@
 #include "Dispatcher.h"
 
-#include "TargetAnswer.h"
-
-#include <algorithm>
-
 namespace Entryd {
 
 using Model::Milliseconds;
 using Model::ResultCode;
 using Observe::Event;
-using Policy::AttemptStage;
 using Policy::Outcome;
 
 namespace {
 
 constexpr Milliseconds tickPause{2};
 constexpr Milliseconds idleTickPause{20};
-/// A kept connection older than this may have been forgotten by something on the way; a request
-/// that must not run twice goes on a fresher one.
-constexpr Milliseconds longestIdle{10000};
-constexpr Milliseconds longestIdleOnce{2000};
-/// The first attempt of a request that may be repeated waits this many usual latencies.
-constexpr int patienceInLatencies = 10;
-constexpr Milliseconds leastPatience{250};
-constexpr Milliseconds connectTimeout{300};
-constexpr std::size_t connectionsToEntry = 64;
-
 Model::SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -36,12 +21,6 @@
     return {text.data(), text.size()};
 }
 
-AttemptStage stageOf(Http::ExchangeStage stage)
-{
-    return stage == Http::ExchangeStage::NotConnected ? AttemptStage::NotConnected
-                                                      : AttemptStage::Sent;
-}
-
 Verdict notRun(ResultCode code, Milliseconds comeBack)
 {
     Verdict verdict;
@@ -86,12 +65,14 @@
 
 Dispatcher::Dispatcher(Http::asio::io_context &context, const Observe::Settings &settings,
                        const SnapshotCell &cell, Planner &planner, ClaimKeeper &claims,
-                       int threadNumber, std::function<void(std::size_t)> wakeOthers)
+                       SlotHints &hints, int threadNumber,
+                       std::function<void(std::size_t)> wakeOthers)
     : context_(context)
     , settings_(settings)
     , cell_(cell)
     , planner_(planner)
     , claims_(claims)
+    , hints_(hints)
     , wakeOthers_(std::move(wakeOthers))
     , pool_(context)
     , threadNumber_(threadNumber)
@@ -248,141 +229,6 @@
     }
 }
 
-Http::Task<Verdict> Dispatcher::attempt(CallerRequest &request, Placement placement, int attempts,
-                                        bool &isRefusedAsFull)
-{
-    if (auto *entry = std::get_if<ToEntry>(&placement)) {
-        co_return co_await attemptEntry(request, *entry);
-    }
-    ToTarget target = std::move(std::get<ToTarget>(placement));
-    co_return co_await attemptTarget(request, std::move(target), attempts, isRefusedAsFull);
-}
-
-Model::SteadyTime Dispatcher::attemptDeadline(const CallerRequest &request,
-                                              const TargetState &target, int attempts) const
-{
-    const bool mayRepeat
-        = request.isIdempotent_ && attempts < Policy::mostAttempts && retryBudget_.credit_ >= 1;
-    if (!mayRepeat)
-        return request.deadline_;
-    // A connection that went silent for good never answers; waiting for the deadline on it would
-    // leave no time for a new one.
-    const Model::Microseconds usual(target.latencyUs_.load());
-    const auto patience = std::max<Model::Microseconds>(leastPatience, patienceInLatencies * usual);
-    return std::min(request.deadline_, steadyNow() + patience);
-}
-
-Http::Task<Verdict> Dispatcher::attemptTarget(CallerRequest &request, ToTarget place, int attempts,
-                                              bool &isRefusedAsFull)
-{
-    const std::shared_ptr<TargetState> target = place.slot_.state();
-    const auto entries = cell_.read([](const EntrySnapshot *snapshot) {
-        return snapshot->entriesInRegion_;
-    });
-    Http::ExchangeOptions options;
-    options.address_ = Observe::dialAddress(settings_, target->target_.address_);
-    options.deadline_ = attemptDeadline(request, *target, attempts);
-    options.connectTimeout_ = connectTimeout;
-    options.longestIdle_ = request.isIdempotent_ ? longestIdle : longestIdleOnce;
-    // A second attempt is made on a new connection: what failed may be the kept ones.
-    if (attempts > 1)
-        options.longestIdle_ = Milliseconds(0);
-    options.connectionLimit_ = Policy::connectionsForThread(
-        target->target_.connections_, entries, static_cast<std::size_t>(settings_.entryThreads_));
-
-    const auto sentAt = steadyNow();
-    const Http::Request message = messageForTarget(request, sentAt);
-    Http::ExchangeResult result = co_await Http::exchange(pool_, options, message, isAnswerTo);
-    if (result.answer_)
-        noteLatency(*target, std::chrono::duration_cast<Model::Microseconds>(steadyNow() - sentAt));
-    Verdict verdict = judgeTargetAnswer(std::move(result), *target, isRefusedAsFull);
-    release(std::move(place.slot_), request.serviceIndex_);
-    co_return verdict;
-}
-
-Verdict Dispatcher::judgeTargetAnswer(Http::ExchangeResult result, TargetState &target,
-                                      bool &isRefusedAsFull)
-{
-    Verdict verdict;
-    if (!result.answer_) {
-        const AttemptStage stage = stageOf(result.stage_);
-        verdict.outcome_ = Policy::outcomeOf(stage);
-        verdict.code_ = result.code_;
-        if (verdict.outcome_ == Outcome::NotRun)
-            verdict.comeBack_ = Policy::leastComeBack;
-        if (result.code_ == ResultCode::ForeignAnswer) {
-            ++counters_.foreignAnswers_;
-            Observe::logEvent(Event::ForeignAnswerDropped,
-                              {{"target", target.target_.id_.value()}});
-        }
-        noteTargetLost(target, stage == AttemptStage::NotConnected);
-        return verdict;
-    }
-    noteTargetAnswer(target, *result.answer_);
-    const auto refusedBecause = (*result.answer_)[viewOf(Http::notStartedHeader)];
-    if (!refusedBecause.empty()) {
-        verdict.outcome_ = Policy::outcomeOf(AttemptStage::RefusedByTarget);
-        verdict.code_ = ResultCode::TargetRefused;
-        verdict.comeBack_ = Policy::leastComeBack;
-        isRefusedAsFull = true;
-        if (refusedBecause == "draining") {
-            target.isLeaving_ = true;
-        } else {
-            noteFull(target, steadyNow());
-        }
-        return verdict;
-    }
-    verdict.outcome_ = Policy::outcomeOf(AttemptStage::Answered);
-    verdict.answer_ = std::move(result.answer_);
-    stripAnswer(*verdict.answer_);
-    verdict.answer_->set(viewOf(Http::targetHeader), target.target_.id_.value());
-    return verdict;
-}
-
-Http::Task<Verdict> Dispatcher::attemptEntry(CallerRequest &request, ToEntry place)
-{
-    ++counters_.handedOver_;
-    Http::ExchangeOptions options;
-    options.address_ = Observe::dialAddress(settings_, place.address_);
-    options.deadline_ = request.deadline_;
-    options.connectTimeout_ = Milliseconds(1000);
-    options.longestIdle_ = request.isIdempotent_ ? longestIdle : longestIdleOnce;
-    options.connectionLimit_ = connectionsToEntry;
-    const Http::Request message = cell_.read([&](const EntrySnapshot *snapshot) {
-        return messageForEntry(request, *snapshot->table_, place.domain_, steadyNow());
-    });
-    Http::ExchangeResult result = co_await Http::exchange(pool_, options, message, isAnswerTo);
-
-    Verdict verdict;
-    if (!result.answer_) {
-        const bool isUnsent = result.stage_ == Http::ExchangeStage::NotConnected;
-        verdict.outcome_ = Policy::outcomeOf(stageOf(result.stage_));
-        verdict.code_ = isUnsent ? ResultCode::NoTarget : ResultCode::EntryConnectionLost;
-        if (isUnsent)
-            verdict.comeBack_ = Policy::leastComeBack;
-        co_return verdict;
-    }
-    // The other entry speaks for its region: what it says of the outcome is passed on.
-    const Http::Response &answer = *result.answer_;
-    const auto outcome = answer[viewOf(Http::outcomeHeader)];
-    const auto code = numberIn(answer[viewOf(Http::codeHeader)], 0);
-    const auto target = answer[viewOf(Http::targetHeader)];
-    const std::string targetName(target.data(), target.size());
-    verdict.code_ = static_cast<ResultCode>(code);
-    if (outcome == viewOf(toText(Outcome::Run))) {
-        verdict.outcome_ = Outcome::Run;
-        verdict.answer_ = std::move(result.answer_);
-        stripAnswer(*verdict.answer_);
-        verdict.answer_->set(viewOf(Http::targetHeader), targetName);
-        co_return verdict;
-    }
-    const bool isNotRun = outcome == viewOf(toText(Outcome::NotRun));
-    verdict.outcome_ = isNotRun ? Outcome::NotRun : Outcome::Unknown;
-    if (isNotRun)
-        verdict.comeBack_ = Milliseconds(numberIn(answer[viewOf(Http::comeBackHeader)], 1000));
-    co_return verdict;
-}
-
 Http::Response Dispatcher::toAnswer(Verdict verdict, const CallerRequest &request, unsigned version)
 {
     const auto taken
@@ -419,14 +265,23 @@
 
 void Dispatcher::release(SlotHold slot, std::size_t serviceIndex)
 {
-    const Model::ServiceId service = slot.state()->target_.service_;
+    const std::shared_ptr<TargetState> target = slot.state();
     slot.release();
-    ServiceQueue &queue = *queues_[service];
-    queue.onSlotReleased();
+    ServiceQueue &queue = *queues_[target->target_.service_];
+    queue.countFinished();
+    if (hints_.leaveToOthers(serviceIndex, *target))
+        return;
+    queue.pump();
+    noteWaiting(serviceIndex, queue);
     if (queue.waiting() == 0)
         wakeOthers_(serviceIndex);
 }
 
+void Dispatcher::noteWaiting(std::size_t serviceIndex, const ServiceQueue &queue)
+{
+    hints_.noteWaiting(threadNumber_, serviceIndex, queue.oldestSince(), queue.waiting());
+}
+
 void Dispatcher::pump(std::size_t serviceIndex)
 {
     const auto service = cell_.read([&](const EntrySnapshot *snapshot) {
@@ -434,16 +289,10 @@
         return serviceIndex < services.size() ? services[serviceIndex].id_ : Model::ServiceId();
     });
     const auto queue = queues_.find(service);
-    if (queue != queues_.end() && queue->second)
-        queue->second->pump();
-}
-
-std::size_t Dispatcher::waiting(std::size_t) const
-{
-    std::size_t sum = 0;
-    for (const auto &[service, queue] : queues_)
-        sum += queue->waiting();
-    return sum;
+    if (queue == queues_.end() || !queue->second)
+        return;
+    queue->second->pump();
+    noteWaiting(serviceIndex, *queue->second);
 }
 
 void Dispatcher::start(bool probesTargets)
@@ -458,12 +307,17 @@
     while (true) {
         bool anyWaiting = false;
         for (const auto &[service, queue] : queues_) {
-            if (queue->waiting() == 0)
-                continue;
-            anyWaiting = true;
-            // Slots that other entries gave back are found by trying.
-            queue->giveUpExpired();
-            queue->pump();
+            const auto index = cell_.read([&id = service](const EntrySnapshot *snapshot) {
+                const auto found = snapshot->serviceIndex_.find(id);
+                return found == snapshot->serviceIndex_.end() ? 0 : found->second;
+            });
+            if (queue->waiting() > 0) {
+                anyWaiting = true;
+                // Slots that other entries gave back are found by trying.
+                queue->giveUpExpired();
+                queue->pump();
+            }
+            noteWaiting(index, *queue);
         }
         co_await Http::sleepFor(anyWaiting ? tickPause : idleTickPause);
     }
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -3,6 +3,7 @@
 #include "Claims.h"
 #include "EntryCounters.h"
 #include "ServiceQueue.h"
+#include "SlotHints.h"
 
 #include <functional>
 #include <map>
@@ -28,8 +29,8 @@
 public:
     /// \a wakeOthers is called when a slot came free that nobody on this thread waits for.
     Dispatcher(Http::asio::io_context &context, const Observe::Settings &settings,
-               const SnapshotCell &cell, Planner &planner, ClaimKeeper &claims, int threadNumber,
-               std::function<void(std::size_t)> wakeOthers);
+               const SnapshotCell &cell, Planner &planner, ClaimKeeper &claims, SlotHints &hints,
+               int threadNumber, std::function<void(std::size_t)> wakeOthers);
 
     /// Answers a request from the port for callers.
     Http::Task<Http::Response> answerCaller(Http::IncomingRequest incoming);
@@ -38,7 +39,6 @@
 
     /// Places waiting requests of one service. Called when another thread's slot came free.
     void pump(std::size_t serviceIndex);
-    std::size_t waiting(std::size_t serviceIndex) const;
 
     /// Starts the coroutines that look after waiting requests and, on one thread, after targets.
     void start(bool probesTargets);
@@ -60,6 +60,7 @@
     Http::Response toAnswer(Verdict verdict, const CallerRequest &request, unsigned version);
     Http::Response refuse(unsigned version, Policy::Outcome outcome);
     void release(SlotHold slot, std::size_t serviceIndex);
+    void noteWaiting(std::size_t serviceIndex, const ServiceQueue &queue);
     ServiceQueue &queueFor(const CallerRequest &request);
     Model::RequestId newRequestId();
 
@@ -72,15 +73,16 @@
     const SnapshotCell &cell_;
     Planner &planner_;
     ClaimKeeper &claims_;
+    SlotHints &hints_;
     std::function<void(std::size_t)> wakeOthers_;
     Http::ConnectionPool pool_;
     /// By the service's name, so that a table whose rows moved keeps its queues.
     std::map<Model::ServiceId, std::unique_ptr<ServiceQueue>> queues_;
     Policy::RetryBudget retryBudget_;
     EntryCounters counters_;
+    int threadNumber_;
     std::string idPrefix_;
     std::uint64_t lastId_ = 0;
-    int threadNumber_;
 };
 
 } // namespace Entryd
--- a/Services/Entryd/EntrySnapshot.h
+++ b/Services/Entryd/EntrySnapshot.h
@@ -43,6 +43,8 @@
     std::unordered_map<Model::RegionId, std::size_t> regionIndex_;
     /// For each failure domain of other regions, the entries that take requests for it.
     std::vector<std::vector<Model::Instance>> handOver_;
+    /// Other live entries of the own region, those near in rank first.
+    std::vector<Model::Instance> nearEntries_;
     std::size_t ownRegion_ = 0;
     std::size_t entriesInRegion_ = 1;
     std::size_t fleetSize_ = 1;
--- a/Services/Entryd/EntryThread.h
+++ b/Services/Entryd/EntryThread.h
@@ -15,7 +15,8 @@
 {
 public:
     EntryThread(const Observe::Settings &settings, const SnapshotCell &cell, Planner &planner,
-                ClaimKeeper &claims, int number, std::function<void(std::size_t)> wakeOthers);
+                ClaimKeeper &claims, SlotHints &hints, int number,
+                std::function<void(std::size_t)> wakeOthers);
     ~EntryThread();
     EntryThread(const EntryThread &) = delete;
     EntryThread &operator=(const EntryThread &) = delete;
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -185,6 +185,15 @@
         if (table.regions()[i].id_ == settings_.region_)
             snapshot->ownRegion_ = i;
     }
+    for (const auto &record : view_.members_) {
+        if (record.instance_.id_ != settings_.instance_)
+            snapshot->nearEntries_.push_back(record.instance_);
+    }
+    // Both ends of a pair rank each other alike, so hints go between the same few entries.
+    std::sort(snapshot->nearEntries_.begin(), snapshot->nearEntries_.end(),
+              [this](const auto &a, const auto &b) {
+                  return pairRank(a.id_) < pairRank(b.id_);
+              });
     snapshot->handOver_.resize(table.domains().size());
     for (const auto &summary : view_.summaries_) {
         if (summary.region_ == settings_.region_)
@@ -202,6 +211,12 @@
     return snapshot;
 }
 
+std::uint64_t Planner::pairRank(const Model::InstanceId &other) const
+{
+    const auto &[first, second] = std::minmax(settings_.instance_, other);
+    return Policy::rendezvousScore(first.value(), second.value());
+}
+
 ServicePlan Planner::planService(const Model::Service &service, Model::WallTime now,
                                  Milliseconds elapsed)
 {
--- a/Services/Entryd/Planner.h
+++ b/Services/Entryd/Planner.h
@@ -63,6 +63,7 @@
     Walk &walkFor(const Model::Service &service, const Model::RegionId &origin,
                   const Policy::ShareVector &planned);
     std::unique_ptr<EntrySnapshot> makeSnapshot(Model::Milliseconds elapsed);
+    std::uint64_t pairRank(const Model::InstanceId &other) const;
     cassiacrank::ProcessReport makeReport();
 
     const Observe::Settings &settings_;
--- a/Services/Entryd/ServiceQueue.cpp
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -61,11 +61,12 @@
 
 std::size_t ServiceQueue::bound(const CallerRequest &request) const
 {
-    const Model::Slots slots = cell_.read([&](const EntrySnapshot *snapshot) {
+    return cell_.read([&](const EntrySnapshot *snapshot) {
         const ServicePlan &plan = snapshot->services_[request.serviceIndex_];
-        return Model::Slots(regionUse(plan, steadyNow()).slots_);
+        const Model::Slots slots(regionUse(plan, steadyNow()).slots_);
+        const auto limit = snapshot->table_->services()[request.serviceIndex_].queueLimit_;
+        return Policy::queueBound(drainRate_, limit, slots);
     });
-    return Policy::queueBound(drainRate_, request.queueLimit_, slots);
 }
 
 bool ServiceQueue::wouldRefuse(const CallerRequest &request) const
@@ -84,6 +85,8 @@
     const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now);
     if (left <= Milliseconds(0))
         return giveUp(ResultCode::DeadlineTooShort);
+    if (request.queueTimeLeft_ <= Model::Microseconds(0))
+        return giveUp(ResultCode::OverCapacity);
     const std::size_t holders = cell_.read([&](const EntrySnapshot *snapshot) {
         return snapshot->fleetSize_;
     });
@@ -99,15 +102,17 @@
     return std::nullopt;
 }
 
-Http::Task<Placement> ServiceQueue::place(const CallerRequest &request)
+Http::Task<Placement> ServiceQueue::place(CallerRequest &request)
 {
     if (const auto refused = admit(request))
         co_return Placement(*refused);
 
     Pending pending(context_, request);
     const Policy::WaiterId id = ++lastWaiter_;
+    // The limit holds for all waits of the request together. Counted anew after each refusal by a
+    // full target, it let requests wait many times the limit while new ones were refused.
     const Model::SteadyTime startBy
-        = std::min(request.deadline_, steadyNow() + request.queueLimit_);
+        = std::min(request.deadline_, pending.since_ + request.queueTimeLeft_);
     pending_[id] = &pending;
     Policy::enqueue(queue_, request.class_, request.caller_, {id, startBy});
     pump();
@@ -122,6 +127,8 @@
             giveUpExpired();
     }
     pending_.erase(id);
+    request.queueTimeLeft_
+        -= std::chrono::duration_cast<Model::Microseconds>(steadyNow() - pending.since_);
     if (!pending.isDecided_)
         co_return Placement(giveUp(ResultCode::OverCapacity));
     co_return std::move(pending.placement_);
@@ -166,10 +173,19 @@
     }
 }
 
-void ServiceQueue::onSlotReleased()
+void ServiceQueue::countFinished()
 {
     Policy::countFinished(drainRate_, steadyNow());
-    pump();
+}
+
+std::optional<Model::SteadyTime> ServiceQueue::oldestSince() const
+{
+    // Ids grow with the time of arrival, and decided requests leave soon.
+    for (const auto &[id, pending] : pending_) {
+        if (!pending->isDecided_)
+            return pending->since_;
+    }
+    return std::nullopt;
 }
 
 bool ServiceQueue::mayFill(const EntrySnapshot &snapshot, const ServicePlan &plan,
@@ -202,7 +218,8 @@
 }
 
 std::optional<Placement> ServiceQueue::tryTarget(const ServicePlan &plan, std::size_t domain,
-                                                 const CallerRequest &, Model::SteadyTime now)
+                                                 const CallerRequest &request,
+                                                 Model::SteadyTime now)
 {
     const auto &targets = plan.targets_[domain];
     const auto views = viewsOf(targets, now);
@@ -211,6 +228,9 @@
     const auto chosen = Policy::chooseTarget(views, random_(), random_());
     if (!chosen)
         return std::nullopt;
+    const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now);
+    if (!Policy::canFinish(left, views[*chosen].latency_))
+        return Placement(giveUp(ResultCode::DeadlineTooShort));
     return Placement(ToTarget{SlotHold(targets[*chosen])});
 }
 
--- a/Services/Entryd/ServiceQueue.h
+++ b/Services/Entryd/ServiceQueue.h
@@ -43,8 +43,9 @@
                  std::uint64_t seed);
 
     /// Waits for a place for \a request, as long as the service's queue limit and the deadline
-    /// allow. A request that cannot be placed in time is given up at once.
-    Http::Task<Placement> place(const CallerRequest &request);
+    /// allow. A request that cannot be placed in time is given up at once. The time that it waited
+    /// is taken off the request's time to wait.
+    Http::Task<Placement> place(CallerRequest &request);
 
     /// Places as many waiting requests as there are free slots.
     void pump();
@@ -52,13 +53,15 @@
     /// Gives up the requests that can no longer start in time.
     void giveUpExpired();
 
-    /// Counts a slot that came free, and uses it.
-    void onSlotReleased();
+    /// Counts a request that gave its slot back.
+    void countFinished();
 
     /// Tells whether a new request of this class would be refused at once.
     bool wouldRefuse(const CallerRequest &request) const;
 
     std::size_t waiting() const { return queue_.size_; }
+    /// Returns since when the oldest waiting request waits.
+    std::optional<Model::SteadyTime> oldestSince() const;
     Model::Milliseconds comeBackAfter() const;
 
 private:
@@ -72,6 +75,7 @@
 
         const CallerRequest &request_;
         Http::asio::steady_timer wake_;
+        Model::SteadyTime since_ = std::chrono::steady_clock::now();
         bool isDecided_ = false;
         Placement placement_;
     };
--- a/Services/Entryd/TargetState.cpp
+++ b/Services/Entryd/TargetState.cpp
@@ -74,6 +74,22 @@
     state.reportedAtUs_ = microsecondsOf(now);
 }
 
+void noteTaken(TargetState &state, Model::SteadyTime now)
+{
+    const Policy::TargetView view = viewOf(state, now);
+    state.ownInFlightAtReport_ = view.ownInFlight_;
+    state.reportedInFlight_ = Policy::likelyInFlight(view) + 1;
+    state.reportedAtUs_ = microsecondsOf(now);
+}
+
+void noteFreed(TargetState &state, Model::SteadyTime now)
+{
+    const std::int64_t own = state.ownInFlight_;
+    state.ownInFlightAtReport_ = own;
+    state.reportedInFlight_ = std::max(own, state.target_.slots_.value() - 1);
+    state.reportedAtUs_ = microsecondsOf(now);
+}
+
 bool noteFailure(TargetState &state, bool isCertain)
 {
     const std::int64_t failures = ++state.failuresInARow_;
--- a/Services/Entryd/TargetState.h
+++ b/Services/Entryd/TargetState.h
@@ -93,6 +93,12 @@
 /// thread.
 void noteFull(TargetState &state, Model::SteadyTime now);
 
+/// Takes in that a slot which came free was left to another entry. Thread safety: any thread.
+void noteTaken(TargetState &state, Model::SteadyTime now);
+
+/// Takes in that another entry left a slot that came free to this one. Thread safety: any thread.
+void noteFreed(TargetState &state, Model::SteadyTime now);
+
 /// Takes in a failure. Returns whether the target became suspect by it. \a isCertain is set when no
 /// connection could be made at all. Thread safety: any thread.
 bool noteFailure(TargetState &state, bool isCertain);
--- a/Services/Entryd/main.cpp
+++ b/Services/Entryd/main.cpp
@@ -24,6 +24,10 @@
         : settings_(settings)
         , planner_(settings, cell_)
         , claims_(settings)
+        , hints_(settings, cell_,
+                 [this](std::size_t service) {
+                     wakeOthers(nobody, service);
+                 })
         , admin_({[this] {
                       return metricsText();
                   },
@@ -34,7 +38,7 @@
     {
         for (int i = 0; i < settings.entryThreads_; ++i) {
             threads_.push_back(std::make_unique<Entryd::EntryThread>(
-                settings, cell_, planner_, claims_, i, [this, i](std::size_t service) {
+                settings, cell_, planner_, claims_, hints_, i, [this, i](std::size_t service) {
                     wakeOthers(i, service);
                 }));
         }
@@ -48,6 +52,8 @@
         }
         if (!admin_.start(settings_.entryAdmin_))
             return false;
+        if (!hints_.start())
+            return false;
         claims_.start();
         planner_.start();
         return true;
@@ -69,10 +75,13 @@
             thread->closeIdle();
         waitForRequests();
         claims_.finish(longestFinish);
+        hints_.stop();
         planner_.stop();
     }
 
 private:
+    static constexpr int nobody = -1;
+
     void wakeOthers(int from, std::size_t service)
     {
         if (planner_.waiting() == 0)
@@ -108,6 +117,7 @@
     Entryd::SnapshotCell cell_;
     Entryd::Planner planner_;
     Entryd::ClaimKeeper claims_;
+    Entryd::SlotHints hints_;
     std::vector<std::unique_ptr<Entryd::EntryThread>> threads_;
     Http::AdminServer admin_;
 };
--- a/Services/Lookupd/LookupPage.h
+++ b/Services/Lookupd/LookupPage.h
@@ -14,12 +14,8 @@
     Peers::InstanceView view_;
     std::vector<Policy::EntryCandidate> candidates_;
     Model::RegionId ownRegion_;
-    Model::FailureDomainId ownDomain_;
-    Model::InstanceId ownInstance_;
     std::size_t mostEntries_ = 4;
     Model::Milliseconds timeToLive_{2000};
-    /// The own instance is leaving and is not named any more.
-    bool isStopping_ = false;
 };
 
 /// Reads the path "/v1/entry?service=...&caller=...&origin=...".
--- a/Services/Lookupd/main.cpp
+++ b/Services/Lookupd/main.cpp
@@ -32,8 +32,6 @@
         next->view_ = view_;
         next->candidates_ = Peers::entryCandidates(view_);
         next->ownRegion_ = settings_.region_;
-        next->ownDomain_ = settings_.domain_;
-        next->ownInstance_ = settings_.instance_;
         next->mostEntries_ = static_cast<std::size_t>(settings_.lookupEntries_);
         next->timeToLive_ = settings_.lookupTimeToLive_;
         cell_.publish(std::move(next));
--- /dev/null
+++ b/Tests/Integration/TestOverload.cpp
@@ -0,0 +1,141 @@
+#include "Load.h"
+
+namespace {
+
+using Harness::Site;
+using Integration::section;
+using Model::Milliseconds;
+
+/// A region's gauging carries 60 slots / 100 ms = 600 requests a second.
+constexpr double capacity = 600;
+
+Harness::SiteOptions slowTargets()
+{
+    Harness::SiteOptions options;
+    options.meanMs_["gauging"] = 100;
+    return options;
+}
+
+double shareTold(const std::vector<Harness::SampleLine> &lines, const std::string &told)
+{
+    return double(Harness::countTold(lines, told)) / double(lines.size());
+}
+
+class TestOverload : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestOverload);
+    CPPUNIT_TEST(smallCallersDoNotNoticeBulk);
+    CPPUNIT_TEST(overloadIsRefusedAtOnceAndTheRestIsServed);
+    CPPUNIT_TEST(deadTargetCostsAtMostOneAttempt);
+    CPPUNIT_TEST(lyingReportsDoNotOverfillTargets);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Symptom: a pilot's enquiry takes seconds, or is refused, while a partner sends its bulk.
+    // Sequence: partners send several times what the region carries, through all entries and over
+    //   many connections; pilots send a few requests a second.
+    // Cause: a common line, or slots that bulk fills to the last one.
+    void smallCallersDoNotNoticeBulk()
+    {
+        Site site(slowTargets());
+        site.start();
+        const auto load = site.loadtool("fair",
+                                        section(site, {.name_ = "small", .rate_ = 40})
+                                            + section(site, {.name_ = "bulk",
+                                                             .callers_ = "partner-",
+                                                             .callerCount_ = 24,
+                                                             .rate_ = 4 * capacity,
+                                                             .more_ = "from_ms = 6000"}),
+                                        14);
+        load->start();
+        const auto result = Integration::finish(site, *load, "fair");
+        Integration::assertTruth(result);
+        std::vector<Harness::SampleLine> before;
+        std::vector<Harness::SampleLine> during;
+        for (const auto &line : Harness::ofStream(result.samples_, "small")) {
+            if (line.sentSeconds_ < 6)
+                before.push_back(line);
+            if (line.sentSeconds_ >= 7)
+                during.push_back(line);
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(result.log_, during.size(), Harness::countTold(during, "run"));
+        // Exponential service times make the 99th percentile of a few hundred requests scatter; the
+        // median tells a wait more sharply.
+        const double median = Harness::latencyMs(during, 0.5) / Harness::latencyMs(before, 0.5);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(median), median < 1.3);
+        const double tail = Harness::latencyMs(during, 0.99) / Harness::latencyMs(before, 0.99);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(tail), tail < 1.6);
+    }
+
+    // Symptom: under overload hardly anything is answered in time, or refusals come late.
+    // Sequence: 2 and then 5 times what the region carries.
+    // Cause: long queues whose requests are served after their callers gave up.
+    void overloadIsRefusedAtOnceAndTheRestIsServed()
+    {
+        Site site(slowTargets());
+        site.start();
+        for (const double factor : {2.0, 5.0}) {
+            const std::string name = "overload-" + std::to_string(static_cast<int>(factor));
+            const auto load = site.loadtool(
+                name,
+                section(site, {.name_ = "all", .callerCount_ = 32, .rate_ = factor * capacity}), 8,
+                // The targets of both loads are the same, so the requests need names of their own.
+                static_cast<int>(factor));
+            load->start();
+            const auto result = Integration::finish(site, *load, name);
+            Integration::assertTruth(result);
+            double answered = 0;
+            for (const auto &line : result.samples_) {
+                answered += line.told_ == "run" && line.sentSeconds_ >= 2 ? 1 : 0;
+                // The queue limit of the service is 200 ms.
+                if (line.told_ == "not-run")
+                    CPPUNIT_ASSERT_MESSAGE(std::to_string(line.latencyMs_), line.latencyMs_ < 400);
+            }
+            const double goodput = answered / 6 / capacity;
+            CPPUNIT_ASSERT_MESSAGE(name + " " + std::to_string(goodput), goodput > 0.85);
+        }
+    }
+
+    void deadTargetCostsAtMostOneAttempt()
+    {
+        Site site({});
+        site.start();
+        const auto load = site.loadtool(
+            "dead", section(site, {.name_ = "get", .callerCount_ = 8, .rate_ = 200}), 6);
+        load->start();
+        Harness::pause(Milliseconds(2000));
+        site.target("gauging-01").process_->kill();
+        site.target("gauging-06").process_->kill();
+        const auto result = Integration::finish(site, *load, "dead");
+        Integration::assertTruth(result);
+        CPPUNIT_ASSERT_MESSAGE(result.log_, shareTold(result.samples_, "run") > 0.99);
+    }
+
+    // Symptom: a target gets more than its slots and slows down for everyone.
+    // Sequence: targets report that they are idle whatever they do, under more load than they
+    // carry. Cause: believing a report before one's own observation.
+    void lyingReportsDoNotOverfillTargets()
+    {
+        Site site(slowTargets());
+        site.start();
+        for (const auto &target : site.targets())
+            if (target.row_.service_.value() == "gauging")
+                site.switchTarget(target.row_.id_.value(), {{"claim_idle", true}});
+        const auto load = site.loadtool(
+            "lies", section(site, {.name_ = "all", .callerCount_ = 16, .rate_ = 1.5 * capacity}),
+            8);
+        load->start();
+        const auto result = Integration::finish(site, *load, "lies");
+        Integration::assertTruth(result);
+        for (const auto &target : site.targets()) {
+            const auto counts = site.targetCounts(target.row_.id_.value());
+            CPPUNIT_ASSERT(counts.at("most_in_flight").get<int>() <= target.row_.slots_.value());
+        }
+        const double goodput = double(Harness::countTold(result.samples_, "run")) / 8 / capacity;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(goodput), goodput > 0.8);
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestOverload);
--- a/Utilities/Tablectl/Commands.h
+++ b/Utilities/Tablectl/Commands.h
@@ -22,7 +22,6 @@
     std::string end_;
     std::string origin_;
     std::string at_;
-    std::string statusAddresses_;
 };
 
 /// Runs the command named by the first argument and returns the exit code. Output goes to standard
