LibPolicy: Name leaving entries where a region has no others

Cause: in the moment in which the last old instances of a region began to leave and the replacements had not been heard of by them, the region's summary named no contact; other regions' look-ups then sent its callers to far entries, which refused them with 202. Leaving entries serve on, so they are now named as a last resort.

--- a/Libraries/LibPeers/Members.cpp
+++ b/Libraries/LibPeers/Members.cpp
@@ -57,13 +57,15 @@
     summary.region_ = region;
     summary.madeAt_ = madeAt;
     std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, DomainLoad> loads;
+    std::vector<Model::Instance> leaving;
     for (const auto &[id, member] : members.members_) {
         const InstanceRecord &record = member.record_;
         if (record.instance_.region_ != region || !isAlive(member, now))
             continue;
-        if (record.isReady_ && record.entryVersion_ > Model::TableVersion(0)
-            && !record.instance_.isLeaving_ && summary.contacts_.size() < mostContacts)
-            summary.contacts_.push_back(record.instance_);
+        const bool isServing = record.isReady_ && record.entryVersion_ > Model::TableVersion(0);
+        auto &group = record.instance_.isLeaving_ ? leaving : summary.contacts_;
+        if (isServing && group.size() < mostContacts)
+            group.push_back(record.instance_);
         for (const auto &load : record.loads_) {
             DomainLoad &total = loads[{load.service_, load.domain_}];
             total.service_ = load.service_;
@@ -76,6 +78,10 @@
     }
     for (const auto &[key, load] : loads)
         summary.loads_.push_back(load);
+    // While the last entries leave and their replacements have not been heard of yet, naming nobody
+    // would send the region's callers to other regions. Entries that leave serve on for a while.
+    if (summary.contacts_.empty())
+        summary.contacts_ = std::move(leaving);
     return summary;
 }
 
--- a/Libraries/LibPolicy/EntryRanking.cpp
+++ b/Libraries/LibPolicy/EntryRanking.cpp
@@ -10,13 +10,26 @@
 
 namespace {
 
-/// 0 for the same failure domain, 1 for the same region, 2 for elsewhere.
-int distance(const LookupQuery &query, const Model::Instance &instance)
+/// Near and staying first, elsewhere last; leaving entries only count in the caller's own region.
+enum class Rank { Near, SameRegion, LeavingInRegion, Elsewhere };
+
+Rank rankOf(const LookupQuery &query, const Model::Instance &instance)
 {
     if (instance.region_ != query.origin_)
-        return 2;
+        return Rank::Elsewhere;
+    if (instance.isLeaving_)
+        return Rank::LeavingInRegion;
     const bool isNear = query.nearDomain_.isEmpty() || instance.domain_ == query.nearDomain_;
-    return isNear ? 0 : 1;
+    return isNear ? Rank::Near : Rank::SameRegion;
+}
+
+/// Tells whether the caller's own region has an entry that stays.
+bool hasStayingEntry(const LookupQuery &query, const std::vector<EntryCandidate> &candidates)
+{
+    return std::any_of(candidates.begin(), candidates.end(), [&](const auto &candidate) {
+        return candidate.isAlive_ && !candidate.instance_.isLeaving_
+               && candidate.instance_.region_ == query.origin_;
+    });
 }
 
 } // namespace
@@ -33,20 +46,23 @@
 {
     struct Ranked
     {
-        int distance_;
+        Rank rank_;
         std::uint64_t score_;
         const Model::Instance *instance_;
     };
+    const bool needsLeaving = !hasStayingEntry(query, candidates);
     std::vector<Ranked> ranked;
     for (const auto &candidate : candidates) {
-        if (!candidate.isAlive_ || candidate.instance_.isLeaving_)
+        const Model::Instance &instance = candidate.instance_;
+        const bool isLastResort = needsLeaving && instance.region_ == query.origin_;
+        if (!candidate.isAlive_ || (instance.isLeaving_ && !isLastResort))
             continue;
-        ranked.push_back({distance(query, candidate.instance_),
+        ranked.push_back({rankOf(query, candidate.instance_),
                           rendezvousScore(query.caller_.value(), candidate.instance_.id_.value()),
                           &candidate.instance_});
     }
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
-        return std::tie(a.distance_, b.score_) < std::tie(b.distance_, a.score_);
+        return std::tie(a.rank_, b.score_) < std::tie(b.rank_, a.score_);
     });
     std::vector<Model::Instance> entries;
     for (const auto &item : ranked) {
--- a/Tests/Integration/TestOverload.cpp
+++ b/Tests/Integration/TestOverload.cpp
@@ -59,10 +59,8 @@
                 during.push_back(line);
         }
         CPPUNIT_ASSERT_EQUAL_MESSAGE(result.log_, during.size(), Harness::countTold(during, "run"));
-        // Exponential service times make the 99th percentile of a few hundred requests scatter; the
-        // median tells a wait more sharply.
         const double median = Harness::latencyMs(during, 0.5) / Harness::latencyMs(before, 0.5);
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(median), median < 1.3);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(median), median < 1.1);
         const double tail = Harness::latencyMs(during, 0.99) / Harness::latencyMs(before, 0.99);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(tail), tail < 1.6);
     }
--- a/Tests/LibPolicy/TestPlacement.cpp
+++ b/Tests/LibPolicy/TestPlacement.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(bulkLeavesSlotsForOthers);
     CPPUNIT_TEST(poolsOfAllEntriesStayBelowTheTargetsConnections);
     CPPUNIT_TEST(entriesOfTheOwnRegionComeFirstAndLeavingOnesNever);
+    CPPUNIT_TEST(leavingEntriesAreNamedWhereTheRegionHasNoOthers);
     CPPUNIT_TEST(losingAnEntryMovesOnlyItsOwnCallers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -180,6 +181,23 @@
             CPPUNIT_ASSERT(instance.id_.value() != "i1" && instance.id_.value() != "i4");
     }
 
+    // Symptom: during a replacement a region's callers are sent to far entries and refused there.
+    // Sequence: the last old entries leave in the moment in which the new ones come up.
+    // Cause: a look-up that knows only leaving entries of the region and names none of them.
+    void leavingEntriesAreNamedWhereTheRegionHasNoOthers()
+    {
+        std::vector<Policy::EntryCandidate> candidates(2);
+        candidates[0].instance_.id_ = Model::InstanceId("leaving");
+        candidates[0].instance_.region_ = Model::RegionId("near");
+        candidates[0].instance_.isLeaving_ = true;
+        candidates[1].instance_.id_ = Model::InstanceId("elsewhere");
+        candidates[1].instance_.region_ = Model::RegionId("far");
+        candidates[0].isAlive_ = candidates[1].isAlive_ = true;
+        const Policy::LookupQuery query{Model::CallerId("c"), Model::RegionId("near"), {}};
+        const auto ranked = Policy::rankEntries(query, candidates, 4);
+        CPPUNIT_ASSERT_EQUAL(std::string("leaving"), ranked.front().id_.value());
+    }
+
     void losingAnEntryMovesOnlyItsOwnCallers()
     {
         std::vector<Policy::EntryCandidate> candidates(5);
