--- a/Tests/Integration/TestOverload.cpp
+++ b/Tests/Integration/TestOverload.cpp
@@ -37,7 +37,11 @@
     // Cause: a common line, or slots that bulk fills to the last one.
     void smallCallersDoNotNoticeBulk()
     {
-        Site site(slowTargets());
+        // Fixed service times: every latency above them is a wait, and the percentiles do not
+        // scatter.
+        auto options = slowTargets();
+        options.hasExponentialTimes_ = false;
+        Site site(options);
         site.start();
         const auto load = site.loadtool("fair",
                                         section(site, {.name_ = "small", .rate_ = 40})
@@ -62,7 +66,7 @@
         const double median = Harness::latencyMs(during, 0.5) / Harness::latencyMs(before, 0.5);
         CPPUNIT_ASSERT_MESSAGE(std::to_string(median), median < 1.1);
         const double tail = Harness::latencyMs(during, 0.99) / Harness::latencyMs(before, 0.99);
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(tail), tail < 1.6);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(tail), tail < 1.2);
     }
 
     // Symptom: under overload hardly anything is answered in time, or refusals come late.
