--- a/Tests/Harness/Measure.cpp
+++ b/Tests/Harness/Measure.cpp
@@ -298,9 +298,10 @@
     };
     scenario.measure_ = [](Site &, const std::vector<SampleLine> &samples) {
         double slowest = 0;
-        for (const auto &line : samples)
+        for (const auto &line : samples) {
             if (line.told_ == "not-run")
                 slowest = std::max(slowest, line.latencyMs_);
+        }
         print("refusal_max", slowest, "ms");
     };
     return scenario;
@@ -320,11 +321,13 @@
         const auto own = Harness::ofStream(samples, "bulk-" + region);
         print("shift_peak_of_cap", shiftPeak(own, site, 0, 22), "ratio");
         double last = at;
-        for (const auto &line : own)
-            for (const auto &target : site.table().targets())
+        for (const auto &line : own) {
+            for (const auto &target : site.table().targets()) {
                 if (target.id_.value() == line.target_
                     && target.domain_ == site.table().domains()[domain].id_)
                     last = std::max(last, line.sentSeconds_);
+            }
+        }
         print("drain_complete", (last - at) / (0.5 / shiftCap), "of_cap_time");
     };
     return scenario;
@@ -336,13 +339,16 @@
     scenario.seconds_ = 18;
     scenario.onTime_ = once(4, [](Site &site) {
         const auto domain = site.table().domains().front().id_;
-        for (auto &target : site.targets())
+        for (auto &target : site.targets()) {
             if (target.row_.domain_ == domain)
                 target.process_->signal(SIGKILL);
-        for (auto &instance : site.instances())
-            if (instance.row_.domain_ == domain)
+        }
+        for (auto &instance : site.instances()) {
+            if (instance.row_.domain_ == domain) {
                 for (auto *process : instance.processes())
                     process->signal(SIGKILL);
+            }
+        }
     });
     return scenario;
 }
@@ -353,13 +359,16 @@
     scenario.seconds_ = 18;
     scenario.onTime_ = once(4, [](Site &site) {
         const auto region = site.table().domains().front().region_;
-        for (auto &target : site.targets())
+        for (auto &target : site.targets()) {
             if (site.table().domain(target.row_.domain_)->region_ == region)
                 target.process_->signal(SIGKILL);
-        for (auto &instance : site.instances())
-            if (instance.row_.region_ == region)
+        }
+        for (auto &instance : site.instances()) {
+            if (instance.row_.region_ == region) {
                 for (auto *process : instance.processes())
                     process->signal(SIGKILL);
+            }
+        }
     });
     return scenario;
 }
@@ -380,15 +389,18 @@
     scenario.onTime_ = once(2, [](Site &site) {
         for (const char *number : {"-1", "-2"}) {
             std::vector<Harness::SiteInstance *> group;
-            for (auto &instance : site.instances())
+            for (auto &instance : site.instances()) {
                 if (instance.row_.id_.value().ends_with(number))
                     group.push_back(&instance);
-            for (auto *instance : group)
+            }
+            for (auto *instance : group) {
                 for (auto *process : instance->processes())
                     process->signal(SIGTERM);
-            for (auto *instance : group)
+            }
+            for (auto *instance : group) {
                 for (auto *process : instance->processes())
                     process->wait(Milliseconds(20000));
+            }
             for (auto *instance : group)
                 site.startInstance(*instance);
             for (auto *instance : group)
@@ -415,10 +427,11 @@
     const std::string profile
         = stream(site, near, "one", example.busy_, example.small_, 100, region);
     std::string direct;
-    for (const auto &target : site.targets())
+    for (const auto &target : site.targets()) {
         if (target.row_.service_.value() == example.busy_
             && site.table().domain(target.row_.domain_)->region_.value() == region)
             direct += (direct.empty() ? "" : ",") + toText(target.row_.address_);
+    }
     const auto straight = site.loadtool("straight", profile, 6, FLAGS_seed, {"--direct=" + direct});
     straight->start();
     straight->wait(Milliseconds(30000));
--- a/Tests/Integration/TestOverload.cpp
+++ b/Tests/Integration/TestOverload.cpp
@@ -120,9 +120,10 @@
     {
         Site site(slowTargets());
         site.start();
-        for (const auto &target : site.targets())
+        for (const auto &target : site.targets()) {
             if (target.row_.service_.value() == "gauging")
                 site.switchTarget(target.row_.id_.value(), {{"claim_idle", true}});
+        }
         const auto load = site.loadtool(
             "lies", section(site, {.name_ = "all", .callerCount_ = 16, .rate_ = 1.5 * capacity}),
             8);
--- a/Tests/LibPolicy/TestPlacement.cpp
+++ b/Tests/LibPolicy/TestPlacement.cpp
@@ -33,12 +33,13 @@
             Policy::DomainCredits credits;
             int count = 0;
             const int window = *rc::gen::inRange(1, 400);
-            for (int i = 0; i < window; ++i)
+            for (int i = 0; i < window; ++i) {
                 count
                     += Policy::chooseDomain(credits, shares, views, Policy::debtWhileMoving).domain_
                                == 0
                            ? 1
                            : 0;
+            }
             RC_ASSERT(std::abs(count - window * first) <= 2.0);
         });
     }
@@ -66,11 +67,12 @@
         const std::vector<Policy::DomainView> views = {{true, false, true}, {true, true, true}};
         Policy::DomainCredits credits;
         int ahead = 0;
-        for (int i = 0; i < 100; ++i)
+        for (int i = 0; i < 100; ++i) {
             ahead += Policy::chooseDomain(credits, shares, views, Policy::debtWhileMoving).domain_
                              == 1
                          ? 1
                          : -1;
+        }
         CPPUNIT_ASSERT_MESSAGE(std::to_string(ahead), ahead <= 2 * Policy::debtWhileMoving + 2);
     }
 
