Lookupd: Refuse while no entry is known that serves

Cause: a look-up of a fresh instance answered 200 with an empty list, or named other regions' entries, before it had heard of its own region's. Ruled out: the map of client blocks; the test's address is in none. Change: an empty list is refused with NotReady, so that a caller keeps the entries that it knows. The harness calls an instance serving when its look-up names an entry of its region; until then naming others is right.

--- a/Services/Lookupd/LookupPage.cpp
+++ b/Services/Lookupd/LookupPage.cpp
@@ -69,10 +69,13 @@
     return query;
 }
 
-std::string answerText(const LookupSnapshot &snapshot, const Policy::LookupQuery &query)
+std::optional<std::string> answerText(const LookupSnapshot &snapshot,
+                                      const Policy::LookupQuery &query)
 {
     using nlohmann::json;
     const auto ranked = Policy::rankEntries(query, snapshot.candidates_, snapshot.mostEntries_);
+    if (ranked.empty())
+        return Model::fail(ResultCode::NotReady, "no entry is known that serves");
     json entries = json::array();
     for (const auto &instance : ranked) {
         entries.push_back({{"id", instance.id_.value()},
--- a/Services/Lookupd/LookupPage.h
+++ b/Services/Lookupd/LookupPage.h
@@ -28,7 +28,10 @@
 
 /// Returns the JSON answer: entries in the order to try them, time to live, version, reason.
 ///
+/// Returns nothing, with NotReady as the last reason, while no entry is known that serves: a caller
+/// that took an empty list for an answer would forget the entries that it knows.
 /// Thread safety: any thread.
-std::string answerText(const LookupSnapshot &snapshot, const Policy::LookupQuery &query);
+std::optional<std::string> answerText(const LookupSnapshot &snapshot,
+                                      const Policy::LookupQuery &query);
 
 } // namespace Lookupd
--- a/Services/Lookupd/main.cpp
+++ b/Services/Lookupd/main.cpp
@@ -50,8 +50,10 @@
             const auto query = Lookupd::readQuery(*snapshot, path, request.remoteHost_);
             if (!query)
                 return Http::refusal(Model::lastReason(), version);
-            return Http::textAnswer(Http::http::status::ok, "application/json",
-                                    Lookupd::answerText(*snapshot, *query), version);
+            const auto text = Lookupd::answerText(*snapshot, *query);
+            if (!text)
+                return Http::refusal(Model::lastReason(), version);
+            return Http::textAnswer(Http::http::status::ok, "application/json", *text, version);
         });
     }
 
--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -179,9 +179,10 @@
         if (!status || !status->value("ready", false))
             return false;
         const std::string service = table_->services().front().id_.value();
-        return getJson(instance.row_.addresses_.lookup_, "/v1/entry?service=" + service,
-                       Milliseconds(500))
-            .has_value();
+        const auto lookup = getJson(instance.row_.addresses_.lookup_,
+                                    "/v1/entry?service=" + service, Milliseconds(500));
+        // Until it has heard that an entry of its region serves, a look-up rightly names others.
+        return lookup && lookup->at("entries").at(0).at("region") == instance.row_.region_.value();
     });
 }
 
