Tests: Prove a cut region, a stale store and bulk at ten times the capacity

Cause: cutRegionCatchesUpWithinFiveSeconds cut the store off from all regions and healed all links at once, and editNeverReverts set the stale store before the edit, so neither brought about what it names. Change: the proxy has one group of ways to the platform for each region, the stand-in can remember a state and answer with it later. The edit is in force outside within 2 s while the cut region still holds the old version, and there within 5 s after healing. Instances restart while the store answers with the older state, and while it is down. Fairness is asked at 10 times the capacity too.

--- a/Tests/Harness/SiteLayout.cpp
+++ b/Tests/Harness/SiteLayout.cpp
@@ -167,7 +167,7 @@
                        "target-" + target.row_.id_.value());
             }
         }
-        addWay(from, platform(), 1, "platform");
+        addWay(from, platform(), 1, "platform-" + from.row_.region_.value());
     }
     const std::string host = "127." + std::to_string(net_) + ".0.2";
     const Model::Address control{host, proxyPort};
--- a/Tests/Integration/TestEdits.cpp
+++ b/Tests/Integration/TestEdits.cpp
@@ -68,12 +68,17 @@
         site.start();
         const std::vector<std::string> links
             = {"Primorska-Osrednja", "Osrednja-Primorska", "Primorska-Stajerska",
-               "Stajerska-Primorska", "platform"};
+               "Stajerska-Primorska", "platform-Primorska"};
         for (const auto &link : links)
             site.switchProxy(link, "black-hole");
-        // The store is out of reach for all, so the others learn of the edit from nobody either.
         edit(site, "queue_ms=301");
-        site.switchProxy("platform", "pass");
+        const double others = secondsUntilInForce(site, 2, Milliseconds(10000), "Primorska");
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(others), others <= 2.0);
+        Harness::pause(Milliseconds(3000));
+        for (const auto &instance : site.instances()) {
+            if (instance.row_.region_.value() == "Primorska")
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), versionAt(instance));
+        }
         for (const auto &link : links)
             site.switchProxy(link, "pass");
         const double seconds = secondsUntilInForce(site, 2, Milliseconds(10000));
@@ -81,31 +86,45 @@
     }
 
     // Symptom: an accepted edit is gone after a restart.
-    // Sequence: an edit is in force; the store falls back to an older state and then goes down;
-    //   instances restart meanwhile, one after the other and a fresh one.
-    // Cause: a fresh process that takes the first table it is offered.
+    // Sequence: an edit is in force; the store answers reads with the state before it, then goes
+    //   down; in both times instances are killed and start afresh.
+    // Cause: a process that takes the table it is offered because it comes from the store, or the
+    //   first one of any peer.
     void editNeverReverts()
     {
         Site site({});
         site.start();
-        site.switchPlatform({{"stale", true}});
-        site.switchPlatform({{"stale", false}});
+        site.switchPlatform({{"remember", true}});
         edit(site, "queue_ms=302");
         secondsUntilInForce(site, 2, Milliseconds(5000));
-        // The store answers reads with what it held before the edit would be stale; here it is
-        // down.
+        site.switchPlatform({{"stale", true}});
+        restartAfresh(site, "osrednja-a-1");
+        // Long enough for every instance to poll the store several times.
+        Harness::pause(Milliseconds(3000));
+        assertVersionEverywhere(site, 2);
         site.switchPlatform({{"down", true}});
-        for (const char *id : {"primorska-a-1", "stajerska-b-2"}) {
-            auto &instance = site.instance(id);
-            for (auto *process : instance.processes())
-                process->kill();
-            site.startInstance(instance);
-            CPPUNIT_ASSERT(site.waitUntilServing(instance, Milliseconds(15000)));
-            CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), versionAt(instance));
-        }
-        site.switchPlatform({{"down", false}});
+        restartAfresh(site, "primorska-a-1");
+        restartAfresh(site, "stajerska-b-2");
+        assertVersionEverywhere(site, 2);
+        site.switchPlatform({{"down", false}, {"stale", false}});
+        assertVersionEverywhere(site, 2);
+    }
+
+    /// Kills an instance; the new one must not serve a table older than what was in force.
+    static void restartAfresh(Site &site, const std::string &id)
+    {
+        auto &instance = site.instance(id);
+        for (auto *process : instance.processes())
+            process->kill();
+        site.startInstance(instance);
+        CPPUNIT_ASSERT(site.waitUntilServing(instance, Milliseconds(15000)));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(id, std::uint64_t(2), versionAt(instance));
+    }
+
+    static void assertVersionEverywhere(Site &site, std::uint64_t version)
+    {
         for (auto &instance : site.instances())
-            CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), versionAt(instance));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(instance.row_.id_.value(), version, versionAt(instance));
     }
 
     // Symptom: an operator's accepted change vanishes, and nobody is told.
--- a/Tests/Integration/TestOverload.cpp
+++ b/Tests/Integration/TestOverload.cpp
@@ -25,6 +25,7 @@
 {
     CPPUNIT_TEST_SUITE(TestOverload);
     CPPUNIT_TEST(smallCallersDoNotNoticeBulk);
+    CPPUNIT_TEST(smallCallersDoNotNoticeTenTimesTheCapacity);
     CPPUNIT_TEST(overloadIsRefusedAtOnceAndTheRestIsServed);
     CPPUNIT_TEST(deadTargetCostsAtMostOneAttempt);
     CPPUNIT_TEST(lyingReportsDoNotOverfillTargets);
@@ -35,7 +36,12 @@
     // Sequence: partners send several times what the region carries, through all entries and over
     //   many connections; pilots send a few requests a second.
     // Cause: a common line, or slots that bulk fills to the last one.
-    void smallCallersDoNotNoticeBulk()
+    void smallCallersDoNotNoticeBulk() { assertSmallUnharmed(4); }
+
+    // As above, with ten times what the region carries.
+    void smallCallersDoNotNoticeTenTimesTheCapacity() { assertSmallUnharmed(10); }
+
+    static void assertSmallUnharmed(double factor)
     {
         // Fixed service times: every latency above them is a wait, and the percentiles do not
         // scatter.
@@ -48,7 +54,7 @@
                                             + section(site, {.name_ = "bulk",
                                                              .callers_ = "partner-",
                                                              .callerCount_ = 24,
-                                                             .rate_ = 4 * capacity,
+                                                             .rate_ = factor * capacity,
                                                              .more_ = "from_ms = 6000"}),
                                         14);
         load->start();
--- a/Tests/StandIns/PlatformStandIn.cpp
+++ b/Tests/StandIns/PlatformStandIn.cpp
@@ -154,9 +154,9 @@
         switches_.lostConfirmations_
             = wanted.value("lose_confirmations", switches_.lostConfirmations_);
         switches_.listLag_ = Milliseconds(wanted.value("list_lag_ms", switches_.listLag_.count()));
-        const bool wasStale = switches_.isStale_;
-        switches_.isStale_ = wanted.value("stale", wasStale);
-        if (switches_.isStale_ && !wasStale) {
+        switches_.isStale_ = wanted.value("stale", switches_.isStale_);
+        // What a replica that lags will answer with once "stale" is set.
+        if (wanted.value("remember", false)) {
             staleRows_ = rows_;
             staleRevision_ = revision_;
         }
