--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 site=koper
 seed=1
-scenarios="calm bulk drain domain-crash region-crash store-outage rolling hop pool"
+scenarios="calm bulk drain domain-crash region-crash store-outage rolling hop pool leaving"
 with_baseline=yes
 while [ $# -gt 0 ]; do
     case "$1" in
--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -196,6 +196,31 @@
     return isClean;
 }
 
+bool Site::replaceAllInstances(Milliseconds patience)
+{
+    bool isClean = true;
+    for (const char *number : {"-1", "-2"}) {
+        std::vector<SiteInstance *> group;
+        for (auto &instance : instances_) {
+            if (instance.row_.id_.value().ends_with(number))
+                group.push_back(&instance);
+        }
+        for (auto *instance : group) {
+            for (auto *process : instance->processes())
+                process->signal(SIGTERM);
+        }
+        for (auto *instance : group) {
+            for (auto *process : instance->processes())
+                isClean = process->wait(patience) == 0 && isClean;
+        }
+        for (auto *instance : group)
+            startInstance(*instance);
+        for (auto *instance : group)
+            isClean = waitUntilServing(*instance, patience) && isClean;
+    }
+    return isClean;
+}
+
 bool Site::stopAllInstances(Milliseconds patience)
 {
     for (auto &instance : instances_) {
--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -73,6 +73,9 @@
     bool stopInstance(SiteInstance &instance, Model::Milliseconds patience);
     /// Stops all instances at the same time as planned.
     bool stopAllInstances(Model::Milliseconds patience);
+    /// Replaces every instance as planned, in two groups of one instance of each failure domain.
+    /// Returns whether each process exited with 0 and each new instance serves within \a patience.
+    bool replaceAllInstances(Model::Milliseconds patience);
     /// Makes the platform's list say what runs; leaving ones are named by id.
     void writeInstanceList(const std::set<std::string> &leaving = {});
 
--- /dev/null
+++ b/Tests/Slopes/Slopes.cpp
@@ -0,0 +1,263 @@
+// How the cost of each part grows with the size of the fleet; docs/CAPACITY.md quotes the figures.
+
+#include "LargeSite.h"
+
+#include <algorithm>
+#include <benchmark/benchmark.h>
+#include <chrono>
+#include <memory>
+
+namespace {
+
+using Slopes::FleetSize;
+
+constexpr int mostBlocks = 550000;
+constexpr int entriesInRegion = 220;
+constexpr int largestFleet = 3300;
+
+const FleetSize &sizeOf(const benchmark::State &state)
+{
+    switch (state.range(0)) {
+    case 42:
+        return Slopes::today;
+    case 240:
+        return Slopes::between;
+    default:
+        return Slopes::planned;
+    }
+}
+
+void sites(benchmark::internal::Benchmark *benchmark)
+{
+    benchmark->ArgName("sites")->Arg(42)->Arg(240)->Arg(880);
+}
+
+void blocks(benchmark::internal::Benchmark *benchmark)
+{
+    benchmark->ArgName("blocks")->Arg(1000)->Arg(55000)->Arg(mostBlocks);
+}
+
+void members(benchmark::internal::Benchmark *benchmark)
+{
+    benchmark->ArgName("members")->Arg(4)->Arg(55)->Arg(entriesInRegion);
+}
+
+Model::Table tableOf(const FleetSize &size)
+{
+    return *Platform::buildTable(Slopes::mirrorOf(size));
+}
+
+/// The time of single look-ups, so that the median can be told besides the mean.
+void findBlock(benchmark::State &state)
+{
+    const auto count = static_cast<int>(state.range(0));
+    const auto map = Model::ClientBlocks::build(Slopes::blocksText(count, Slopes::planned));
+    std::mt19937 random(1);
+    std::vector<std::string> hosts;
+    for (int i = 0; i < 4096; ++i)
+        hosts.push_back(Slopes::randomHost(random, count));
+    std::vector<double> nanoseconds;
+    std::size_t next = 0;
+    for (auto _ : state) {
+        const auto start = std::chrono::steady_clock::now();
+        benchmark::DoNotOptimize(map->placeOf(hosts[next++ % hosts.size()]));
+        const std::chrono::duration<double> taken = std::chrono::steady_clock::now() - start;
+        state.SetIterationTime(taken.count());
+        if (nanoseconds.size() < 100000)
+            nanoseconds.push_back(taken.count() * 1e9);
+    }
+    std::sort(nanoseconds.begin(), nanoseconds.end());
+    state.counters["p50_ns"] = nanoseconds[nanoseconds.size() / 2];
+    state.counters["p99_ns"] = nanoseconds[nanoseconds.size() * 99 / 100];
+}
+BENCHMARK(findBlock)->Apply(blocks)->UseManualTime();
+
+void buildBlocks(benchmark::State &state)
+{
+    const auto text = Slopes::blocksText(static_cast<int>(state.range(0)), Slopes::planned);
+    double bytes = 0;
+    for (auto _ : state) {
+        const double before = Slopes::allocatedBytes();
+        const auto map = Model::ClientBlocks::build(text);
+        bytes = Slopes::allocatedBytes() - before;
+        benchmark::DoNotOptimize(map);
+    }
+    state.counters["text_bytes"] = static_cast<double>(text.size());
+    state.counters["held_bytes"] = bytes;
+}
+BENCHMARK(buildBlocks)->Apply(blocks)->Unit(benchmark::kMillisecond);
+
+/// What a look-up does besides finding the block.
+void rankEntries(benchmark::State &state)
+{
+    const auto gossip = Slopes::stateOf(Slopes::planned, static_cast<int>(state.range(0)));
+    std::vector<Policy::EntryCandidate> candidates;
+    for (const auto &[id, member] : gossip.members_.members_)
+        candidates.push_back({member.record_.instance_, true});
+    for (const auto &[region, summary] : gossip.members_.summaries_) {
+        for (const auto &contact : summary.contacts_)
+            candidates.push_back({contact, true});
+    }
+    const Policy::LookupQuery query{Model::CallerId("pilot-7"), Model::RegionId("region-0"), {}};
+    for (auto _ : state)
+        benchmark::DoNotOptimize(Policy::rankEntries(query, candidates, 4));
+}
+BENCHMARK(rankEntries)->Apply(members);
+
+void buildTable(benchmark::State &state)
+{
+    const auto mirror = Slopes::mirrorOf(sizeOf(state));
+    double bytes = 0;
+    for (auto _ : state) {
+        const double before = Slopes::allocatedBytes();
+        const auto table = Platform::buildTable(mirror);
+        bytes = Slopes::allocatedBytes() - before;
+        benchmark::DoNotOptimize(table);
+    }
+    state.counters["rows"] = static_cast<double>(mirror.rows_.size());
+    state.counters["held_bytes"] = bytes;
+}
+BENCHMARK(buildTable)->Apply(sites)->Unit(benchmark::kMicrosecond);
+
+/// The shares of every service and origin, as an entry plans them in each step.
+void planShares(benchmark::State &state)
+{
+    const auto table = tableOf(sizeOf(state));
+    const Model::WallTime now(Model::Milliseconds(1764700000000));
+    for (auto _ : state) {
+        for (const auto &service : table.services()) {
+            for (const auto &region : table.regions())
+                benchmark::DoNotOptimize(
+                    Policy::plannedShares(table, service.id_, region.id_, now));
+        }
+    }
+    state.counters["pairs"] = static_cast<double>(table.services().size() * table.regions().size());
+}
+BENCHMARK(planShares)->Apply(sites)->Unit(benchmark::kMicrosecond);
+
+/// The whole table to the processes of an instance, there and back.
+void applySnapshot(benchmark::State &state)
+{
+    const auto mirror = Slopes::mirrorOf(sizeOf(state));
+    const auto whole = Platform::deltaSince(mirror, Model::TableVersion(0));
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const std::string wire = Peers::toMessage(whole).SerializeAsString();
+        cassiacrank::TableDelta message;
+        message.ParseFromString(wire);
+        Platform::TableMirror copy;
+        Platform::takeIn(copy, *Peers::fromMessage(message));
+        benchmark::DoNotOptimize(Platform::buildTable(copy));
+        bytes = wire.size();
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(applySnapshot)->Apply(sites)->Unit(benchmark::kMicrosecond);
+
+/// One exchange between two instances of a region that know the same but for the heartbeats.
+void gossipExchange(benchmark::State &state)
+{
+    const auto count = static_cast<int>(state.range(0));
+    auto asker = Slopes::stateOf(Slopes::planned, count);
+    auto asked = asker;
+    asked.self_.instance_.id_ = Model::InstanceId("instance-1");
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        // Half of the records were renewed since.
+        int number = 0;
+        for (auto &[id, member] : asked.members_.members_)
+            member.record_.heartbeat_ += static_cast<std::uint64_t>(number++ % 2);
+        const auto request = Peers::makePull(asker, true);
+        const auto answer = Peers::answerPull(asked, request, {});
+        Peers::takeInAnswer(asker, answer, {});
+        bytes = request.ByteSizeLong() + answer.ByteSizeLong();
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(gossipExchange)->Apply(members)->Unit(benchmark::kMicrosecond);
+
+/// An exchange with another region: the table's version, the summaries and the two themselves.
+void gossipAcrossRegions(benchmark::State &state)
+{
+    auto asker = Slopes::stateOf(sizeOf(state), 4);
+    auto asked = asker;
+    asked.self_.instance_.region_ = Model::RegionId("region-1");
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        for (auto &[region, summary] : asked.members_.summaries_)
+            summary.madeAt_ += Model::Milliseconds(1);
+        const auto request = Peers::makePull(asker, false);
+        const auto answer = Peers::answerPull(asked, request, {});
+        Peers::takeInAnswer(asker, answer, {});
+        bytes = request.ByteSizeLong() + answer.ByteSizeLong();
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(gossipAcrossRegions)->Apply(sites)->Unit(benchmark::kMicrosecond);
+
+/// What a table edit costs on the wire: the changed rows, against the whole table.
+void deltaBytes(benchmark::State &state)
+{
+    const auto mirror
+        = Slopes::changed(Slopes::mirrorOf(Slopes::planned), static_cast<int>(state.range(0)));
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const auto delta = Platform::deltaSince(mirror, Model::TableVersion(1));
+        bytes = Peers::toMessage(delta).ByteSizeLong();
+    }
+    const auto whole = Platform::deltaSince(mirror, Model::TableVersion(0));
+    state.counters["bytes"] = static_cast<double>(bytes);
+    state.counters["whole_bytes"] = static_cast<double>(Peers::toMessage(whole).ByteSizeLong());
+}
+BENCHMARK(deltaBytes)->ArgName("rows")->Arg(1)->Arg(10)->Arg(100)->Unit(benchmark::kMicrosecond);
+
+/// Rounds until each member has heard of a new version, when each asks one member of its region and
+/// one of anywhere in a round and a tenth of the exchanges is lost. The choice is the real one; the
+/// exchange is reduced to whether the asked member knew.
+void roundsToAll(benchmark::State &state)
+{
+    constexpr std::size_t inRegion = entriesInRegion;
+    const auto count = static_cast<std::size_t>(state.range(0));
+    std::mt19937_64 random(1);
+    int most = 0;
+    double sum = 0;
+    int runs = 0;
+    for (auto _ : state) {
+        std::vector<char> knows(count, 0);
+        knows[0] = 1;
+        int rounds = 0;
+        while (std::count(knows.begin(), knows.end(), 0) > 0) {
+            ++rounds;
+            std::vector<char> next = knows;
+            for (std::size_t i = 0; i < count; ++i) {
+                const std::size_t first = i / inRegion * inRegion;
+                const std::size_t near = std::min(inRegion, count - first);
+                const std::size_t asked[] = {
+                    first + Policy::choosePeers(near, 1, {random()}).front(),
+                    Policy::choosePeers(count, 1, {random()}).front(),
+                };
+                for (const std::size_t other : asked) {
+                    if (random() % 10 != 0 && knows[other])
+                        next[i] = 1;
+                }
+            }
+            knows = std::move(next);
+        }
+        most = std::max(most, rounds);
+        sum += rounds;
+        ++runs;
+    }
+    state.counters["rounds_mean"] = sum / runs;
+    state.counters["rounds_most"] = most;
+}
+BENCHMARK(roundsToAll)
+    ->ArgName("members")
+    ->Arg(12)
+    ->Arg(220)
+    ->Arg(largestFleet)
+    ->Iterations(30)
+    ->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+BENCHMARK_MAIN();
