--- a/Services/Controld/ControlState.cpp
+++ b/Services/Controld/ControlState.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr Milliseconds reportLifetime{1000};
-constexpr Milliseconds snapshotPause{50};
-constexpr Milliseconds longestSnapshotPause{500};
+/// News goes round within this time, so rounds are frequent for as long after each.
+constexpr Milliseconds spreadingTime{4000};
 /// Silent members are remembered this long, so that an old record is not taken for a newcomer.
 constexpr Milliseconds memberMemory{120000};
 
@@ -102,7 +102,7 @@
     expireReports();
     Peers::forgetSilent(gossip_.members_, memberMemory, steadyNow());
     refreshSummary();
-    noteChange();
+    noteRoutine();
 }
 
 /// A process that died without a word stops reporting; the instance is then not named as an entry.
@@ -141,7 +141,7 @@
 {
     const std::lock_guard lock(mutex_);
     auto answer = Peers::answerPull(gossip_, request, steadyNow());
-    noteChange();
+    noteRoutine();
     return answer;
 }
 
@@ -158,7 +158,7 @@
     if (news.tableChanged_)
         onTableChanged();
     if (news.liveChanged_)
-        noteChange();
+        noteRoutine();
     judgeReadiness();
 }
 
@@ -188,6 +188,12 @@
     return targets;
 }
 
+bool ControlState::isQuiet() const
+{
+    const std::lock_guard lock(mutex_);
+    return steadyNow() - changedAt_ > spreadingTime;
+}
+
 std::size_t ControlState::fleetSize() const
 {
     const std::lock_guard lock(mutex_);
@@ -267,65 +273,18 @@
 
 void ControlState::noteChange()
 {
-    ++liveCount_;
+    ++changeCount_;
+    changedAt_ = steadyNow();
     changed_.notify_all();
 }
 
-cassiacrank::LiveState ControlState::liveState() const
+void ControlState::noteRoutine()
 {
-    const auto now = steadyNow();
-    cassiacrank::LiveState live;
-    live.set_ready(gossip_.self_.isReady_);
-    live.set_leaving(gossip_.self_.instance_.isLeaving_);
-    *live.add_members() = Peers::toMessage(gossip_.self_);
-    for (const auto &[id, member] : gossip_.members_.members_) {
-        if (Peers::isAlive(member, now))
-            *live.add_members() = Peers::toMessage(member.record_);
-    }
-    for (const auto &[region, summary] : gossip_.members_.summaries_) {
-        const auto heardAt = gossip_.members_.summaryHeardAt_.find(region);
-        const bool isFresh = heardAt != gossip_.members_.summaryHeardAt_.end()
-                             && now - heardAt->second <= Peers::summaryLifetime;
-        if (isFresh)
-            *live.add_summaries() = Peers::toMessage(summary);
-    }
-    for (const auto &[target, incarnation] : gossip_.members_.marks_.marks_) {
-        auto *mark = live.add_marks();
-        mark->set_target(target.value());
-        mark->set_incarnation(incarnation.value());
-    }
-    const std::size_t known = std::max(listed_.size(), gossip_.members_.members_.size() + 1);
-    live.set_fleet_size(static_cast<std::uint32_t>(known));
-    return live;
-}
-
-cassiacrank::Snapshot ControlState::waitForSnapshot(SentMarks &sent, bool &isClosed)
-{
-    std::unique_lock lock(mutex_);
-    const auto hasUrgentNews = [&] {
-        return isClosed_ || gossip_.table_.version_ > sent.table_ || blocksCount_ != sent.blocks_;
-    };
-    // Small news is gathered for a moment; a new table goes out at once.
-    changed_.wait_for(lock, snapshotPause, hasUrgentNews);
-    changed_.wait_for(lock, longestSnapshotPause, [&] {
-        return hasUrgentNews() || liveCount_ != sent.live_;
-    });
-    isClosed = isClosed_;
-
-    cassiacrank::Snapshot snapshot;
-    if (gossip_.table_.version_ > sent.table_) {
-        const auto whole = Platform::deltaSince(gossip_.table_, Model::TableVersion(0));
-        *snapshot.mutable_table() = Peers::toMessage(whole);
-        sent.table_ = gossip_.table_.version_;
-    }
-    if (blocksCount_ != sent.blocks_) {
-        snapshot.set_client_blocks(clientBlocks_);
-        snapshot.set_has_client_blocks(true);
-        sent.blocks_ = blocksCount_;
-    }
-    *snapshot.mutable_live() = liveState();
-    sent.live_ = liveCount_;
-    return snapshot;
+    const std::size_t print = urgentPrint();
+    if (print == lastUrgentPrint_)
+        return;
+    lastUrgentPrint_ = print;
+    noteChange();
 }
 
 void ControlState::onSubscriberCame()
--- a/Services/Controld/ControlState.h
+++ b/Services/Controld/ControlState.h
@@ -22,7 +22,7 @@
 struct SentMarks
 {
     Model::TableVersion table_;
-    std::uint64_t live_ = 0;
+    std::uint64_t changes_ = 0;
     std::uint64_t blocks_ = 0;
 };
 
@@ -50,6 +50,8 @@
     /// Returns whom a gossip round may ask, the instance itself left out.
     std::vector<PeerTarget> peerTargets() const;
     std::size_t fleetSize() const;
+    /// Tells whether nothing changed of late that the others must hear of soon.
+    bool isQuiet() const;
 
     void onReport(const cassiacrank::ProcessReport &report);
 
@@ -72,7 +74,13 @@
 private:
     void judgeReadiness();
     void onTableChanged();
+    /// Has the subscribers told within snapshotPause.
     void noteChange();
+    /// Has them told with the next routine snapshot, unless something urgent changed with it.
+    void noteRoutine();
+    /// Returns a number that changes when a member comes, goes, leaves or becomes ready, or a
+    /// target is marked: what requests are placed by at once.
+    std::size_t urgentPrint() const;
     void expireReports();
     cassiacrank::LiveState liveState() const;
     void refreshSummary();
@@ -84,7 +92,9 @@
     Policy::StartKnowledge start_;
     std::vector<Model::Instance> listed_;
     std::string clientBlocks_;
-    std::uint64_t liveCount_ = 1;
+    std::uint64_t changeCount_ = 1;
+    std::size_t lastUrgentPrint_ = 0;
+    Model::SteadyTime changedAt_;
     std::uint64_t blocksCount_ = 0;
     Model::SteadyTime startedAt_;
     Model::SteadyTime entryReportAt_;
--- a/Services/Controld/GossipRounds.cpp
+++ b/Services/Controld/GossipRounds.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Model::Milliseconds pullTimeout{1000};
+constexpr int quietPeriods = 2;
 
 } // namespace
 
@@ -66,7 +67,9 @@
         state_.beat();
         for (const auto &peer : choose(state_.peerTargets()))
             ask(peer);
-        co_await Http::sleepFor(settings_.gossipPeriod_);
+        // Heartbeats alone do not need the frequent rounds that news needs.
+        const int periods = state_.isQuiet() ? quietPeriods : 1;
+        co_await Http::sleepFor(periods * settings_.gossipPeriod_);
     }
 }
 
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Milliseconds stepPause{50};
+/// Loads are reported this often; what others must act on within reportPause.
+constexpr Milliseconds routineReportPause{400};
 constexpr Milliseconds reportPause{100};
 constexpr Milliseconds longestStep{1000};
 /// Shares that stand further than this from the plan are told to the others.
@@ -105,10 +107,8 @@
         }
         step();
         lock.unlock();
-        if (steadyNow() - reportedAt_ >= reportPause) {
-            reportedAt_ = steadyNow();
-            client_.report(makeReport());
-        }
+        if (steadyNow() - reportedAt_ >= reportPause)
+            reportIfDue(makeReport());
         lock.lock();
         const Model::TableVersion seen
             = view_.table_ ? view_.table_->version() : Model::TableVersion(0);
@@ -323,6 +323,18 @@
     return plan;
 }
 
+void Planner::reportIfDue(const cassiacrank::ProcessReport &report)
+{
+    const ReportPrint print{report.table_version(), report.stopping(), report.marks_size(),
+                            report.walked_size()};
+    const bool isUrgent = print != lastReport_ || report.walked_size() > 0;
+    if (!isUrgent && steadyNow() - reportedAt_ < routineReportPause)
+        return;
+    reportedAt_ = steadyNow();
+    // A report that did not arrive is repeated at the next step.
+    lastReport_ = client_.report(report) ? print : ReportPrint();
+}
+
 cassiacrank::ProcessReport Planner::makeReport()
 {
     cassiacrank::ProcessReport report;
--- a/Services/Entryd/Planner.h
+++ b/Services/Entryd/Planner.h
@@ -65,6 +65,7 @@
     std::unique_ptr<EntrySnapshot> makeSnapshot(Model::Milliseconds elapsed);
     std::uint64_t pairRank(const Model::InstanceId &other) const;
     cassiacrank::ProcessReport makeReport();
+    void reportIfDue(const cassiacrank::ProcessReport &report);
 
     const Observe::Settings &settings_;
     SnapshotCell &cell_;
@@ -85,6 +86,17 @@
     std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, bool> knownOut_;
     Model::SteadyTime steppedAt_;
     Model::SteadyTime reportedAt_;
+    /// What of a report others must act on at once; of the last one that arrived.
+    struct ReportPrint
+    {
+        std::uint64_t tableVersion_ = 0;
+        bool isStopping_ = false;
+        int marks_ = -1;
+        int walked_ = -1;
+
+        bool operator==(const ReportPrint &) const = default;
+    };
+    ReportPrint lastReport_;
 
     std::atomic<bool> isStopping_{false};
     std::atomic<bool> isReady_{false};
--- a/Services/Lookupd/main.cpp
+++ b/Services/Lookupd/main.cpp
@@ -13,7 +13,9 @@
 
 /// How long a mark of leaving may take to reach every other look-up.
 constexpr Milliseconds spreadTime{1500};
-constexpr Milliseconds reportPause{200};
+constexpr Milliseconds reportPause{100};
+/// Every so many pauses a report is sent though nothing changed, as a sign of life.
+constexpr int routineReportPauses = 4;
 
 /// Publishes what the control process tells, for the threads that answer.
 class LookupState
@@ -131,12 +133,15 @@
 void reportLoop(Peers::ControlClient &client, const LookupState &state,
                 const std::atomic<bool> &isStopping, const std::atomic<bool> &isOver)
 {
-    while (!isOver) {
-        cassiacrank::ProcessReport report;
-        report.set_role("lookup");
+    cassiacrank::ProcessReport report;
+    report.set_role("lookup");
+    for (int pauses = 0; !isOver; ++pauses) {
+        const bool isNews
+            = report.table_version() != state.version() || report.stopping() != isStopping;
         report.set_table_version(state.version());
         report.set_stopping(isStopping);
-        client.report(report);
+        if (isNews || pauses % routineReportPauses == 0)
+            client.report(report);
         std::this_thread::sleep_for(reportPause);
     }
 }
