LibPolicy: Let peers have their say before a fresh instance serves

Cause: a fresh instance that the store answered served at once. A replica of the store that lags would have had it serve a table older than what is in force until the first peer was heard. Found by rereading mayServe() while its integration test stayed green with older versions accepted from the store. Change: the store's answer counts once any peer answered, or none did for 2 s; no peer may know a newer version. TestEdits::editNeverReverts looks at the fresh instance all the time, with peers of other places 150 ms away. The integration test was green with the old rule too (a peer of the same failure domain answers soon enough), so only TestTruth shows the rule itself.

--- a/Libraries/LibPolicy/Dissemination.cpp
+++ b/Libraries/LibPolicy/Dissemination.cpp
@@ -61,9 +61,9 @@
 {
     if (knowledge.heldVersion_ == Model::TableVersion(0))
         return false;
-    if (knowledge.storeAnswered_)
-        return knowledge.heldVersion_ >= knowledge.storeVersion_;
-    if (knowledge.peerVersions_.size() < domainsNeededToStart)
+    const bool isStoreEnough = knowledge.storeAnswered_ && knowledge.peersHadTheirSay_
+                               && knowledge.heldVersion_ >= knowledge.storeVersion_;
+    if (!isStoreEnough && knowledge.peerVersions_.size() < domainsNeededToStart)
         return false;
     return std::all_of(knowledge.peerVersions_.begin(), knowledge.peerVersions_.end(),
                        [&](const auto &entry) {
--- a/Libraries/LibPolicy/Dissemination.h
+++ b/Libraries/LibPolicy/Dissemination.h
@@ -45,6 +45,8 @@
 struct StartKnowledge
 {
     bool storeAnswered_ = false;
+    /// Any peer answered, ready or not, or none did for startPatience.
+    bool peersHadTheirSay_ = false;
     Model::TableVersion storeVersion_;
     Model::TableVersion heldVersion_;
     /// Failure domains other than one's own whose peers answered, each with the highest version.
@@ -54,12 +56,16 @@
 /// Peers of this many failure domains must agree that nothing newer is known.
 constexpr std::size_t domainsNeededToStart = 2;
 
+/// Where the store answers but no peer does, an instance starts by itself after this long.
+constexpr Model::Milliseconds startPatience{2000};
+
 /// Tells whether a fresh instance may serve.
 ///
 /// What goes wrong without it: an instance that starts while the store is down takes an old table
-/// from one lagging peer and serves it, so an accepted edit reverts there. It waits for the store
-/// or for peers in more than one failure domain, and holds the highest version that any of them
-/// named. Thread safety: any thread.
+/// from one lagging peer and serves it, so an accepted edit reverts there; or a replica of the
+/// store that lags answers first, and the instance serves its table until the peers are heard. It
+/// waits for the store and a word of its peers, or for peers in more than one failure domain, and
+/// holds the highest version that any of them named. Thread safety: any thread.
 bool mayServe(const StartKnowledge &knowledge);
 
 } // namespace Policy
--- a/Services/Controld/ControlState.cpp
+++ b/Services/Controld/ControlState.cpp
@@ -102,6 +102,9 @@
     expireReports();
     Peers::forgetSilent(gossip_.members_, memberMemory, steadyNow());
     refreshSummary();
+    if (steadyNow() - startedAt_ >= Policy::startPatience)
+        start_.peersHadTheirSay_ = true;
+    judgeReadiness();
     noteRoutine();
 }
 
@@ -151,6 +154,7 @@
     const auto news = Peers::takeInAnswer(gossip_, answer, steadyNow());
     if (!news.responder_)
         return;
+    start_.peersHadTheirSay_ = true;
     if (news.responder_->domain_ != settings_.domain_ && news.responderIsReady_) {
         auto &version = start_.peerVersions_[news.responder_->domain_];
         version = std::max(version, news.responderVersion_);
--- a/Tests/Integration/TestEdits.cpp
+++ b/Tests/Integration/TestEdits.cpp
@@ -92,7 +92,12 @@
     //   first one of any peer.
     void editNeverReverts()
     {
-        Site site({});
+        // The store answers long before the peers do.
+        Harness::SiteOptions options;
+        options.hasProxy_ = true;
+        options.delayBetweenDomainsMs_ = 150;
+        options.delayBetweenRegionsMs_ = 150;
+        Site site(options);
         site.start();
         site.switchPlatform({{"remember", true}});
         edit(site, "queue_ms=302");
@@ -117,8 +122,15 @@
         for (auto *process : instance.processes())
             process->kill();
         site.startInstance(instance);
-        CPPUNIT_ASSERT(site.waitUntilServing(instance, Milliseconds(15000)));
+        // Looked at all the time: an old table that is served for a moment only is served.
+        const bool isReady = Harness::waitUntil(Milliseconds(15000), [&] {
+            const auto status
+                = Harness::getJson({instance.host_, 7006}, "/status", Milliseconds(300));
+            return status && status->value("ready", false);
+        });
+        CPPUNIT_ASSERT_MESSAGE(id, isReady);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(id, std::uint64_t(2), versionAt(instance));
+        CPPUNIT_ASSERT(site.waitUntilServing(instance, Milliseconds(15000)));
     }
 
     static void assertVersionEverywhere(Site &site, std::uint64_t version)
--- a/Tests/LibPolicy/TestTruth.cpp
+++ b/Tests/LibPolicy/TestTruth.cpp
@@ -124,7 +124,11 @@
         knowledge.heldVersion_ = Model::TableVersion(2);
         knowledge.storeAnswered_ = true;
         knowledge.storeVersion_ = Model::TableVersion(2);
+        CPPUNIT_ASSERT_MESSAGE("the store alone may lag", !Policy::mayServe(knowledge));
+        knowledge.peersHadTheirSay_ = true;
         CPPUNIT_ASSERT(Policy::mayServe(knowledge));
+        knowledge.peerVersions_[Model::FailureDomainId("a")] = Model::TableVersion(3);
+        CPPUNIT_ASSERT_MESSAGE("a peer knows a newer one", !Policy::mayServe(knowledge));
     }
 
     void pollsOfTheFleetAreBounded()
