--- a/Tests/Slopes/Slopes.cpp
+++ b/Tests/Slopes/Slopes.cpp
@@ -126,9 +126,10 @@
     const Model::WallTime now(Model::Milliseconds(1764700000000));
     for (auto _ : state) {
         for (const auto &service : table.services()) {
-            for (const auto &region : table.regions())
+            for (const auto &region : table.regions()) {
                 benchmark::DoNotOptimize(
                     Policy::plannedShares(table, service.id_, region.id_, now));
+            }
         }
     }
     state.counters["pairs"] = static_cast<double>(table.services().size() * table.regions().size());
