Entryd: Keep the planner's reports in a file of their own

On rereading, two comments named figures that no run showed ('a sixth', 'ten times as often'). Change: the reports and the status move to PlannerReports.cpp unchanged but for the clock's name; whether shares stand apart is asked by one function in place of the same comparison twice; the two comments name no figure. The whole suite was not repeated.

--- a/Libraries/LibPolicy/TargetPicker.h
+++ b/Libraries/LibPolicy/TargetPicker.h
@@ -56,7 +56,7 @@
 /// part in the latest report counts whole until it is as old as the target's usual latency.
 ///
 /// What goes wrong with likelyInFlight() instead, where many slots are added up: others refill the
-/// slots that come free, so their faded part is too low by a sixth, every entry believes that the
+/// slots that come free, so their faded part is too low, every entry believes that the
 /// region has room below a limit on its use, and bulk fills the slots that it must leave to small
 /// callers. Thread safety: any thread.
 std::int64_t steadyInFlight(const TargetView &target);
--- a/Services/Controld/ControlSnapshots.cpp
+++ b/Services/Controld/ControlSnapshots.cpp
@@ -75,7 +75,7 @@
         return isClosed_ || gossip_.table_.version_ > sent.table_ || blocksCount_ != sent.blocks_;
     };
     // Small news is gathered for a moment; a new table goes out at once. Heartbeats and loads come
-    // ten times as often as anything that matters, and each snapshot costs three processes time.
+    // far more often than anything that matters, and each snapshot costs three processes time.
     changed_.wait_for(lock, snapshotPause, hasUrgentNews);
     changed_.wait_for(lock, routineSnapshotPause, [&] {
         return hasUrgentNews() || changeCount_ != sent.changes_;
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -1,7 +1,6 @@
 #include "Planner.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace Entryd {
 
@@ -11,11 +10,9 @@
 namespace {
 
 constexpr Milliseconds stepPause{50};
-/// Loads are reported this often; what others must act on within reportPause.
-constexpr Milliseconds routineReportPause{400};
 constexpr Milliseconds reportPause{100};
 constexpr Milliseconds longestStep{1000};
-/// Shares that stand further than this from the plan are told to the others.
+/// Shares that are no further apart than this count as the same.
 constexpr double notableDistance = 1e-3;
 
 Model::SteadyTime steadyNow()
@@ -53,6 +50,11 @@
 
 } // namespace
 
+bool areNotablyApart(const Policy::ShareVector &a, const Policy::ShareVector &b)
+{
+    return distance(a, b) > notableDistance;
+}
+
 Planner::Planner(const Observe::Settings &settings, SnapshotCell &cell)
     : settings_(settings)
     , cell_(cell)
@@ -314,7 +316,7 @@
 
     OriginPlan plan;
     plan.shares_ = walk.shares_;
-    plan.isMoving_ = distance(walk.shares_, aim) > notableDistance;
+    plan.isMoving_ = areNotablyApart(walk.shares_, aim);
     const double inASecond
         = Policy::allowedProgress(table, walk.shares_, goal, caps, std::chrono::seconds(1));
     const double seconds = inASecond > 0 ? 1.0 / inASecond : 1.0;
@@ -323,86 +325,4 @@
     return plan;
 }
 
-void Planner::reportIfDue(const cassiacrank::ProcessReport &report)
-{
-    const ReportPrint print{report.table_version(), report.stopping(), report.marks_size(),
-                            report.walked_size()};
-    const bool isUrgent = print != lastReport_ || report.walked_size() > 0;
-    if (!isUrgent && steadyNow() - reportedAt_ < routineReportPause)
-        return;
-    reportedAt_ = steadyNow();
-    // A report that did not arrive is repeated at the next step.
-    lastReport_ = client_.report(report) ? print : ReportPrint();
-}
-
-cassiacrank::ProcessReport Planner::makeReport()
-{
-    cassiacrank::ProcessReport report;
-    report.set_role("entry");
-    report.set_table_version(isReady_ ? tableVersion_.load() : 0);
-    report.set_stopping(isStopping_);
-    std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, Peers::DomainLoad> loads;
-    for (const auto &[id, state] : targets_) {
-        const auto &target = state->target_;
-        Peers::DomainLoad &load = loads[{target.service_, target.domain_}];
-        load.service_ = target.service_;
-        load.domain_ = target.domain_;
-        if (!state->isSuspect_ && !state->isLeaving_)
-            load.slots_ += target.slots_;
-        load.inFlight_ += Model::Slots(state->ownInFlight_);
-        if (state->isLeaving_) {
-            auto *mark = report.add_marks();
-            mark->set_target(id.value());
-            mark->set_incarnation(state->incarnation_);
-        }
-    }
-    for (auto &[key, load] : loads) {
-        load.waiting_ = waiting_;
-        *report.add_loads() = Peers::toMessage(load);
-    }
-    if (!view_.table_)
-        return report;
-    for (const auto &[key, walk] : walks_) {
-        const auto planned = Policy::plannedShares(*view_.table_, key.first, key.second, wallNow());
-        if (distance(planned, walk.shares_) > notableDistance) {
-            *report.add_walked() = Peers::toMessage(
-                {key.first, key.second, Policy::namedShares(*view_.table_, walk.shares_)});
-        }
-    }
-    return report;
-}
-
-std::string Planner::statusText()
-{
-    using nlohmann::json;
-    const std::lock_guard lock(mutex_);
-    json shares = json::array();
-    json targets = json::array();
-    if (view_.table_) {
-        for (const auto &[key, walk] : walks_) {
-            json byDomain = json::object();
-            for (const auto &share : Policy::namedShares(*view_.table_, walk.shares_))
-                byDomain[share.domain_.value()] = share.share_.value();
-            shares.push_back({{"service", key.first.value()},
-                              {"origin", key.second.value()},
-                              {"shares", byDomain}});
-        }
-        for (const auto &[id, state] : targets_) {
-            targets.push_back({{"id", id.value()},
-                               {"in_flight", state->ownInFlight_.load()},
-                               {"latency_us", state->latencyUs_.load()},
-                               {"suspect", state->isSuspect_.load()},
-                               {"leaving", state->isLeaving_.load()}});
-        }
-    }
-    const json status = {{"id", settings_.instance_.value()},
-                         {"ready", isReady_.load()},
-                         {"stopping", isStopping_.load()},
-                         {"table_version", tableVersion_.load()},
-                         {"waiting", waiting_.load()},
-                         {"shares", shares},
-                         {"targets", targets}};
-    return status.dump() + "\n";
-}
-
 } // namespace Entryd
--- a/Services/Entryd/Planner.h
+++ b/Services/Entryd/Planner.h
@@ -12,6 +12,11 @@
 
 namespace Entryd {
 
+/// Tells whether two share vectors of one table differ by more than rounding does.
+///
+/// Thread safety: any thread.
+bool areNotablyApart(const Policy::ShareVector &a, const Policy::ShareVector &b);
+
 /// Turns what the control process tells into the snapshots that requests read, moves the shares in
 /// small steps, and reports back.
 ///
--- /dev/null
+++ b/Services/Entryd/PlannerReports.cpp
@@ -0,0 +1,99 @@
+#include "Planner.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Entryd {
+
+using Model::Milliseconds;
+
+namespace {
+
+/// Loads are reported this often; what others must act on, whenever it is looked at.
+constexpr Milliseconds routineReportPause{400};
+
+} // namespace
+
+void Planner::reportIfDue(const cassiacrank::ProcessReport &report)
+{
+    const ReportPrint print{report.table_version(), report.stopping(), report.marks_size(),
+                            report.walked_size()};
+    const bool isUrgent = print != lastReport_ || report.walked_size() > 0;
+    if (!isUrgent && std::chrono::steady_clock::now() - reportedAt_ < routineReportPause)
+        return;
+    reportedAt_ = std::chrono::steady_clock::now();
+    // A report that did not arrive is repeated at the next step.
+    lastReport_ = client_.report(report) ? print : ReportPrint();
+}
+
+cassiacrank::ProcessReport Planner::makeReport()
+{
+    cassiacrank::ProcessReport report;
+    report.set_role("entry");
+    report.set_table_version(isReady_ ? tableVersion_.load() : 0);
+    report.set_stopping(isStopping_);
+    std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, Peers::DomainLoad> loads;
+    for (const auto &[id, state] : targets_) {
+        const auto &target = state->target_;
+        Peers::DomainLoad &load = loads[{target.service_, target.domain_}];
+        load.service_ = target.service_;
+        load.domain_ = target.domain_;
+        if (!state->isSuspect_ && !state->isLeaving_)
+            load.slots_ += target.slots_;
+        load.inFlight_ += Model::Slots(state->ownInFlight_);
+        if (state->isLeaving_) {
+            auto *mark = report.add_marks();
+            mark->set_target(id.value());
+            mark->set_incarnation(state->incarnation_);
+        }
+    }
+    for (auto &[key, load] : loads) {
+        load.waiting_ = waiting_;
+        *report.add_loads() = Peers::toMessage(load);
+    }
+    if (!view_.table_)
+        return report;
+    const auto now = std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+    for (const auto &[key, walk] : walks_) {
+        const auto planned = Policy::plannedShares(*view_.table_, key.first, key.second, now);
+        if (areNotablyApart(planned, walk.shares_)) {
+            *report.add_walked() = Peers::toMessage(
+                {key.first, key.second, Policy::namedShares(*view_.table_, walk.shares_)});
+        }
+    }
+    return report;
+}
+
+std::string Planner::statusText()
+{
+    using nlohmann::json;
+    const std::lock_guard lock(mutex_);
+    json shares = json::array();
+    json targets = json::array();
+    if (view_.table_) {
+        for (const auto &[key, walk] : walks_) {
+            json byDomain = json::object();
+            for (const auto &share : Policy::namedShares(*view_.table_, walk.shares_))
+                byDomain[share.domain_.value()] = share.share_.value();
+            shares.push_back({{"service", key.first.value()},
+                              {"origin", key.second.value()},
+                              {"shares", byDomain}});
+        }
+        for (const auto &[id, state] : targets_) {
+            targets.push_back({{"id", id.value()},
+                               {"in_flight", state->ownInFlight_.load()},
+                               {"latency_us", state->latencyUs_.load()},
+                               {"suspect", state->isSuspect_.load()},
+                               {"leaving", state->isLeaving_.load()}});
+        }
+    }
+    const json status = {{"id", settings_.instance_.value()},
+                         {"ready", isReady_.load()},
+                         {"stopping", isStopping_.load()},
+                         {"table_version", tableVersion_.load()},
+                         {"waiting", waiting_.load()},
+                         {"shares", shares},
+                         {"targets", targets}};
+    return status.dump() + "\n";
+}
+
+} // namespace Entryd
