Tests: Name the requests that were not run in a failure's message

Change: the message of an integration test and the error output of 'measure' list the first requests that were not run or unknown, with code and entry.

--- a/Tests/Harness/Samples.cpp
+++ b/Tests/Harness/Samples.cpp
@@ -44,6 +44,21 @@
         }));
 }
 
+std::string refusalsOf(const std::vector<SampleLine> &lines)
+{
+    constexpr int mostShown = 12;
+    std::ostringstream text;
+    int shown = 0;
+    for (const auto &line : lines) {
+        if (line.told_ == "run" || ++shown > mostShown)
+            continue;
+        text << line.stream_ << " sent=" << line.sentSeconds_ << " told=" << line.told_
+             << " code=" << line.code_ << " entry=" << line.entry_ << " sends=" << line.sends_
+             << " ms=" << line.latencyMs_ << "\n";
+    }
+    return text.str();
+}
+
 double latencyMs(const std::vector<SampleLine> &lines, double part)
 {
     std::vector<double> latencies;
--- a/Tests/Harness/Samples.h
+++ b/Tests/Harness/Samples.h
@@ -27,6 +27,9 @@
 /// Returns the lines whose stream's name begins with \a stream.
 std::vector<SampleLine> ofStream(const std::vector<SampleLine> &lines, const std::string &stream);
 
+/// Returns one line for each of the first requests that were not run, for a failure's message.
+std::string refusalsOf(const std::vector<SampleLine> &lines);
+
 std::size_t countTold(const std::vector<SampleLine> &lines, const std::string &told);
 
 /// Returns the latency in milliseconds that a part of the answered requests stayed below.
--- a/Tests/Integration/Load.h
+++ b/Tests/Integration/Load.h
@@ -44,7 +44,9 @@
 {
     const auto code = load.wait(Model::Milliseconds(90000));
     CPPUNIT_ASSERT_MESSAGE(load.log(), code == 0);
-    return {Harness::readSamples(site.samplesPath(name)), load.log()};
+    auto samples = Harness::readSamples(site.samplesPath(name));
+    const std::string log = load.log() + Harness::refusalsOf(samples);
+    return {std::move(samples), log};
 }
 
 /// Asserts what must hold in every test: no answer of another request, nothing run twice that must
--- a/Tests/Measure/Scenarios.cpp
+++ b/Tests/Measure/Scenarios.cpp
@@ -1,6 +1,7 @@
 #include "Scenarios.h"
 
 #include <csignal>
+#include <iostream>
 
 namespace Measure {
 
@@ -40,6 +41,8 @@
     });
     const Usage after = usageOf(site);
     const auto samples = Harness::readSamples(site.samplesPath("load"));
+    // Figures go to the standard output; why requests were not run helps to find causes.
+    std::cerr << Harness::refusalsOf(samples);
     printCommon(samples, load->log(), example, scenario.seconds_);
     print("headroom_min", headroom, "ratio");
     printUsage(before, after, scenario.seconds_);
