Controld: Send no caller to an instance that knows no other region

Cause: six instances are replaced together. A fresh one whose first pull is answered by another fresh one has heard of no other region, yet counts its peers' say as had and serves. Its entry takes all failure domains of the other regions for lost (log: DomainOut at 30.629, DomainBack at 30.881), and refuses with 202 ShiftLimited what the cap does not let it move. Ruled out: full queues, targets that were suspected, connections refused (the codes of all refusals were 202). Change: an instance is starting until it knows where each region of the table stands, 5 s at the longest; look-ups do not name it, its entry refuses callers and keeps no shares. A region's first summary is made at once where nobody has one. Summaries travel with their age.

--- a/Libraries/LibPeers/Codec.cpp
+++ b/Libraries/LibPeers/Codec.cpp
@@ -1,5 +1,7 @@
 #include "Codec.h"
 
+#include <algorithm>
+
 namespace Peers {
 
 using Model::ResultCode;
@@ -171,6 +173,7 @@
     message.set_control_version(record.controlVersion_.value());
     message.set_entry_version(record.entryVersion_.value());
     message.set_lookup_version(record.lookupVersion_.value());
+    message.set_starting(record.isStarting_);
     for (const auto &load : record.loads_)
         *message.add_loads() = toMessage(load);
     for (const auto &walked : record.walked_)
@@ -191,6 +194,7 @@
     record.controlVersion_ = Model::TableVersion(message.control_version());
     record.entryVersion_ = Model::TableVersion(message.entry_version());
     record.lookupVersion_ = Model::TableVersion(message.lookup_version());
+    record.isStarting_ = message.starting();
     for (const auto &load : message.loads())
         record.loads_.push_back(fromMessage(load));
     for (const auto &walked : message.walked())
@@ -215,6 +219,7 @@
     RegionSummary summary;
     summary.region_ = Model::RegionId(message.region());
     summary.madeAt_ = Model::WallTime(Model::Milliseconds(message.made_at_ms()));
+    summary.age_ = Model::Milliseconds(std::max<std::int64_t>(0, message.age_ms()));
     for (const auto &load : message.loads())
         summary.loads_.push_back(fromMessage(load));
     for (const auto &contact : message.contacts()) {
--- a/Libraries/LibPeers/Gossip.cpp
+++ b/Libraries/LibPeers/Gossip.cpp
@@ -62,8 +62,17 @@
     putIfNewer(state.self_);
 }
 
+Model::Milliseconds ageOf(const Members &members, const Model::RegionId &region,
+                          Model::SteadyTime now)
+{
+    const auto heardAt = members.summaryHeardAt_.find(region);
+    if (heardAt == members.summaryHeardAt_.end())
+        return Model::Milliseconds(0);
+    return std::chrono::duration_cast<Model::Milliseconds>(now - heardAt->second);
+}
+
 void putNewerSummaries(const GossipState &state, const cassiacrank::PullRequest &request,
-                       cassiacrank::PullAnswer &answer)
+                       cassiacrank::PullAnswer &answer, Model::SteadyTime now)
 {
     std::map<std::string, long long> known;
     for (const auto &digest : request.summaries())
@@ -71,8 +80,11 @@
     for (const auto &[region, summary] : state.members_.summaries_) {
         const auto found = known.find(region.value());
         const long long madeAt = summary.madeAt_.time_since_epoch().count();
-        if (found == known.end() || found->second < madeAt)
-            *answer.add_summaries() = toMessage(summary);
+        if (found != known.end() && found->second >= madeAt)
+            continue;
+        auto *message = answer.add_summaries();
+        *message = toMessage(summary);
+        message->set_age_ms(ageOf(state.members_, region, now).count());
     }
 }
 
@@ -111,7 +123,7 @@
     const Model::TableVersion theirs(request.table_version());
     if (Policy::mayApply(theirs, state.table_.version_))
         *answer.mutable_delta() = toMessage(Platform::deltaSince(state.table_, theirs));
-    putNewerSummaries(state, request, answer);
+    putNewerSummaries(state, request, answer, now);
     if (!isSameRegion(state, Model::RegionId(request.sender().instance().region())))
         return answer;
     takeMarks(state.members_.marks_, request);
@@ -135,8 +147,13 @@
         news.liveChanged_ |= takeRecord(state, record, now);
     for (const auto &message : answer.summaries()) {
         const auto summary = fromMessage(message);
-        if (summary && !isSameRegion(state, summary->region_))
-            news.liveChanged_ |= takeIn(state.members_, *summary, now);
+        if (!summary)
+            continue;
+        if (isSameRegion(state, summary->region_)) {
+            news.ownRegionIsSpokenFor_ = true;
+            continue;
+        }
+        news.liveChanged_ |= takeIn(state.members_, *summary, now);
     }
     news.liveChanged_ |= takeMarks(state.members_.marks_, answer);
     return news;
--- a/Libraries/LibPeers/Gossip.h
+++ b/Libraries/LibPeers/Gossip.h
@@ -29,6 +29,8 @@
 {
     bool tableChanged_ = false;
     bool liveChanged_ = false;
+    /// The answer had a summary of the asker's own region.
+    bool ownRegionIsSpokenFor_ = false;
     /// Who answered; nothing if the answer could not be read.
     std::optional<Model::Instance> responder_;
     bool responderIsReady_ = false;
--- a/Libraries/LibPeers/InstanceView.cpp
+++ b/Libraries/LibPeers/InstanceView.cpp
@@ -32,6 +32,7 @@
 {
     view.isReady_ = live.ready();
     view.isLeaving_ = live.leaving();
+    view.isStarting_ = live.starting();
     view.fleetSize_ = live.fleet_size();
     view.members_.clear();
     for (const auto &message : live.members()) {
@@ -90,7 +91,8 @@
     Model::RegionId ownRegion;
     for (const auto &record : view.members_) {
         ownRegion = record.instance_.region_;
-        const bool isServing = record.isReady_ && record.entryVersion_ > Model::TableVersion(0);
+        const bool isServing = record.isReady_ && !record.isStarting_
+                               && record.entryVersion_ > Model::TableVersion(0);
         candidates.push_back({record.instance_, isServing});
     }
     for (const auto &summary : view.summaries_) {
--- a/Libraries/LibPeers/InstanceView.h
+++ b/Libraries/LibPeers/InstanceView.h
@@ -13,6 +13,8 @@
     std::shared_ptr<const Model::ClientBlocks> blocks_;
     bool isReady_ = false;
     bool isLeaving_ = false;
+    /// As in InstanceRecord, of the own instance.
+    bool isStarting_ = false;
     /// Live instances of the own region, the own one included.
     std::vector<InstanceRecord> members_;
     /// Fresh summaries of all regions.
--- a/Libraries/LibPeers/Members.cpp
+++ b/Libraries/LibPeers/Members.cpp
@@ -34,10 +34,24 @@
     if (summary.madeAt_ <= held.madeAt_)
         return false;
     held = summary;
-    members.summaryHeardAt_[summary.region_] = now;
+    members.summaryHeardAt_[summary.region_] = now - summary.age_;
     return true;
 }
 
+bool isFresh(const Members &members, const Model::RegionId &region, Model::SteadyTime now)
+{
+    const auto heardAt = members.summaryHeardAt_.find(region);
+    return heardAt != members.summaryHeardAt_.end() && now - heardAt->second <= summaryLifetime;
+}
+
+bool isKnown(const Members &members, const Model::RegionId &region, Model::SteadyTime now)
+{
+    const auto summary = members.summaries_.find(region);
+    if (summary == members.summaries_.end())
+        return false;
+    return !summary->second.contacts_.empty() || !isFresh(members, region, now);
+}
+
 void forgetSilent(Members &members, Model::Milliseconds silence, Model::SteadyTime now)
 {
     std::erase_if(members.members_, [&](const auto &entry) {
--- a/Libraries/LibPeers/Members.h
+++ b/Libraries/LibPeers/Members.h
@@ -44,6 +44,8 @@
     Model::TableVersion controlVersion_;
     Model::TableVersion entryVersion_;
     Model::TableVersion lookupVersion_;
+    /// Does not know yet where every other region stands; no caller is sent to it.
+    bool isStarting_ = false;
     std::vector<DomainLoad> loads_;
     std::vector<WalkedShares> walked_;
 };
@@ -55,6 +57,8 @@
     Model::WallTime madeAt_;
     std::vector<DomainLoad> loads_;
     std::vector<Model::Instance> contacts_;
+    /// How old it was when it was sent here.
+    Model::Milliseconds age_{0};
 };
 
 struct Member
@@ -96,6 +100,13 @@
 /// old record that still goes round is not taken for a new instance. Thread safety: none.
 void forgetSilent(Members &members, Model::Milliseconds silence, Model::SteadyTime now);
 
+/// Tells whether the region's last summary is young enough to say anything about capacity.
+bool isFresh(const Members &members, const Model::RegionId &region, Model::SteadyTime now);
+
+/// Tells whether it is known where \a region stands: entries that serve there, or that it has been
+/// silent for too long. A region that has just been started and names no entry yet is not known.
+bool isKnown(const Members &members, const Model::RegionId &region, Model::SteadyTime now);
+
 /// Tells whether \a member was heard of lately. Thread safety: any thread.
 bool isAlive(const Member &member, Model::SteadyTime now);
 
--- a/Services/Controld/ControlSnapshots.cpp
+++ b/Services/Controld/ControlSnapshots.cpp
@@ -15,8 +15,8 @@
 {
     boost::hash_combine(print, record.instance_.id_.value());
     boost::hash_combine(print, record.incarnation_.value());
-    for (const bool flag :
-         {record.instance_.isLeaving_, record.isReady_, record.entryVersion_.value() > 0, isAlive})
+    for (const bool flag : {record.instance_.isLeaving_, record.isReady_, record.isStarting_,
+                            record.entryVersion_.value() > 0, isAlive})
         boost::hash_combine(print, flag);
     for (const auto &walked : record.walked_)
         boost::hash_combine(print, walked.service_.value() + walked.origin_.value());
@@ -46,16 +46,14 @@
     cassiacrank::LiveState live;
     live.set_ready(gossip_.self_.isReady_);
     live.set_leaving(gossip_.self_.instance_.isLeaving_);
+    live.set_starting(!knowsRegions_);
     *live.add_members() = Peers::toMessage(gossip_.self_);
     for (const auto &[id, member] : gossip_.members_.members_) {
         if (Peers::isAlive(member, now))
             *live.add_members() = Peers::toMessage(member.record_);
     }
     for (const auto &[region, summary] : gossip_.members_.summaries_) {
-        const auto heardAt = gossip_.members_.summaryHeardAt_.find(region);
-        const bool isFresh = heardAt != gossip_.members_.summaryHeardAt_.end()
-                             && now - heardAt->second <= Peers::summaryLifetime;
-        if (isFresh)
+        if (Peers::isFresh(gossip_.members_, region, now))
             *live.add_summaries() = Peers::toMessage(summary);
     }
     for (const auto &[target, incarnation] : gossip_.members_.marks_.marks_) {
--- a/Services/Controld/ControlState.cpp
+++ b/Services/Controld/ControlState.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds reportLifetime{1000};
 /// News goes round within this time, so rounds are frequent for as long after each.
 constexpr Milliseconds spreadingTime{4000};
+/// A region that nobody has heard of holds back a fresh instance no longer than this.
+constexpr Milliseconds regionPatience{5000};
 /// Silent members are remembered this long, so that an old record is not taken for a newcomer.
 constexpr Milliseconds memberMemory{120000};
 
@@ -38,6 +40,7 @@
     self.domain_ = settings.domain_;
     self.addresses_ = settings.addresses_;
     gossip_.self_.incarnation_ = incarnation;
+    gossip_.self_.isStarting_ = true;
     startedAt_ = steadyNow();
 }
 
@@ -105,6 +108,7 @@
     if (steadyNow() - startedAt_ >= Policy::startPatience)
         start_.peersHadTheirSay_ = true;
     judgeReadiness();
+    judgeRegions();
     noteRoutine();
 }
 
@@ -122,15 +126,20 @@
 /// Speaks for the region, once this process has had time to hear of every live member.
 ///
 /// What goes wrong without the wait: a process that has just started knows nobody, its summary is
-/// the newest, and every other region believes for a moment that this one has no entries.
+/// the newest, and every other region believes for a moment that this one has no entries. Where
+/// nobody has heard anything of the region yet there is nothing to spoil, and others wait for it.
 void ControlState::refreshSummary()
 {
-    if (steadyNow() - startedAt_ < Peers::memberLifetime)
+    const bool isNew = steadyNow() - startedAt_ < Peers::memberLifetime;
+    if (isNew && (ownRegionIsSpokenFor_ || !start_.peersHadTheirSay_))
         return;
     Peers::Members all = gossip_.members_;
     all.members_[gossip_.self_.instance_.id_] = {gossip_.self_, steadyNow()};
     const Model::RegionId &region = gossip_.self_.instance_.region_;
-    gossip_.members_.summaries_[region] = Peers::summarise(all, region, wallNow(), steadyNow());
+    auto summary = Peers::summarise(all, region, wallNow(), steadyNow());
+    if (isNew && summary.contacts_.empty())
+        return;
+    gossip_.members_.summaries_[region] = std::move(summary);
     gossip_.members_.summaryHeardAt_[region] = steadyNow();
 }
 
@@ -155,6 +164,7 @@
     if (!news.responder_)
         return;
     start_.peersHadTheirSay_ = true;
+    ownRegionIsSpokenFor_ |= news.ownRegionIsSpokenFor_;
     if (news.responder_->domain_ != settings_.domain_ && news.responderIsReady_) {
         auto &version = start_.peerVersions_[news.responder_->domain_];
         version = std::max(version, news.responderVersion_);
@@ -164,6 +174,7 @@
     if (news.liveChanged_)
         noteRoutine();
     judgeReadiness();
+    judgeRegions();
 }
 
 std::vector<PeerTarget> ControlState::peerTargets() const
@@ -215,6 +226,8 @@
     } else {
         entryReportAt_ = steadyNow();
         self.entryVersion_ = version;
+        // The entry's own word: named before it knows that it may, it would refuse the callers.
+        self.isStarting_ = report.starting();
         // The mark of a leaving instance is sticky for its incarnation, so an entry that comes back
         // after a planned stop needs a new one.
         if (entryIsStopping_ && !report.stopping() && !isLeaving_) {
@@ -267,6 +280,29 @@
     noteChange();
 }
 
+/// Lets callers be sent here once it is known where every region of the table stands.
+///
+/// What goes wrong without it: a fresh instance whose first answer came from another fresh one has
+/// heard of no other region. Its entry takes them for dead, may not move their shares faster than
+/// the cap, and refuses requests (ShiftLimited) in the middle of a planned replacement.
+void ControlState::judgeRegions()
+{
+    if (knowsRegions_ || !gossip_.self_.isReady_)
+        return;
+    const auto now = steadyNow();
+    const auto &rows = gossip_.table_.rows_;
+    const bool allKnown = std::all_of(rows.begin(), rows.end(), [&](const auto &entry) {
+        const auto &[key, row] = entry;
+        const bool isOther = key.kind_ == Model::RowKind::Region && !row.deleted_
+                             && key.name_ != settings_.region_.value();
+        return !isOther || Peers::isKnown(gossip_.members_, Model::RegionId(key.name_), now);
+    });
+    if (!allKnown && now - startedAt_ < regionPatience)
+        return;
+    knowsRegions_ = true;
+    noteChange();
+}
+
 void ControlState::onTableChanged()
 {
     gossip_.self_.controlVersion_ = gossip_.table_.version_;
@@ -342,6 +378,7 @@
                          {"region", self.instance_.region_.value()},
                          {"domain", self.instance_.domain_.value()},
                          {"ready", self.isReady_},
+                         {"starting", self.isStarting_},
                          {"leaving", self.instance_.isLeaving_},
                          {"store_down", storeIsDown_},
                          {"control_version", self.controlVersion_.value()},
--- a/Services/Controld/ControlState.h
+++ b/Services/Controld/ControlState.h
@@ -73,6 +73,7 @@
 
 private:
     void judgeReadiness();
+    void judgeRegions();
     void onTableChanged();
     /// Has the subscribers told within snapshotPause.
     void noteChange();
@@ -103,6 +104,10 @@
     bool isLeaving_ = false;
     bool isClosed_ = false;
     bool storeIsDown_ = false;
+    /// Somebody had a summary of the own region, so others know where it stands.
+    bool ownRegionIsSpokenFor_ = false;
+    /// It is known where every region of the table stands, or was waited for long enough.
+    bool knowsRegions_ = false;
     int subscribers_ = 0;
 };
 
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -114,7 +114,7 @@
     const unsigned version = incoming.message_.version();
     const Outcome refused = mayBeRepeat(incoming.message_) ? Outcome::Unknown : Outcome::NotRun;
     auto request = cell_.read([&](const EntrySnapshot *snapshot) -> std::optional<CallerRequest> {
-        if (!snapshot || !snapshot->isReady_)
+        if (!snapshot || !snapshot->takesCallers_)
             return Model::fail(ResultCode::NotReady, "");
         return readCallerRequest(*snapshot, std::move(incoming), newRequestId());
     });
--- a/Services/Entryd/EntrySnapshot.h
+++ b/Services/Entryd/EntrySnapshot.h
@@ -36,7 +36,10 @@
 {
     std::shared_ptr<const Model::Table> table_;
     std::shared_ptr<const Model::ClientBlocks> blocks_;
+    /// Requests of other entries are taken.
     bool isReady_ = false;
+    /// Callers' requests are taken too.
+    bool takesCallers_ = false;
     /// One for each row of Table::services().
     std::vector<ServicePlan> services_;
     std::unordered_map<Model::ServiceId, std::size_t> serviceIndex_;
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -161,7 +161,8 @@
         = isFirst ? Milliseconds(0) : std::chrono::duration_cast<Milliseconds>(now - steppedAt_);
     // A process that was paused must not make up for the pause in one jump, nor stay behind the
     // plan by the length of the pause: it begins as a fresh one would.
-    if (isFirst || elapsed > longestStep) {
+    // While it is not known where the other regions and entries stand, shares lead nowhere.
+    if (isFirst || elapsed > longestStep || view_.isStarting_) {
         walks_.clear();
         elapsed = Milliseconds(0);
         steppedAt_ = now;
@@ -169,6 +170,7 @@
     steppedAt_ += elapsed;
     auto snapshot = makeSnapshot(elapsed);
     isReady_ = snapshot->isReady_;
+    takesCallers_ = snapshot->takesCallers_;
     cell_.publish(std::move(snapshot));
     tableVersion_ = view_.table_->version().value();
 }
@@ -180,6 +182,7 @@
     snapshot->table_ = view_.table_;
     snapshot->blocks_ = view_.blocks_;
     snapshot->isReady_ = view_.isReady_;
+    snapshot->takesCallers_ = view_.isReady_ && !view_.isStarting_;
     snapshot->fleetSize_ = std::max<std::size_t>(1, view_.fleetSize_);
     snapshot->entriesInRegion_ = std::max<std::size_t>(1, view_.members_.size());
     for (std::size_t i = 0; i < table.regions().size(); ++i) {
@@ -261,7 +264,7 @@
         }
         plan.outage_.isOut_[i] = !canServe;
         bool &wasOut = knownOut_[{service.id_, domain.id_}];
-        if (wasOut == !canServe)
+        if (wasOut == !canServe || view_.isStarting_)
             continue;
         wasOut = !canServe;
         Observe::logEvent(canServe ? Event::DomainBack : Event::DomainOut,
--- a/Services/Entryd/Planner.h
+++ b/Services/Entryd/Planner.h
@@ -96,6 +96,7 @@
     {
         std::uint64_t tableVersion_ = 0;
         bool isStopping_ = false;
+        bool isStarting_ = true;
         int marks_ = -1;
         int walked_ = -1;
 
@@ -105,6 +106,7 @@
 
     std::atomic<bool> isStopping_{false};
     std::atomic<bool> isReady_{false};
+    std::atomic<bool> takesCallers_{false};
     std::atomic<std::uint64_t> tableVersion_{0};
     std::atomic<int> waiting_{0};
 };
--- a/Services/Entryd/PlannerReports.cpp
+++ b/Services/Entryd/PlannerReports.cpp
@@ -15,8 +15,8 @@
 
 void Planner::reportIfDue(const cassiacrank::ProcessReport &report)
 {
-    const ReportPrint print{report.table_version(), report.stopping(), report.marks_size(),
-                            report.walked_size()};
+    const ReportPrint print{report.table_version(), report.stopping(), report.starting(),
+                            report.marks_size(), report.walked_size()};
     const bool isUrgent = print != lastReport_ || report.walked_size() > 0;
     if (!isUrgent && std::chrono::steady_clock::now() - reportedAt_ < routineReportPause)
         return;
@@ -31,6 +31,7 @@
     report.set_role("entry");
     report.set_table_version(isReady_ ? tableVersion_.load() : 0);
     report.set_stopping(isStopping_);
+    report.set_starting(!takesCallers_);
     std::map<std::pair<Model::ServiceId, Model::FailureDomainId>, Peers::DomainLoad> loads;
     for (const auto &[id, state] : targets_) {
         const auto &target = state->target_;
@@ -87,7 +88,7 @@
         }
     }
     const json status = {{"id", settings_.instance_.value()},
-                         {"ready", isReady_.load()},
+                         {"ready", takesCallers_.load()},
                          {"stopping", isStopping_.load()},
                          {"table_version", tableVersion_.load()},
                          {"waiting", waiting_.load()},
--- a/Tests/Integration/TestStops.cpp
+++ b/Tests/Integration/TestStops.cpp
@@ -41,6 +41,12 @@
         // All failure domains at once, one of the two instances of each: six stop together.
         CPPUNIT_ASSERT(site.replaceAllInstances(Milliseconds(20000)));
         const auto result = Integration::finish(site, *load, "rolling");
+        // A fresh entry that takes failure domains for lost would refuse requests, if only for
+        // a moment that no request may happen to meet.
+        for (const auto &instance : site.instances()) {
+            const std::string log = instance.entry_->log();
+            CPPUNIT_ASSERT_MESSAGE(log, log.find("DomainOut") == std::string::npos);
+        }
         Integration::assertTruth(result);
         CPPUNIT_ASSERT(result.samples_.size() > 3000);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(result.log_, result.samples_.size(),
--- a/Tests/LibPeers/TestGossip.cpp
+++ b/Tests/LibPeers/TestGossip.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(leavingIsStickyForTheIncarnation);
     CPPUNIT_TEST(oldRecordsAndSummariesAreRefused);
     CPPUNIT_TEST(deadMembersAreNotNamed);
+    CPPUNIT_TEST(lastWordOfADeadRegionStaysOld);
+    CPPUNIT_TEST(regionIsKnownOnceItNamesEntriesOrFellSilent);
     CPPUNIT_TEST(badMessagesAreDroppedWhole);
     CPPUNIT_TEST(olderSnapshotIsRefusedByTheProcesses);
     CPPUNIT_TEST_SUITE_END();
@@ -140,6 +142,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), contactsAt(Peers::memberLifetime + Milliseconds(1)));
     }
 
+    // Symptom: an instance that was replaced during a region's outage sends requests to the dead
+    //   region for as long as a summary lives.
+    // Sequence: a region dies; its last summary goes round on; an instance starts and hears it.
+    // Cause: counting a summary's age from when it was first heard here.
+    void lastWordOfADeadRegionStaysOld()
+    {
+        auto peer = stateOf("peer", "r");
+        auto fresh = stateOf("fresh", "r");
+        Peers::RegionSummary summary;
+        summary.region_ = Model::RegionId("q");
+        summary.madeAt_ = Model::WallTime(Milliseconds(5));
+        const SteadyTime heard(std::chrono::hours(1));
+        Peers::takeIn(peer.members_, summary, heard);
+        pull(fresh, peer, heard + Peers::summaryLifetime);
+        const auto isFreshAt = [&](Milliseconds later) {
+            const SteadyTime at = heard + Peers::summaryLifetime + later;
+            return Peers::isFresh(fresh.members_, summary.region_, at);
+        };
+        CPPUNIT_ASSERT(isFreshAt(Milliseconds(0)));
+        CPPUNIT_ASSERT(!isFreshAt(Milliseconds(1)));
+    }
+
+    void regionIsKnownOnceItNamesEntriesOrFellSilent()
+    {
+        Peers::Members members;
+        const Model::RegionId region("q");
+        const SteadyTime heard(std::chrono::hours(1));
+        CPPUNIT_ASSERT(!Peers::isKnown(members, region, heard));
+        Peers::RegionSummary summary;
+        summary.region_ = region;
+        summary.madeAt_ = Model::WallTime(Milliseconds(5));
+        Peers::takeIn(members, summary, heard);
+        CPPUNIT_ASSERT(!Peers::isKnown(members, region, heard));
+        const SteadyTime silent = heard + Peers::summaryLifetime + Milliseconds(1);
+        CPPUNIT_ASSERT(Peers::isKnown(members, region, silent));
+        summary.madeAt_ = Model::WallTime(Milliseconds(6));
+        summary.contacts_.push_back(stateOf("i", "q").self_.instance_);
+        Peers::takeIn(members, summary, heard);
+        CPPUNIT_ASSERT(Peers::isKnown(members, region, heard));
+    }
+
     void badMessagesAreDroppedWhole()
     {
         auto state = stateOf("i", "r");
