Entryd: Set a retry's credit aside before an attempt is cut short

Cause: the first attempt of a request that may be repeated gets 10 usual latencies, so that a silent connection leaves time for a second one. Whether there was credit for a second was looked at before the first; requests that began together all saw the same credit, others spent it, and the rest ended as unknown (302) after 266 ms with their deadline seconds away. Ruled out: targets that were cut off (none was; all unknown requests lasted the 250 ms of the least patience). Change: the credit is set aside with the attempt that may be cut short and given back after it; without credit an attempt keeps the whole deadline.

--- a/Libraries/LibPolicy/Outcome.cpp
+++ b/Libraries/LibPolicy/Outcome.cpp
@@ -36,6 +36,20 @@
     budget.credit_ = std::min(largestRetryCredit, budget.credit_ + retryShare);
 }
 
+bool holdRetryCredit(RetryBudget &budget, bool isIdempotent, int attempts)
+{
+    if (!isIdempotent || attempts >= mostAttempts || budget.credit_ < 1)
+        return false;
+    budget.credit_ -= 1;
+    return true;
+}
+
+void giveBackRetryCredit(RetryBudget &budget)
+{
+    // Not bounded: it is spent before anything else can be earned or held.
+    budget.credit_ += 1;
+}
+
 bool mayRetry(RetryBudget &budget, Outcome outcome, bool isIdempotent, int attempts)
 {
     if (outcome == Outcome::Run || attempts >= mostAttempts)
--- a/Libraries/LibPolicy/Outcome.h
+++ b/Libraries/LibPolicy/Outcome.h
@@ -45,6 +45,17 @@
 /// Earns credit for one arriving request. Thread safety: \a budget belongs to the calling thread.
 void earnRetryCredit(RetryBudget &budget);
 
+/// Sets credit aside for one more attempt of a request whose attempt number \a attempts begins.
+///
+/// What goes wrong without it: an attempt is cut short so that there is time for another one, the
+/// credit is spent on others meanwhile, and the request ends as unknown with its deadline far away.
+/// Returns whether the attempt may be cut short. Thread safety: as above.
+bool holdRetryCredit(RetryBudget &budget, bool isIdempotent, int attempts);
+
+/// Gives back what holdRetryCredit() set aside; mayRetry() then takes it, if it is needed.
+/// Thread safety: as above.
+void giveBackRetryCredit(RetryBudget &budget);
+
 /// Tells whether a request that got \a outcome on its attempt number \a attempts may be tried
 /// again, and if so takes the credit.
 ///
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -42,22 +42,20 @@
 
 } // namespace
 
-Http::Task<Verdict> Dispatcher::attempt(CallerRequest &request, Placement placement, int attempts,
-                                        bool &isRefusedAsFull)
+Http::Task<Verdict> Dispatcher::attempt(CallerRequest &request, Placement placement,
+                                        AttemptNumber number, bool &isRefusedAsFull)
 {
     if (auto *entry = std::get_if<ToEntry>(&placement)) {
         co_return co_await attemptEntry(request, *entry);
     }
     ToTarget target = std::move(std::get<ToTarget>(placement));
-    co_return co_await attemptTarget(request, std::move(target), attempts, isRefusedAsFull);
+    co_return co_await attemptTarget(request, std::move(target), number, isRefusedAsFull);
 }
 
 Model::SteadyTime Dispatcher::attemptDeadline(const CallerRequest &request,
-                                              const TargetState &target, int attempts) const
+                                              const TargetState &target, AttemptNumber number) const
 {
-    const bool mayRepeat
-        = request.isIdempotent_ && attempts < Policy::mostAttempts && retryBudget_.credit_ >= 1;
-    if (!mayRepeat)
+    if (!number.mayBeCutShort_)
         return request.deadline_;
     // A connection that went silent for good never answers; waiting for the deadline on it would
     // leave no time for a new one.
@@ -66,8 +64,8 @@
     return std::min(request.deadline_, steadyNow() + patience);
 }
 
-Http::Task<Verdict> Dispatcher::attemptTarget(CallerRequest &request, ToTarget place, int attempts,
-                                              bool &isRefusedAsFull)
+Http::Task<Verdict> Dispatcher::attemptTarget(CallerRequest &request, ToTarget place,
+                                              AttemptNumber number, bool &isRefusedAsFull)
 {
     const std::shared_ptr<TargetState> target = place.slot_.state();
     const auto entries = cell_.read([](const EntrySnapshot *snapshot) {
@@ -75,11 +73,11 @@
     });
     Http::ExchangeOptions options;
     options.address_ = Observe::dialAddress(settings_, target->target_.address_);
-    options.deadline_ = attemptDeadline(request, *target, attempts);
+    options.deadline_ = attemptDeadline(request, *target, number);
     options.connectTimeout_ = connectTimeout;
     options.longestIdle_ = request.isIdempotent_ ? longestIdle : longestIdleOnce;
     // A second attempt is made on a new connection: what failed may be the kept ones.
-    if (attempts > 1)
+    if (number.count_ > 1)
         options.longestIdle_ = Milliseconds(0);
     options.connectionLimit_ = Policy::connectionsForThread(
         target->target_.connections_, entries, static_cast<std::size_t>(settings_.entryThreads_));
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -211,8 +211,12 @@
 
         ++attempts;
         bool isRefusedAsFull = false;
-        Verdict verdict
-            = co_await attempt(request, std::move(placement), attempts, isRefusedAsFull);
+        const bool holdsCredit
+            = Policy::holdRetryCredit(retryBudget_, request.isIdempotent_, attempts);
+        Verdict verdict = co_await attempt(request, std::move(placement), {attempts, holdsCredit},
+                                           isRefusedAsFull);
+        if (holdsCredit)
+            Policy::giveBackRetryCredit(retryBudget_);
         if (verdict.outcome_ == Outcome::Run)
             co_return verdict;
         // A target without a free slot is no failure: the request goes back to waiting for one.
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -21,6 +21,13 @@
     std::optional<Model::Milliseconds> comeBack_;
 };
 
+/// Which attempt of a request it is, and whether another one is sure to be allowed after it.
+struct AttemptNumber
+{
+    int count_ = 1;
+    bool mayBeCutShort_ = false;
+};
+
 /// Carries the requests of one thread through admission, placement, dispatch and retry.
 ///
 /// Thread safety: every method runs on the thread of the io_context.
@@ -48,15 +55,15 @@
 private:
     Http::Task<Verdict> carry(CallerRequest &request);
     Http::Task<Verdict> carryClaimed(CallerRequest &request);
-    Http::Task<Verdict> attempt(CallerRequest &request, Placement placement, int attempts,
+    Http::Task<Verdict> attempt(CallerRequest &request, Placement placement, AttemptNumber number,
                                 bool &isRefusedAsFull);
-    Http::Task<Verdict> attemptTarget(CallerRequest &request, ToTarget place, int attempts,
+    Http::Task<Verdict> attemptTarget(CallerRequest &request, ToTarget place, AttemptNumber number,
                                       bool &isRefusedAsFull);
     Http::Task<Verdict> attemptEntry(CallerRequest &request, ToEntry place);
     Verdict judgeTargetAnswer(Http::ExchangeResult result, TargetState &target,
                               bool &isRefusedAsFull);
     Model::SteadyTime attemptDeadline(const CallerRequest &request, const TargetState &target,
-                                      int attempts) const;
+                                      AttemptNumber number) const;
     Http::Response toAnswer(Verdict verdict, const CallerRequest &request, unsigned version);
     Http::Response refuse(unsigned version, Policy::Outcome outcome);
     void release(SlotHold slot, std::size_t serviceIndex);
--- a/Tests/LibPolicy/TestFairness.cpp
+++ b/Tests/LibPolicy/TestFairness.cpp
@@ -159,6 +159,16 @@
         CPPUNIT_ASSERT(!Policy::mayRetry(budget, Policy::Outcome::Run, true, 1));
         CPPUNIT_ASSERT(!Policy::mayRetry(budget, Policy::Outcome::NotRun, true, 2));
         CPPUNIT_ASSERT(Policy::mayRetry(budget, Policy::Outcome::NotRun, false, 1));
+
+        // Credit that was set aside for a request is there when the request needs it.
+        Policy::RetryBudget small{1};
+        CPPUNIT_ASSERT(!Policy::holdRetryCredit(small, false, 1));
+        CPPUNIT_ASSERT(!Policy::holdRetryCredit(small, true, Policy::mostAttempts));
+        CPPUNIT_ASSERT(Policy::holdRetryCredit(small, true, 1));
+        CPPUNIT_ASSERT(!Policy::holdRetryCredit(small, true, 1));
+        CPPUNIT_ASSERT(!Policy::mayRetry(small, Policy::Outcome::NotRun, true, 1));
+        Policy::giveBackRetryCredit(small);
+        CPPUNIT_ASSERT(Policy::mayRetry(small, Policy::Outcome::Unknown, true, 1));
     }
 
     void queueHoldsWhatItCanWorkOff()
