Loadtool: Pause between rounds through entries that cannot be reached

Not the system: the entries of these regions answered in 0.08 s (their metrics, p50) with nothing waiting, while the load tool stood at 100% of a core, most of it in the kernel: the dead region's callers went round refused connections and look-ups without a pause. Ruled out: hand-overs to the dead region (the entries counted none), full queues (waiting p99 0.00003 s). The earlier guess, hand-overs through the proxy, was wrong for these callers. Change: a caller that could reach no entry waits 50 ms, then twice as long each time, up to 800 ms.

--- a/Utilities/Loadtool/Load.cpp
+++ b/Utilities/Loadtool/Load.cpp
@@ -13,6 +13,8 @@
 
 constexpr Milliseconds lookupTimeout{500};
 constexpr Milliseconds repeatPause{50};
+/// The pause between rounds through entries that cannot be reached doubles up to this.
+constexpr Milliseconds longestPause{800};
 constexpr std::size_t connectionsOfStream = 4096;
 
 Model::SteadyTime steadyNow()
@@ -123,6 +125,7 @@
                                     Model::SteadyTime deadline)
 {
     int repeatsLeft = stream.repeats_;
+    Milliseconds unreachablePause = repeatPause;
     std::size_t position = 0;
     while (steadyNow() < deadline) {
         if (steadyNow() >= caller.entriesUntil_) {
@@ -137,8 +140,13 @@
         const bool wasSent = co_await sendOnce(stream, caller, sample, entry, deadline);
         // An entry that cannot be reached costs a try of the next one, and nothing else.
         if (!wasSent) {
-            if (position % caller.entries_.size() == 0)
+            if (position % caller.entries_.size() == 0) {
                 caller.entriesUntil_ = steadyNow();
+                // Asking on without a pause, the callers of a dead region use up the load tool's
+                // time, and those of the other regions look slow.
+                co_await Http::sleepFor(unreachablePause);
+                unreachablePause = std::min(2 * unreachablePause, longestPause);
+            }
             continue;
         }
         const bool isOpen = sample.told_ == Told::Unknown || sample.told_ == Told::Nothing;
