LibPeers: Believe a region's last summary for 5 s

Cause: for 10 s after a region died, look-ups named its entries and entries handed requests over to them; its callers got nothing or 'unknown'. Change: a summary says nothing after 5 s instead of 10 s. Summaries are renewed with every heartbeat and travel with their age, and members of one region are taken for dead after 3 s already.

--- a/Libraries/LibPeers/Members.h
+++ b/Libraries/LibPeers/Members.h
@@ -84,7 +84,7 @@
 /// After this long without a newer record a member counts as dead.
 constexpr Model::Milliseconds memberLifetime{3000};
 /// After this long a summary says nothing about capacity any more.
-constexpr Model::Milliseconds summaryLifetime{10000};
+constexpr Model::Milliseconds summaryLifetime{5000};
 /// Entries that a summary names.
 constexpr std::size_t mostContacts = 8;
 
