--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -9,6 +9,7 @@
 #include "ConnectionBudget.h"
 #include "Dissemination.h"
 #include "DomainPicker.h"
+#include "EntryFailures.h"
 #include "EntryRanking.h"
 #include "FairQueue.h"
 #include "Outcome.h"
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -150,12 +150,16 @@
     Verdict verdict;
     if (!result.answer_) {
         const bool isUnsent = result.stage_ == Http::ExchangeStage::NotConnected;
+        // A deadline that passed may be the fault of a slow target there.
+        if (result.code_ != ResultCode::TargetTimeout)
+            Policy::noteEntryLost(entryFailures_, place.address_, steadyNow());
         verdict.outcome_ = Policy::outcomeOf(stageOf(result.stage_));
         verdict.code_ = isUnsent ? ResultCode::NoTarget : ResultCode::EntryConnectionLost;
         if (isUnsent)
             verdict.comeBack_ = Policy::leastComeBack;
         co_return verdict;
     }
+    Policy::noteEntryAnswered(entryFailures_, place.address_);
     // The other entry speaks for its region: what it says of the outcome is passed on.
     const Http::Response &answer = *result.answer_;
     const auto outcome = answer[viewOf(Http::outcomeHeader)];
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -93,7 +93,8 @@
     auto &queue = queues_[request.service_];
     if (!queue) {
         const auto seed = Policy::rendezvousScore(idPrefix_, request.service_.value());
-        queue = std::make_unique<ServiceQueue>(context_, cell_, planner_, hints_, seed);
+        queue = std::make_unique<ServiceQueue>(context_, cell_, planner_, hints_, entryFailures_,
+                                               seed);
     }
     return *queue;
 }
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -86,6 +86,7 @@
     /// By the service's name, so that a table whose rows moved keeps its queues.
     std::map<Model::ServiceId, std::unique_ptr<ServiceQueue>> queues_;
     Policy::RetryBudget retryBudget_;
+    Policy::EntryFailures entryFailures_;
     EntryCounters counters_;
     int threadNumber_;
     std::string idPrefix_;
--- a/Services/Entryd/ServiceQueue.cpp
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -51,11 +51,13 @@
 } // namespace
 
 ServiceQueue::ServiceQueue(Http::asio::io_context &context, const SnapshotCell &cell,
-                           Planner &planner, const SlotHints &hints, std::uint64_t seed)
+                           Planner &planner, const SlotHints &hints,
+                           Policy::EntryFailures &entryFailures, std::uint64_t seed)
     : context_(context)
     , cell_(cell)
     , planner_(planner)
     , hints_(hints)
+    , entryFailures_(entryFailures)
     , random_(seed)
 {
 }
@@ -283,8 +285,10 @@
         return Placement(GivenUp{ResultCode::ShiftLimited, origin.comeBack_});
     if (!views[choice.domain_].isNear_) {
         const auto &entries = snapshot.handOver_[choice.domain_];
-        const auto &entry = entries[random_() % entries.size()];
-        return Placement(ToEntry{choice.domain_, entry.addresses_.entryPeer_});
+        const auto chosen = Policy::chooseEntry(entryFailures_, entries, random_(), now);
+        if (!chosen)
+            return Placement(GivenUp{ResultCode::NoTarget, origin.comeBack_});
+        return Placement(ToEntry{choice.domain_, entries[*chosen].addresses_.entryPeer_});
     }
     if (views[choice.domain_].hasFreeSlot_) {
         if (auto placement = tryTarget(plan, choice.domain_, request, now))
--- a/Services/Entryd/ServiceQueue.h
+++ b/Services/Entryd/ServiceQueue.h
@@ -41,7 +41,7 @@
 {
 public:
     ServiceQueue(Http::asio::io_context &context, const SnapshotCell &cell, Planner &planner,
-                 const SlotHints &hints, std::uint64_t seed);
+                 const SlotHints &hints, Policy::EntryFailures &entryFailures, std::uint64_t seed);
 
     /// Waits for a place for \a request, as long as the service's queue limit and the deadline
     /// allow. A request that cannot be placed in time is given up at once. The time that it waited
@@ -103,6 +103,8 @@
     const SnapshotCell &cell_;
     Planner &planner_;
     const SlotHints &hints_;
+    /// Of the thread, for all services.
+    Policy::EntryFailures &entryFailures_;
     Policy::FairQueue queue_;
     std::map<Policy::WaiterId, Pending *> pending_;
     /// By origin.
--- a/Tests/LibPolicy/TestPlacement.cpp
+++ b/Tests/LibPolicy/TestPlacement.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(entriesOfTheOwnRegionComeFirstAndLeavingOnesNever);
     CPPUNIT_TEST(leavingEntriesAreNamedWhereTheRegionHasNoOthers);
     CPPUNIT_TEST(losingAnEntryMovesOnlyItsOwnCallers);
+    CPPUNIT_TEST(lostEntriesAreTriedOnceInEachPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -301,6 +302,34 @@
             CPPUNIT_ASSERT(before == after || before == "i2");
         }
     }
+
+    // Symptom: requests for a region that has just died all end as unknown.
+    // Sequence: its entries die; until its last summary is too old, requests are handed over to
+    //   them, and what was sent may have arrived.
+    // Cause: choosing among the named entries without remembering which were lost a moment ago.
+    void lostEntriesAreTriedOnceInEachPause()
+    {
+        std::vector<Model::Instance> entries(2);
+        entries[0].addresses_.entryPeer_ = {"192.0.2.1", 1};
+        entries[1].addresses_.entryPeer_ = {"192.0.2.2", 1};
+        Policy::EntryFailures failures;
+        const Model::SteadyTime start(std::chrono::hours(1));
+        Policy::noteEntryLost(failures, entries[0].addresses_.entryPeer_, start);
+        for (std::uint64_t draw = 0; draw < 10; ++draw) {
+            const auto chosen = Policy::chooseEntry(failures, entries, draw, start);
+            CPPUNIT_ASSERT(chosen == std::optional<std::size_t>(1));
+        }
+        Policy::noteEntryLost(failures, entries[1].addresses_.entryPeer_, start);
+        CPPUNIT_ASSERT(!Policy::chooseEntry(failures, entries, 0, start));
+        int tries = 0;
+        const Model::SteadyTime end = start + 10 * Policy::lostEntryPause;
+        for (auto now = start; now < end; now += Model::Milliseconds(10))
+            tries += Policy::chooseEntry(failures, entries, 0, now) ? 1 : 0;
+        CPPUNIT_ASSERT(tries >= 9 && tries <= 20);
+        Policy::noteEntryAnswered(failures, entries[0].addresses_.entryPeer_);
+        CPPUNIT_ASSERT(Policy::chooseEntry(failures, entries, 1, start)
+                       == std::optional<std::size_t>(0));
+    }
 };
 
 } // namespace
