LibPolicy: Name an entry of another region last

Cause: after a region died, its callers got no answer at all until the other regions' look-ups no longer believed its last summary: every entry that they named was dead. Change: the last of the places in a look-up's answer goes to the best entry of another region.

--- a/Libraries/LibPolicy/EntryRanking.cpp
+++ b/Libraries/LibPolicy/EntryRanking.cpp
@@ -64,12 +64,19 @@
     std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
         return std::tie(a.rank_, b.score_) < std::tie(b.rank_, a.score_);
     });
+    const auto elsewhere = std::find_if(ranked.begin(), ranked.end(), [](const Ranked &item) {
+        return item.rank_ == Rank::Elsewhere;
+    });
+    // An entry that cannot be reached costs a refused connection, so callers of a region that died
+    // get to a live entry at once, long before the look-ups know.
+    const bool wouldBeLeftOut
+        = elsewhere != ranked.end() && static_cast<std::size_t>(elsewhere - ranked.begin()) >= most;
+    if (wouldBeLeftOut && most > 1)
+        std::iter_swap(elsewhere, ranked.begin() + static_cast<std::ptrdiff_t>(most - 1));
+    ranked.resize(std::min(most, ranked.size()));
     std::vector<Model::Instance> entries;
-    for (const auto &item : ranked) {
-        if (entries.size() == most)
-            break;
+    for (const auto &item : ranked)
         entries.push_back(*item.instance_);
-    }
     return entries;
 }
 
--- a/Libraries/LibPolicy/EntryRanking.h
+++ b/Libraries/LibPolicy/EntryRanking.h
@@ -31,7 +31,8 @@
 /// Entries of the caller's own region come first, near ones before others, each group in an order
 /// that is spread over callers and stays the same for one caller (weighted rendezvous), so that an
 /// entry that comes or goes moves only its own callers. Dead entries are left out, and leaving ones
-/// too, unless the caller's own region has no others: they still serve for a while.
+/// too, unless the caller's own region has no others: they still serve for a while. The last of
+/// more than one place goes to an entry of another region, if there is one.
 /// Empty if no entry is alive. Thread safety: any thread.
 std::vector<Model::Instance> rankEntries(const LookupQuery &query,
                                          const std::vector<EntryCandidate> &candidates,
--- a/Tests/LibPolicy/TestPlacement.cpp
+++ b/Tests/LibPolicy/TestPlacement.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(poolsOfAllEntriesStayBelowTheTargetsConnections);
     CPPUNIT_TEST(entriesOfTheOwnRegionComeFirstAndLeavingOnesNever);
     CPPUNIT_TEST(leavingEntriesAreNamedWhereTheRegionHasNoOthers);
+    CPPUNIT_TEST(lastPlaceNamesAnEntryOfAnotherRegion);
     CPPUNIT_TEST(losingAnEntryMovesOnlyItsOwnCallers);
     CPPUNIT_TEST(lostEntriesAreTriedOnceInEachPause);
     CPPUNIT_TEST_SUITE_END();
@@ -286,6 +287,30 @@
         CPPUNIT_ASSERT_EQUAL(std::string("leaving"), ranked.front().id_.value());
     }
 
+    // Symptom: a region dies and its callers get no answer at all for seconds.
+    // Sequence: all entries of the region are killed; look-ups of other regions still believe the
+    //   region's last word and name its entries, which refuse connections.
+    // Cause: a look-up that names entries of one region only.
+    void lastPlaceNamesAnEntryOfAnotherRegion()
+    {
+        std::vector<Policy::EntryCandidate> candidates;
+        for (int i = 0; i < 8; ++i) {
+            Model::Instance instance;
+            instance.id_ = Model::InstanceId("i" + std::to_string(i));
+            instance.region_ = Model::RegionId(i < 4 ? "near" : "far");
+            candidates.push_back({instance, true});
+        }
+        const Policy::LookupQuery query{Model::CallerId("c"), Model::RegionId("near"), {}};
+        for (const std::size_t most : {std::size_t(2), std::size_t(3), std::size_t(4)}) {
+            const auto ranked = Policy::rankEntries(query, candidates, most);
+            CPPUNIT_ASSERT_EQUAL(most, ranked.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("near"), ranked.front().region_.value());
+            CPPUNIT_ASSERT_EQUAL(std::string("far"), ranked.back().region_.value());
+        }
+        const auto only = Policy::rankEntries(query, candidates, 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("near"), only.front().region_.value());
+    }
+
     void losingAnEntryMovesOnlyItsOwnCallers()
     {
         std::vector<Policy::EntryCandidate> candidates(5);
