Tablectl: Say in status and explain what stands now, not only the plan

Cause: on call one reads 'status' and 'explain', and both told of the table alone: a region that was out, entries taken for dead, traffic on its way after a crash and the entries that a caller is sent to could only be pieced together from six processes' own pages. Change: 'status' shows for each instance members taken for dead, regions that are out and since when, targets that leave, and where moving traffic stands.

--- a/Services/Controld/ControlState.cpp
+++ b/Services/Controld/ControlState.cpp
@@ -1,7 +1,6 @@
 #include "ControlState.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <set>
 
 namespace Controld {
@@ -355,38 +354,4 @@
     changed_.notify_all();
 }
 
-std::string ControlState::statusText() const
-{
-    using nlohmann::json;
-    const std::lock_guard lock(mutex_);
-    const auto now = steadyNow();
-    const Peers::InstanceRecord &self = gossip_.self_;
-    json members = json::array();
-    for (const auto &[id, member] : gossip_.members_.members_) {
-        const auto age = std::chrono::duration_cast<Milliseconds>(now - member.heardAt_);
-        members.push_back({{"id", id.value()},
-                           {"alive", Peers::isAlive(member, now)},
-                           {"leaving", member.record_.instance_.isLeaving_},
-                           {"ready", member.record_.isReady_},
-                           {"entry_version", member.record_.entryVersion_.value()},
-                           {"age_ms", age.count()}});
-    }
-    json marks = json::array();
-    for (const auto &[target, incarnation] : gossip_.members_.marks_.marks_)
-        marks.push_back(target.value());
-    const json status = {{"id", self.instance_.id_.value()},
-                         {"region", self.instance_.region_.value()},
-                         {"domain", self.instance_.domain_.value()},
-                         {"ready", self.isReady_},
-                         {"starting", self.isStarting_},
-                         {"leaving", self.instance_.isLeaving_},
-                         {"store_down", storeIsDown_},
-                         {"control_version", self.controlVersion_.value()},
-                         {"entry_version", self.entryVersion_.value()},
-                         {"lookup_version", self.lookupVersion_.value()},
-                         {"members", members},
-                         {"leaving_targets", marks}};
-    return status.dump() + "\n";
-}
-
 } // namespace Controld
--- a/Tests/Integration/TestWholePath.cpp
+++ b/Tests/Integration/TestWholePath.cpp
@@ -133,8 +133,20 @@
             CPPUNIT_ASSERT_MESSAGE(output, output.find(part) != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(
             0, site.tablectl({"explain", "gauging", "pilot-1", "--origin=Primorska"}, &output));
-        for (const std::string part : {"class: pilots", "50.0% now", "drain begins at 2030"})
+        for (const std::string part : {"class: pilots", "50.0% now", "drain begins at 2030",
+                                       "no instance of Primorska answers"})
             CPPUNIT_ASSERT_MESSAGE(output, output.find(part) != std::string::npos);
+        const std::string region = site.instances().front().row_.region_.value();
+        const std::string id = site.instances().front().row_.id_.value();
+        CPPUNIT_ASSERT_EQUAL(
+            0, site.tablectl({"explain", "gauging", "pilot-1", "--origin=" + region}, &output));
+        CPPUNIT_ASSERT_MESSAGE(output,
+                               output.find("the first is used: " + id) != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0, site.tablectl({"status"}, &output));
+        const std::string ready = "): ready, versions control";
+        for (const std::string &part : {id, ready, std::string("drain primorska-a of gauging")})
+            CPPUNIT_ASSERT_MESSAGE(output, output.find(part) != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(output, output.find("is out") == std::string::npos);
         CPPUNIT_ASSERT_EQUAL(3, site.tablectl({"conquer"}, &output));
         site.switchPlatform({{"down", true}});
         CPPUNIT_ASSERT_EQUAL(1, edit({"set", "service gauging", "timeout_ms=5000"}));
--- a/Utilities/Tablectl/Commands.cpp
+++ b/Utilities/Tablectl/Commands.cpp
@@ -1,12 +1,12 @@
 #include "Commands.h"
 
 #include "Explain.h"
+#include "LiveState.h"
 #include "PlatformCalls.h"
 
 #include <algorithm>
 #include <fstream>
 #include <iostream>
-#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace Tablectl {
@@ -260,35 +260,16 @@
     if (!text)
         return fail();
     std::cout << *text;
+    if (!options.at_.empty())
+        return ExitCode::Ok;
+    const auto instances = readInstances(options);
+    if (!instances)
+        return fail();
+    std::cout << nowText(*instances, Model::ServiceId(options.arguments_[1]),
+                         Model::CallerId(options.arguments_[2]), Model::RegionId(options.origin_));
     return ExitCode::Ok;
 }
 
-void printInstance(const Model::Instance &instance, Model::TableVersion inStore)
-{
-    Http::SimpleRequest request;
-    request.address_ = instance.addresses_.controlAdmin_;
-    request.target_ = "/status";
-    request.timeout_ = Model::Milliseconds(1000);
-    const auto answer = Http::sendAndWait(request);
-    std::cout << instance.id_.value() << " (" << instance.domain_.value() << "): ";
-    if (!answer) {
-        std::cout << "no answer\n";
-        return;
-    }
-    const auto status = nlohmann::json::parse(answer->body(), nullptr, false);
-    if (status.is_discarded()) {
-        std::cout << "unreadable answer\n";
-        return;
-    }
-    const auto entryVersion = status.value("entry_version", std::uint64_t(0));
-    std::cout << (status.value("ready", false) ? "ready" : "NOT READY")
-              << (status.value("leaving", false) ? ", leaving" : "")
-              << (status.value("store_down", false) ? ", store down" : "") << ", versions control "
-              << status.value("control_version", 0) << " entry " << entryVersion << " lookup "
-              << status.value("lookup_version", 0)
-              << (entryVersion < inStore.value() ? " STALE" : "") << "\n";
-}
-
 ExitCode status(const Options &options)
 {
     const auto mirror = readTable(options);
@@ -298,7 +279,7 @@
         return fail();
     std::cout << "table version " << mirror->version_.value() << " in the store\n";
     for (const auto &instance : *instances)
-        printInstance(instance, mirror->version_);
+        std::cout << instanceText(instance, mirror->version_);
     const std::string drains = drainsText(*table, wallNow());
     std::cout << (drains.empty() ? "no drains\n" : drains);
     return ExitCode::Ok;
