Entryd: Bring a crashed region's traffic back at the cap

Cause: when a region comes back whole, no entry of it knows where its traffic stands, so all begin at the planned shares: a jump of everything onto cold targets, past every cap. Ruled out: entries of the other regions (they walk back at the cap). Change: a region's summary carries the shares that its entries walk, and a fresh entry without a walking peer of its own region takes them over. A fresh control process speaks for its region at once if the last summary is stale: the others began their walk 3 s later otherwise.

--- a/Libraries/LibPeers/Codec.cpp
+++ b/Libraries/LibPeers/Codec.cpp
@@ -211,6 +211,8 @@
         *message.add_loads() = toMessage(load);
     for (const auto &contact : summary.contacts_)
         *message.add_contacts() = toMessage(contact);
+    for (const auto &walked : summary.walked_)
+        *message.add_walked() = toMessage(walked);
     return message;
 }
 
@@ -222,6 +224,8 @@
     summary.age_ = Model::Milliseconds(std::max<std::int64_t>(0, message.age_ms()));
     for (const auto &load : message.loads())
         summary.loads_.push_back(fromMessage(load));
+    for (const auto &walked : message.walked())
+        summary.walked_.push_back(fromMessage(walked));
     for (const auto &contact : message.contacts()) {
         const auto instance = fromMessage(contact);
         if (!instance)
--- a/Libraries/LibPeers/Gossip.cpp
+++ b/Libraries/LibPeers/Gossip.cpp
@@ -150,7 +150,8 @@
         if (!summary)
             continue;
         if (isSameRegion(state, summary->region_)) {
-            news.ownRegionIsSpokenFor_ = true;
+            // The last word of entries that died long ago is nothing that a new one could spoil.
+            news.ownRegionIsSpokenFor_ |= summary->age_ <= summaryLifetime;
             continue;
         }
         news.liveChanged_ |= takeIn(state.members_, *summary, now);
--- a/Libraries/LibPeers/Gossip.h
+++ b/Libraries/LibPeers/Gossip.h
@@ -29,7 +29,7 @@
 {
     bool tableChanged_ = false;
     bool liveChanged_ = false;
-    /// The answer had a summary of the asker's own region.
+    /// The answer had a fresh summary of the asker's own region.
     bool ownRegionIsSpokenFor_ = false;
     /// Who answered; nothing if the answer could not be read.
     std::optional<Model::Instance> responder_;
--- a/Libraries/LibPeers/Members.cpp
+++ b/Libraries/LibPeers/Members.cpp
@@ -12,6 +12,18 @@
     return std::make_tuple(record.incarnation_, record.heartbeat_);
 }
 
+/// The entries of a region walk alike; the first one's word on a pair is enough.
+void addWalked(std::vector<WalkedShares> &sum, const std::vector<WalkedShares> &more)
+{
+    for (const auto &walked : more) {
+        const bool isKnown = std::any_of(sum.begin(), sum.end(), [&](const auto &item) {
+            return item.service_ == walked.service_ && item.origin_ == walked.origin_;
+        });
+        if (!isKnown)
+            sum.push_back(walked);
+    }
+}
+
 } // namespace
 
 bool takeIn(Members &members, const InstanceRecord &record, Model::SteadyTime now)
@@ -92,6 +104,10 @@
     }
     for (const auto &[key, load] : loads)
         summary.loads_.push_back(load);
+    for (const auto &[id, member] : members.members_) {
+        if (member.record_.instance_.region_ == region && isAlive(member, now))
+            addWalked(summary.walked_, member.record_.walked_);
+    }
     // While the last entries leave and their replacements have not been heard of yet, naming nobody
     // would send the region's callers to other regions. Entries that leave serve on for a while.
     if (summary.contacts_.empty())
--- a/Libraries/LibPeers/Members.h
+++ b/Libraries/LibPeers/Members.h
@@ -57,6 +57,9 @@
     Model::WallTime madeAt_;
     std::vector<DomainLoad> loads_;
     std::vector<Model::Instance> contacts_;
+    /// Where traffic stands elsewhere than planned, by the region's entries; one for each pair of
+    /// service and origin. Empty unless failure domains are out or have just come back.
+    std::vector<WalkedShares> walked_;
     /// How old it was when it was sent here.
     Model::Milliseconds age_{0};
 };
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -272,6 +272,33 @@
     }
 }
 
+/// Finds where other entries say that the traffic stands, if not where it is planned.
+///
+/// An entry that starts while failure domains are out takes over from its peers. In a region that
+/// comes back whole none of them knows better, but the entries of other regions, which served its
+/// callers meanwhile, do; without their word all its traffic would come back in one jump.
+const Peers::WalkedShares *Planner::walkOfOthers(const Model::ServiceId &service,
+                                                 const Model::RegionId &origin) const
+{
+    const auto findIn = [&](const std::vector<Peers::WalkedShares> &all) {
+        const auto found = std::find_if(all.begin(), all.end(), [&](const auto &walked) {
+            return walked.service_ == service && walked.origin_ == origin;
+        });
+        return found == all.end() ? nullptr : &*found;
+    };
+    for (const auto &member : view_.members_) {
+        const auto *walked = findIn(member.walked_);
+        if (walked && member.instance_.id_ != settings_.instance_)
+            return walked;
+    }
+    for (const auto &summary : view_.summaries_) {
+        const auto *walked = findIn(summary.walked_);
+        if (walked && summary.region_ != settings_.region_)
+            return walked;
+    }
+    return nullptr;
+}
+
 Planner::Walk &Planner::walkFor(const Model::Service &service, const Model::RegionId &origin,
                                 const Policy::ShareVector &planned)
 {
@@ -279,15 +306,8 @@
     const auto [found, isNew] = walks_.try_emplace({service.id_, origin});
     Walk &walk = found->second;
     if (isNew) {
-        walk.shares_ = planned;
-        // An entry that starts while failure domains are out takes over where its peers stand.
-        for (const auto &member : view_.members_) {
-            for (const auto &walked : member.walked_) {
-                if (member.instance_.id_ != settings_.instance_ && walked.service_ == service.id_
-                    && walked.origin_ == origin)
-                    walk.shares_ = Policy::indexedShares(table, walked.shares_);
-            }
-        }
+        const auto *walked = walkOfOthers(service.id_, origin);
+        walk.shares_ = walked ? Policy::indexedShares(table, walked->shares_) : planned;
     } else if (walk.version_ != table.version()) {
         // The rows may have moved; the shares stay with their names.
         std::vector<Model::DomainShare> named;
--- a/Services/Entryd/Planner.h
+++ b/Services/Entryd/Planner.h
@@ -65,6 +65,8 @@
     OriginPlan planOrigin(const Model::Service &service, const Model::RegionId &origin,
                           const Policy::DomainOutage &outage, Model::WallTime now,
                           Model::Milliseconds elapsed);
+    const Peers::WalkedShares *walkOfOthers(const Model::ServiceId &service,
+                                            const Model::RegionId &origin) const;
     Walk &walkFor(const Model::Service &service, const Model::RegionId &origin,
                   const Policy::ShareVector &planned);
     std::unique_ptr<EntrySnapshot> makeSnapshot(Model::Milliseconds elapsed);
--- a/Tests/Integration/TestShifts.cpp
+++ b/Tests/Integration/TestShifts.cpp
@@ -50,12 +50,60 @@
     return served / sent;
 }
 
+bool isIn(const Site &site, const Model::Target &target, const std::string &region)
+{
+    return site.table().domain(target.domain_)->region_.value() == region;
+}
+
+/// Kills every target and instance of a region without a word to anybody.
+void killRegion(Site &site, const std::string &region)
+{
+    for (auto &target : site.targets()) {
+        if (isIn(site, target.row_, region))
+            target.process_->signal(SIGKILL);
+    }
+    for (auto &instance : site.instances()) {
+        if (instance.row_.region_.value() != region)
+            continue;
+        for (auto *process : instance.processes())
+            process->signal(SIGKILL);
+    }
+}
+
+void startRegion(Site &site, const std::string &region)
+{
+    for (auto &target : site.targets()) {
+        if (!isIn(site, target.row_, region))
+            continue;
+        target.process_->kill();
+        target.process_->start();
+    }
+    for (auto &instance : site.instances()) {
+        if (instance.row_.region_.value() == region)
+            site.startInstance(instance);
+    }
+}
+
+/// The part of the answered requests sent between two times that targets of a region answered.
+double regionShare(const std::vector<Harness::SampleLine> &samples, const Site &site,
+                   const std::string &region, double from, double until)
+{
+    const auto shares = Harness::domainShares(samples, site.table(), from, until);
+    double sum = 0;
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        if (site.table().domains()[i].region_.value() == region)
+            sum += shares[i];
+    }
+    return sum;
+}
+
 class TestShifts : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestShifts);
     CPPUNIT_TEST(scheduledDrainKeepsTheCapAndEndsInTime);
     CPPUNIT_TEST(crashOfADomainMovesNoFasterThanTheCap);
     CPPUNIT_TEST(crashOfARegionMovesNoFasterThanTheCap);
+    CPPUNIT_TEST(returnOfARegionMovesNoFasterThanTheCap);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,16 +193,7 @@
             "region", section(site, {.name_ = "get", .callerCount_ = 32, .rate_ = 300}), 20);
         load->start();
         Harness::pause(Milliseconds(3000));
-        for (auto &target : site.targets()) {
-            if (target.row_.domain_.value().starts_with("primorska"))
-                target.process_->signal(SIGKILL);
-        }
-        for (auto &instance : site.instances()) {
-            if (instance.row_.region_.value() == "Primorska") {
-                for (auto *process : instance.processes())
-                    process->signal(SIGKILL);
-            }
-        }
+        killRegion(site, "Primorska");
         const auto result = Integration::finish(site, *load, "region");
         Integration::assertTruth(result);
         for (double from = 4; from + 3 <= 20; from += 0.5) {
@@ -169,6 +208,48 @@
         for (std::size_t i = 0; i < late.size(); ++i)
             elsewhere += late[i];
         CPPUNIT_ASSERT_MESSAGE(result.log_, elsewhere > 0.99);
+        std::string status;
+        CPPUNIT_ASSERT_EQUAL(0, site.tablectl({"status"}, &status));
+        for (const std::string part : {"primorska-a-1 (primorska-a): no answer",
+                                       "region Primorska is out", "moving: gauging"})
+            CPPUNIT_ASSERT_MESSAGE(status, status.find(part) != std::string::npos);
+    }
+
+    // Symptom: a region that comes back after a crash gets all of its callers at once, while its
+    //   targets are cold.
+    // Sequence: every process of a region is killed under load; its traffic moves to the other
+    //   regions; the region is started again.
+    // Cause: fresh entries that find no peer of their own region begin at the planned shares,
+    // though
+    //   the entries of the other regions know where the traffic stands.
+    void returnOfARegionMovesNoFasterThanTheCap()
+    {
+        constexpr double fastCap = 0.2;
+        constexpr int seconds = 24;
+        auto options = siteWithCap();
+        options.cells_["service gauging"] = {{"shift_cap", "20"}, {"region_shift_cap", "20"}};
+        Site site(options);
+        site.start();
+        const auto load = site.loadtool(
+            "return", section(site, {.name_ = "get", .callerCount_ = 32, .rate_ = 300}), seconds);
+        load->start();
+        Harness::pause(Milliseconds(1000));
+        killRegion(site, "Primorska");
+        // Five seconds until it is believed dead, five for the move, and some to spare.
+        Harness::pause(Milliseconds(13000));
+        startRegion(site, "Primorska");
+        const auto result = Integration::finish(site, *load, "return");
+        Integration::assertTruth(result);
+        const auto shareAt = [&](double from) {
+            return regionShare(result.samples_, site, "Primorska", from, from + 1);
+        };
+        CPPUNIT_ASSERT_MESSAGE("it was gone", shareAt(13) < 0.01);
+        for (double from = 13; from + 3 <= seconds; from += 0.5) {
+            const double rise = shareAt(from + 2) - shareAt(from);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(from) + ": " + std::to_string(rise),
+                                   rise < fastCap * 2 + 0.1);
+        }
+        CPPUNIT_ASSERT_MESSAGE("it is back", shareAt(seconds - 1) > 0.95);
     }
 };
 
--- a/Tests/LibPeers/TestGossip.cpp
+++ b/Tests/LibPeers/TestGossip.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(deadMembersAreNotNamed);
     CPPUNIT_TEST(lastWordOfADeadRegionStaysOld);
     CPPUNIT_TEST(regionIsKnownOnceItNamesEntriesOrFellSilent);
+    CPPUNIT_TEST(summaryTellsWhereTrafficStands);
     CPPUNIT_TEST(badMessagesAreDroppedWhole);
     CPPUNIT_TEST(olderSnapshotIsRefusedByTheProcesses);
     CPPUNIT_TEST_SUITE_END();
@@ -183,6 +184,24 @@
         CPPUNIT_ASSERT(Peers::isKnown(members, region, heard));
     }
 
+    void summaryTellsWhereTrafficStands()
+    {
+        Peers::Members members;
+        auto record = stateOf("i", "r").self_;
+        record.walked_.push_back({Model::ServiceId("s"),
+                                  Model::RegionId("q"),
+                                  {{Model::FailureDomainId("r-a"), Model::Share(0.25)}}});
+        Peers::takeIn(members, record, SteadyTime());
+        record.instance_.id_ = Model::InstanceId("j");
+        Peers::takeIn(members, record, SteadyTime());
+        const auto summary
+            = Peers::summarise(members, Model::RegionId("r"), Model::WallTime(), SteadyTime());
+        const auto copy = Peers::fromMessage(Peers::toMessage(summary));
+        CPPUNIT_ASSERT(copy);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), copy->walked_.size());
+        CPPUNIT_ASSERT(copy->walked_.front() == record.walked_.front());
+    }
+
     void badMessagesAreDroppedWhole()
     {
         auto state = stateOf("i", "r");
