--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -187,7 +187,8 @@
         const auto lookup = getJson(instance.row_.addresses_.lookup_,
                                     "/v1/entry?service=" + service, Milliseconds(500));
         // Until it has heard that an entry of its region serves, a look-up rightly names others.
-        return lookup && lookup->at("entries").at(0).at("region") == instance.row_.region_.value();
+        const json entries = lookup ? lookup->value("entries", json::array()) : json::array();
+        return !entries.empty() && entries[0].at("region") == instance.row_.region_.value();
     });
 }
 
