--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -1,5 +1,8 @@
 #include "ConnectionPool.h"
 
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
 #include <sys/socket.h>
 
 namespace Http {
@@ -18,8 +21,22 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Part of the other end's idle timeout after which a connection is not used again: what is sent
+/// must arrive before the other end closes.
+constexpr double restPart = 0.7;
+
 } // namespace
 
+void Connection::noteKeepAlive(const Response &answer)
+{
+    const std::string text(answer[http::field::keep_alive]);
+    const auto start = text.find("timeout=");
+    if (start == std::string::npos)
+        return;
+    const double seconds = std::strtod(text.c_str() + start + std::strlen("timeout="), nullptr);
+    longestRest_ = Model::Milliseconds(static_cast<long long>(seconds * 1000 * restPart));
+}
+
 std::unique_ptr<Connection> ConnectionPool::takeIdle(const Model::Address &address,
                                                      Model::Milliseconds longestIdle)
 {
@@ -27,12 +44,13 @@
     if (found == peers_.end())
         return nullptr;
     Peer &peer = found->second;
-    const auto oldest = std::chrono::steady_clock::now() - longestIdle;
+    const auto now = std::chrono::steady_clock::now();
     while (!peer.idle_.empty()) {
         // The most recently used one is the likeliest to be alive.
         std::unique_ptr<Connection> connection = std::move(peer.idle_.back());
         peer.idle_.pop_back();
-        if (connection->usedAt_ >= oldest && looksAlive(*connection))
+        const auto longest = std::min(longestIdle, connection->longestRest_);
+        if (now - connection->usedAt_ <= longest && looksAlive(*connection))
             return connection;
         --peer.open_;
     }
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -16,9 +16,17 @@
     {
     }
 
+    /// Takes in how long the other end says that it keeps the connection open while it rests.
+    ///
+    /// What goes wrong without it: a request is sent on a connection that the other end is closing,
+    /// and nobody knows whether it ran.
+    void noteKeepAlive(const Response &answer);
+
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     Model::SteadyTime usedAt_;
+    /// How long it may rest before it is not used again.
+    Model::Milliseconds longestRest_ = Model::Milliseconds::max();
 };
 
 /// Keeps open connections for reuse.
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -68,73 +68,131 @@
     co_return connection;
 }
 
-/// Sends and reads on \a connection; the caller decides what becomes of the connection.
-Task<ExchangeResult> exchangeOn(Connection &connection, const ExchangeOptions &options,
-                                const Request &request)
+ExchangeResult failed(ResultCode code)
 {
     ExchangeResult result;
     result.stage_ = ExchangeStage::Sent;
-    connection.stream_.expires_at(options.deadline_);
-    ErrorCode error;
-    co_await http::async_write(connection.stream_, request,
-                               asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        result.code_ = codeOf(error);
-        co_return result;
-    }
+    result.code_ = code;
+    return result;
+}
+
+/// Reads one whole answer, to whatever request it belongs.
+Task<ExchangeResult> readAnswer(Connection &connection, const ExchangeOptions &options)
+{
     http::response_parser<http::string_body> parser;
     parser.body_limit(options.answerLimitBytes_);
+    ErrorCode error;
     co_await http::async_read_header(connection.stream_, connection.buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        result.code_ = codeOf(error);
-        co_return result;
-    }
-    if (!hasLength(parser)) {
-        result.code_ = ResultCode::TruncatedAnswer;
-        co_return result;
-    }
+    if (error)
+        co_return failed(codeOf(error));
+    if (!options.takesUnframed_ && !hasLength(parser))
+        co_return failed(ResultCode::TruncatedAnswer);
     co_await http::async_read(connection.stream_, connection.buffer_, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         const bool isCut = error != beast::error::timeout;
-        result.code_ = isCut ? ResultCode::TruncatedAnswer : ResultCode::TargetTimeout;
-        co_return result;
+        co_return failed(isCut ? ResultCode::TruncatedAnswer : ResultCode::TargetTimeout);
     }
+    ExchangeResult result;
     result.stage_ = ExchangeStage::Answered;
     result.answer_ = parser.release();
     co_return result;
 }
 
+/// Sends and reads on \a connection; the caller decides what becomes of the connection.
+Task<ExchangeResult> exchangeOn(Connection &connection, const ExchangeOptions &options,
+                                const Request &request, const AnswerCheck &isOwnAnswer)
+{
+    connection.stream_.expires_at(options.deadline_);
+    ErrorCode error;
+    co_await http::async_write(connection.stream_, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return failed(codeOf(error));
+    int foreign = 0;
+    while (true) {
+        ExchangeResult result = co_await readAnswer(connection, options);
+        result.foreignAnswers_ = foreign;
+        if (!result.answer_ || isOwnAnswer(request, *result.answer_))
+            co_return result;
+        // A late second answer to an earlier request arrives where this one's is due. The id tells
+        // them apart, so the right answer behind it need not be lost.
+        ++foreign;
+        const bool isEnd = !result.answer_->keep_alive();
+        if (isEnd || foreign > options.foreignAnswersSkipped_) {
+            result = failed(ResultCode::ForeignAnswer);
+            result.foreignAnswers_ = foreign;
+            co_return result;
+        }
+    }
+}
+
 } // namespace
 
+/// Shows the control which stream is in use while the exchange lasts.
+class ControlGuard
+{
+public:
+    ControlGuard(ExchangeControl *control, beast::tcp_stream &stream)
+        : control_(control)
+    {
+        if (control_)
+            control_->stream_ = &stream;
+    }
+    ~ControlGuard()
+    {
+        if (control_)
+            control_->stream_ = nullptr;
+    }
+    ControlGuard(const ControlGuard &) = delete;
+    ControlGuard &operator=(const ControlGuard &) = delete;
+
+private:
+    ExchangeControl *control_;
+};
+
+void ExchangeControl::cancel()
+{
+    isCancelled_ = true;
+    if (stream_)
+        stream_->cancel();
+}
+
 Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
-                              const Request &request,
-                              bool (*isOwnAnswer)(const Request &, const Response &))
+                              const Request &request, const AnswerCheck &isOwnAnswer)
 {
     bool isNew = false;
+    const auto startedAt = std::chrono::steady_clock::now();
     std::unique_ptr<Connection> connection = co_await connect(pool, options, isNew);
-    if (!connection) {
+    const auto connectedAt = std::chrono::steady_clock::now();
+    const bool isCancelled = options.control_ && options.control_->isCancelled();
+    if (!connection || isCancelled) {
+        if (connection)
+            pool.giveBack(options.address_, std::move(connection));
         ExchangeResult result;
         result.code_ = ResultCode::TargetUnreachable;
         co_return result;
     }
 
-    ExchangeResult result = co_await exchangeOn(*connection, options, request);
-    result.isNewConnection_ = isNew;
-    if (result.stage_ != ExchangeStage::Answered) {
-        pool.discard(options.address_, std::move(connection));
-        pool.dropIdle(options.address_);
-        co_return result;
+    ExchangeResult result;
+    {
+        const ControlGuard guard(options.control_, connection->stream_);
+        result = co_await exchangeOn(*connection, options, request, isOwnAnswer);
     }
-    if (!isOwnAnswer(request, *result.answer_)) {
+    result.isNewConnection_ = isNew;
+    if (isNew)
+        result.connectTook_
+            = std::chrono::duration_cast<Model::Microseconds>(connectedAt - startedAt);
+    if (!result.answer_) {
         pool.discard(options.address_, std::move(connection));
-        result.stage_ = ExchangeStage::Sent;
-        result.code_ = ResultCode::ForeignAnswer;
-        result.answer_.reset();
+        // A cancelled exchange says nothing of the other connections.
+        if (!options.control_ || !options.control_->isCancelled())
+            pool.dropIdle(options.address_);
         co_return result;
     }
     if (result.answer_->keep_alive()) {
+        connection->noteKeepAlive(*result.answer_);
         pool.giveBack(options.address_, std::move(connection));
     } else {
         pool.discard(options.address_, std::move(connection));
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -2,6 +2,7 @@
 
 #include "ConnectionPool.h"
 
+#include <functional>
 #include <optional>
 
 namespace Http {
@@ -16,6 +17,21 @@
     Answered,
 };
 
+/// Lets someone else end an exchange that is in progress. Belongs to the exchange's thread.
+class ExchangeControl
+{
+public:
+    /// Ends the exchange; its connection is closed, which cancels the work of most targets.
+    void cancel();
+    bool isCancelled() const { return isCancelled_; }
+
+private:
+    friend class ControlGuard;
+
+    beast::tcp_stream *stream_ = nullptr;
+    bool isCancelled_ = false;
+};
+
 /// Where and within which limits to exchange one request for one answer.
 struct ExchangeOptions
 {
@@ -28,6 +44,14 @@
     std::size_t answerLimitBytes_ = 64 * 1024 * 1024;
     /// The IP number to connect from; empty leaves the choice to the system.
     std::string sourceHost_;
+    /// Takes an answer without a length that ends with its connection. One that is reset is never
+    /// taken.
+    bool takesUnframed_ = false;
+    /// How many answers to other requests may be dropped in front of the right one. Zero closes the
+    /// connection at the first.
+    int foreignAnswersSkipped_ = 0;
+    /// If set, outlives the exchange.
+    ExchangeControl *control_ = nullptr;
 };
 
 struct ExchangeResult
@@ -37,17 +61,23 @@
     Model::ResultCode code_ = Model::ResultCode::Ok;
     std::optional<Response> answer_;
     bool isNewConnection_ = false;
+    /// How long a new connection took to be made; zero for a kept one.
+    Model::Microseconds connectTook_{0};
+    /// Answers to other requests that were dropped on the way.
+    int foreignAnswers_ = 0;
 };
 
+/// Tells whether an answer belongs to a request.
+using AnswerCheck = std::function<bool(const Request &, const Response &)>;
+
 /// Sends \a request and reads the answer, with one request in progress on a connection at a time.
 ///
 /// A connection that failed in any way is closed, so that a late answer on it can never be taken
 /// for the answer to a later request. \a isOwnAnswer is asked about a complete answer; if it says
-/// no, the answer is dropped and the code is ForeignAnswer. Thread safety: the pool belongs to the
-/// calling thread.
+/// no, the answer is dropped; without another one the code is ForeignAnswer. Thread safety: the pool
+/// belongs to the calling thread.
 Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
-                              const Request &request,
-                              bool (*isOwnAnswer)(const Request &, const Response &));
+                              const Request &request, const AnswerCheck &isOwnAnswer);
 
 /// For peers whose answers carry no request id. Thread safety: any thread.
 bool anyAnswer(const Request &request, const Response &answer);
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -4,6 +4,7 @@
 #include "HeaderNames.h"
 
 #include <algorithm>
+#include <deque>
 #include <boost/beast/http/parser.hpp>
 
 namespace Http {
@@ -62,6 +63,14 @@
 
 } // namespace
 
+/// A request that was read, and its answer once there is one.
+struct Server::Pending
+{
+    std::optional<Response> answer_;
+    bool wantsMore_ = true;
+    bool isHead_ = false;
+};
+
 /// One connection of a caller.
 struct Server::Session
 {
@@ -69,16 +78,32 @@
         : stream_(std::move(socket))
         , buffer_(bufferBytes)
         , readTimer_(stream_.get_executor())
+        , changed_(stream_.get_executor())
     {
+        changed_.expires_at(Model::SteadyTime::max());
     }
 
+    /// Wakes whoever waits for pending_ to change.
+    void notify() { changed_.cancel(); }
+
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     std::string remoteHost_;
     asio::steady_timer readTimer_;
-    bool isIdle_ = true;
+    asio::steady_timer changed_;
+    /// Requests that were read and not answered yet, in the order in which they came.
+    std::deque<std::shared_ptr<Pending>> pending_;
+    /// Waits for the first byte of a request.
+    bool isBetweenRequests_ = true;
     bool isReading_ = false;
     bool isTooSlow_ = false;
+    bool isWriting_ = false;
+    /// The other end has closed or reset the connection.
+    bool hasEnded_ = false;
+    /// Nothing more is read; the answers that are due are still written.
+    bool isClosing_ = false;
+    /// Nothing can be written any more.
+    bool isBroken_ = false;
 };
 
 /// Ends the reads of a request after a while, and leaves the connection open for the refusal.
@@ -186,30 +211,73 @@
 Task<void> Server::serve(std::shared_ptr<Session> session)
 {
     bool goesOn = true;
-    while (goesOn) {
-        goesOn = co_await serveOne(session);
+    while (goesOn && !session->isClosing_) {
+        if (session->pending_.size() >= limits_.pipelineDepth_) {
+            co_await waitForChange(*session);
+            continue;
+        }
+        goesOn = co_await readOne(session);
+    }
+    while (!session->pending_.empty() && !session->isBroken_) {
+        co_await waitForChange(*session);
+    }
+    if (session->isClosing_ && !session->isBroken_ && !session->hasEnded_) {
+        co_await closeGently(*session);
     }
+    dropPending(*session);
     ErrorCode ignored;
     session->stream_.socket().close(ignored);
     --openSessions_;
 }
 
-Task<bool> Server::serveOne(std::shared_ptr<Session> kept)
+Task<void> Server::waitForChange(Session &session)
+{
+    ErrorCode ignored;
+    co_await session.changed_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+Task<bool> Server::awaitFirstByte(std::shared_ptr<Session> kept)
+{
+    Session &session = *kept;
+    session.isBetweenRequests_ = true;
+    limitIdle(kept);
+    session.stream_.expires_never();
+    ErrorCode error;
+    const auto space = session.buffer_.prepare(1024);
+    const std::size_t received = co_await session.stream_.async_read_some(
+        space, asio::redirect_error(asio::use_awaitable, error));
+    session.readTimer_.cancel();
+    session.isBetweenRequests_ = false;
+    if (error) {
+        session.hasEnded_ = error != asio::error::operation_aborted;
+        co_return false;
+    }
+    session.buffer_.commit(received);
+    co_return true;
+}
+
+void Server::limitIdle(const std::shared_ptr<Session> &session)
+{
+    if (!session->isBetweenRequests_ || !session->pending_.empty())
+        return;
+    session->readTimer_.expires_after(limits_.idle_);
+    session->readTimer_.async_wait([weak = std::weak_ptr(session)](const ErrorCode &error) {
+        const auto idle = weak.lock();
+        if (error || !idle || !idle->isBetweenRequests_ || !idle->pending_.empty())
+            return;
+        ErrorCode ignored;
+        idle->stream_.socket().cancel(ignored);
+    });
+}
+
+Task<bool> Server::readOne(std::shared_ptr<Session> kept)
 {
     Session &session = *kept;
     if (session.buffer_.size() == 0) {
-        session.isIdle_ = true;
-        session.stream_.expires_after(limits_.idle_);
-        ErrorCode error;
-        const auto space = session.buffer_.prepare(1024);
-        const std::size_t received = co_await session.stream_.async_read_some(
-            space, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
+        const bool hasByte = co_await awaitFirstByte(kept);
+        if (!hasByte)
             co_return false;
-        session.buffer_.commit(received);
     }
-    session.isIdle_ = false;
-
     IncomingRequest incoming;
     ResultCode code = ResultCode::Ok;
     {
@@ -218,41 +286,94 @@
     }
     if (code != ResultCode::Ok && session.isTooSlow_)
         code = ResultCode::RequestTooSlow;
+    // An answer that closes the connection went out meanwhile; what was half read is not answered.
+    if (session.isClosing_ || session.isBroken_)
+        co_return false;
+
+    auto pending = std::make_shared<Pending>();
+    session.pending_.push_back(pending);
+    ++inProgress_;
     if (code != ResultCode::Ok) {
-        co_await refuse(session, code);
+        pending->answer_ = refusal(Model::Reason{code, ""}, 11);
+        pending->wantsMore_ = false;
+        co_await deliver(kept);
         co_return false;
     }
     incoming.remoteHost_ = session.remoteHost_;
     incoming.arrivedAt_ = std::chrono::steady_clock::now();
-    incoming.isGone_ = [&session] {
-        return hasEnded(session.stream_.socket());
+    incoming.isGone_ = [weak = std::weak_ptr(kept)] {
+        const auto session = weak.lock();
+        return !session || session->hasEnded_ || session->isBroken_
+               || (!session->isBetweenRequests_ && !session->isReading_
+                   && hasEnded(session->stream_.socket()));
     };
-    const bool wantsMore = incoming.message_.keep_alive();
-    const bool isHead = incoming.message_.method() == http::verb::head;
+    pending->wantsMore_ = incoming.message_.keep_alive();
+    pending->isHead_ = incoming.message_.method() == http::verb::head;
+    const bool goesOn = pending->wantsMore_;
+    asio::co_spawn(context_, answerOne(kept, std::move(pending), std::move(incoming)),
+                   asio::detached);
+    co_return goesOn;
+}
 
-    ++inProgress_;
-    session.stream_.expires_never();
-    Response answer = co_await handler_(std::move(incoming));
-    answer.keep_alive(wantsMore && !isLeaving_);
-    const bool goesOn = answer.keep_alive();
+Task<void> Server::answerOne(std::shared_ptr<Session> session, std::shared_ptr<Pending> pending,
+                             IncomingRequest incoming)
+{
+    pending->answer_ = co_await handler_(std::move(incoming));
+    co_await deliver(session);
+}
+
+Task<void> Server::deliver(std::shared_ptr<Session> kept)
+{
+    Session &session = *kept;
+    if (session.isWriting_)
+        co_return;
+    session.isWriting_ = true;
+    while (!session.isBroken_ && !session.pending_.empty()
+           && session.pending_.front()->answer_.has_value()) {
+        const std::shared_ptr<Pending> front = session.pending_.front();
+        const bool isLast = session.isClosing_ || isLeaving_ || !front->wantsMore_;
+        front->answer_->keep_alive(!isLast);
+        const bool isWritten = co_await write(session, *front);
+        session.isBroken_ = session.isBroken_ || !isWritten;
+        if (!session.pending_.empty()) {
+            session.pending_.pop_front();
+            --inProgress_;
+        }
+        if (isLast) {
+            // Whoever sent more behind this answer is told by the closing that it was not read.
+            session.isClosing_ = true;
+            dropPending(session);
+        }
+    }
+    session.isWriting_ = false;
+    if (session.isClosing_ || session.isBroken_) {
+        ErrorCode ignored;
+        session.stream_.socket().cancel(ignored);
+    }
+    limitIdle(kept);
+    session.notify();
+}
+
+void Server::dropPending(Session &session)
+{
+    inProgress_ -= session.pending_.size();
+    session.pending_.clear();
+}
+
+Task<bool> Server::write(Session &session, Pending &pending)
+{
     session.stream_.expires_after(writeTimeout);
     ErrorCode error;
-    http::response_serializer<http::string_body> serializer(answer);
+    http::response_serializer<http::string_body> serializer(*pending.answer_);
     // The answer to HEAD names the length of a body that is not sent.
-    if (isHead) {
+    if (pending.isHead_) {
         co_await http::async_write_header(session.stream_, serializer,
                                           asio::redirect_error(asio::use_awaitable, error));
     } else {
         co_await http::async_write(session.stream_, serializer,
                                    asio::redirect_error(asio::use_awaitable, error));
     }
-    --inProgress_;
-    if (error)
-        co_return false;
-    if (!goesOn) {
-        co_await closeGently(session);
-    }
-    co_return goesOn;
+    co_return !error;
 }
 
 Task<ResultCode> Server::readRequest(Session &session, Request &request)
@@ -284,19 +405,6 @@
     co_return ResultCode::Ok;
 }
 
-Task<void> Server::refuse(Session &session, ResultCode code)
-{
-    Response answer = refusal(Model::Reason{code, ""}, 11);
-    answer.keep_alive(false);
-    session.stream_.expires_after(writeTimeout);
-    ErrorCode error;
-    co_await http::async_write(session.stream_, answer,
-                               asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
-        co_await closeGently(session);
-    }
-}
-
 Task<void> Server::closeGently(Session &session)
 {
     // Closing while the other end still sends makes the kernel reset the connection, and the reset
@@ -333,7 +441,8 @@
 void Server::closeIdle()
 {
     for (const auto &weak : sessions_) {
-        if (const auto session = weak.lock(); session && session->isIdle_)
+        const auto session = weak.lock();
+        if (session && session->isBetweenRequests_ && session->pending_.empty())
             session->stream_.cancel();
     }
 }
@@ -348,6 +457,7 @@
     case ResultCode::RequestTooSlow:
         return http::status::request_timeout;
     case ResultCode::UnknownService:
+    case ResultCode::UnknownRoute:
         return http::status::not_found;
     case ResultCode::KeyReusedWithOtherBody:
         return http::status::unprocessable_entity;
@@ -357,6 +467,7 @@
         return http::status::expectation_failed;
     case ResultCode::ClassLimited:
     case ResultCode::DisplacedByFairShare:
+    case ResultCode::OutrankedByUrgent:
         return http::status::too_many_requests;
     case ResultCode::TargetTimeout:
         return http::status::gateway_timeout;
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -16,6 +16,9 @@
     Model::Milliseconds idle_{60000};
     /// Longest time from the first byte of a request to its last.
     Model::Milliseconds request_{10000};
+    /// Requests of one connection that are worked on at the same time; their answers go out in the
+    /// order in which the requests came.
+    std::size_t pipelineDepth_ = 1;
 };
 
 /// A whole request as it came from a connection.
@@ -48,6 +51,9 @@
     /// BadValue as the last reason.
     bool listen(const Model::Address &address);
 
+    /// Sets the limits for what is read from now on. Buffers of open connections keep their size.
+    void setLimits(const ServerLimits &limits) { limits_ = limits; }
+
     /// From now on each answer tells the other end to use another connection next time.
     void beginLeaving() { isLeaving_ = true; }
 
@@ -62,13 +68,21 @@
 
 private:
     struct Session;
+    struct Pending;
     class ReadLimit;
 
     Task<void> acceptLoop(std::shared_ptr<tcp::acceptor> acceptor);
     Task<void> serve(std::shared_ptr<Session> session);
-    Task<bool> serveOne(std::shared_ptr<Session> kept);
+    Task<void> waitForChange(Session &session);
+    Task<bool> awaitFirstByte(std::shared_ptr<Session> kept);
+    void limitIdle(const std::shared_ptr<Session> &session);
+    Task<bool> readOne(std::shared_ptr<Session> kept);
     Task<Model::ResultCode> readRequest(Session &session, Request &request);
-    Task<void> refuse(Session &session, Model::ResultCode code);
+    Task<void> answerOne(std::shared_ptr<Session> session, std::shared_ptr<Pending> pending,
+                         IncomingRequest incoming);
+    Task<void> deliver(std::shared_ptr<Session> kept);
+    Task<bool> write(Session &session, Pending &pending);
+    void dropPending(Session &session);
     Task<void> closeGently(Session &session);
     void startSession(tcp::socket socket);
 
--- a/Libraries/LibModel/Columns.cpp
+++ b/Libraries/LibModel/Columns.cpp
@@ -74,6 +74,95 @@
      .maximum_ = 100,
      .default_ = "100",
      .meaning_ = "percent of the slots that may be in use"},
+    {.name_ = "cold_rps",
+     .type_ = Number,
+     .minimum_ = 0,
+     .maximum_ = 1000000,
+     .default_ = "0",
+     .meaning_ = "requests a second that a cold target bears, of all entries; 0 is no limit"},
+    {.name_ = "connections",
+     .type_ = Integer,
+     .minimum_ = 1,
+     .maximum_ = 1000000,
+     .default_ = "400",
+     .meaning_ = "connections that a target which registers itself holds in all"},
+};
+
+const std::vector<Column> routeColumns = {
+    {.name_ = "host",
+     .type_ = Text,
+     .required_ = true,
+     .meaning_ = "the host that a request names"},
+    {.name_ = "prefix",
+     .type_ = Text,
+     .required_ = true,
+     .meaning_ = "the beginning of the path, with a slash at both ends; the longest one wins"},
+    {.name_ = "services",
+     .type_ = Text,
+     .required_ = true,
+     .meaning_ = "where the requests go: a service, or several with weights, as in a:90, b:10"},
+    {.name_ = "idempotent",
+     .type_ = YesNo,
+     .default_ = "no",
+     .meaning_ = "whether a request may run more than once"},
+    {.name_ = "timeout_ms",
+     .type_ = Integer,
+     .minimum_ = 1,
+     .maximum_ = 600000,
+     .default_ = "2000",
+     .meaning_ = "longest time that a request is kept waiting"},
+    {.name_ = "latency_goal_ms",
+     .type_ = Integer,
+     .minimum_ = 1,
+     .maximum_ = 600000,
+     .default_ = "1000",
+     .meaning_ = "an answer within this time is worth most to the caller"},
+    {.name_ = "priority",
+     .type_ = Integer,
+     .minimum_ = 0,
+     .maximum_ = 1000,
+     .default_ = "0",
+     .meaning_ = "rank while slots are short; 0 goes first"},
+    {.name_ = "attempts",
+     .type_ = Integer,
+     .minimum_ = 1,
+     .maximum_ = 100,
+     .default_ = "1",
+     .meaning_ = "targets to which one request may be sent"},
+    {.name_ = "affinity",
+     .type_ = YesNo,
+     .default_ = "no",
+     .meaning_ = "whether requests for one object are best served by one target"},
+    {.name_ = "home_regions",
+     .type_ = Text,
+     .meaning_ = "comma-separated regions in which requests must stay; empty is all"},
+};
+
+const std::vector<Column> limitsColumns = {
+    {.name_ = "head_bytes",
+     .type_ = Integer,
+     .minimum_ = 256,
+     .maximum_ = 1048576,
+     .default_ = "16384",
+     .meaning_ = "largest head of a caller's request"},
+    {.name_ = "body_bytes",
+     .type_ = Integer,
+     .minimum_ = 0,
+     .maximum_ = 268435456,
+     .default_ = "1048576",
+     .meaning_ = "largest body of a caller's request"},
+    {.name_ = "request_ms",
+     .type_ = Integer,
+     .minimum_ = 10,
+     .maximum_ = 600000,
+     .default_ = "10000",
+     .meaning_ = "how long the head of a request may take to arrive"},
+    {.name_ = "idle_ms",
+     .type_ = Integer,
+     .minimum_ = 100,
+     .maximum_ = 3600000,
+     .default_ = "60000",
+     .meaning_ = "how long a caller's connection may rest between requests"},
 };
 
 const std::vector<Column> classColumns = {
@@ -169,6 +258,10 @@
         return serviceColumns;
     case RowKind::Class:
         return classColumns;
+    case RowKind::Route:
+        return routeColumns;
+    case RowKind::Limits:
+        return limitsColumns;
     case RowKind::Target:
         break;
     }
--- a/Libraries/LibModel/Identifiers.h
+++ b/Libraries/LibModel/Identifiers.h
@@ -36,6 +36,7 @@
 using CallerId = StrongId<struct CallerTag>;
 using CallerClassId = StrongId<struct CallerClassTag>;
 using RequestId = StrongId<struct RequestTag>;
+using RouteId = StrongId<struct RouteTag>;
 using EditId = StrongId<struct EditTag>;
 
 } // namespace Model
--- a/Libraries/LibModel/ResultCode.h
+++ b/Libraries/LibModel/ResultCode.h
@@ -25,6 +25,7 @@
     BadLookupQuery = 111,
     UnsupportedExpectation = 112,
     BadIdempotencyKey = 113,
+    UnknownRoute = 114,
 
     OverCapacity = 201,
     ShiftLimited = 202,
@@ -37,6 +38,8 @@
     TargetRefused = 209,
     ClassLimited = 210,
     TargetUnreachable = 211,
+    WouldBeLate = 212,
+    OutrankedByUrgent = 213,
 
     TargetConnectionLost = 301,
     TargetTimeout = 302,
@@ -60,6 +63,7 @@
     PlatformBadAnswer = 503,
     CommitConflict = 504,
     CommitOutcomeUnknown = 505,
+    PlatformHistoryGone = 506,
 
     SettingsUnreadable = 601,
     SettingsUnknownKey = 602,
--- /dev/null
+++ b/Libraries/LibModel/Route.cpp
@@ -0,0 +1,90 @@
+#include "Route.h"
+
+#include "ResultCode.h"
+
+#include <charconv>
+#include <cmath>
+#include <sstream>
+
+namespace Model {
+
+namespace {
+
+std::string trimmed(const std::string &text)
+{
+    const auto first = text.find_first_not_of(' ');
+    if (first == std::string::npos)
+        return "";
+    return text.substr(first, text.find_last_not_of(' ') - first + 1);
+}
+
+std::optional<RoutePart> partFromText(const std::string &text)
+{
+    const auto colon = text.find(':');
+    if (colon == std::string::npos)
+        return RoutePart{ServiceId(text), Weight(1)};
+    const std::string number = trimmed(text.substr(colon + 1));
+    double weight = 0;
+    const auto [end, error]
+        = std::from_chars(number.data(), number.data() + number.size(), weight);
+    const bool isWhole = error == std::errc() && end == number.data() + number.size();
+    if (!isWhole || !std::isfinite(weight) || weight < 0)
+        return std::nullopt;
+    return RoutePart{ServiceId(trimmed(text.substr(0, colon))), Weight(weight)};
+}
+
+} // namespace
+
+std::optional<std::vector<RoutePart>> routePartsFromText(const std::string &text)
+{
+    std::vector<RoutePart> parts;
+    double sum = 0;
+    std::istringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');) {
+        const auto part = partFromText(trimmed(item));
+        if (!part || part->service_.isEmpty())
+            return fail(ResultCode::BadValue, "services '" + text + "'");
+        sum += part->weight_.value();
+        parts.push_back(*part);
+    }
+    if (sum <= 0)
+        return fail(ResultCode::BadValue, "services '" + text + "'");
+    return parts;
+}
+
+std::string toText(const std::vector<RoutePart> &parts)
+{
+    std::string text;
+    for (const auto &part : parts) {
+        char weight[32];
+        std::snprintf(weight, sizeof weight, "%.10g", part.weight_.value());
+        text += (text.empty() ? "" : ", ") + part.service_.value() + ":" + weight;
+    }
+    return text;
+}
+
+void RouteIndex::add(Route route)
+{
+    byHost_[route.host_].insert_or_assign(route.prefix_, routes_.size());
+    routes_.push_back(std::move(route));
+}
+
+const Route *RouteIndex::find(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = byHost_.find(host);
+    if (prefixes == byHost_.end())
+        return nullptr;
+    // Prefixes end with a slash, so only the parts of the path that do can match; longest first.
+    auto slash = path.rfind('/');
+    while (slash != std::string_view::npos) {
+        const auto found = prefixes->second.find(path.substr(0, slash + 1));
+        if (found != prefixes->second.end())
+            return &routes_[found->second];
+        if (slash == 0)
+            break;
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+} // namespace Model
--- a/Libraries/LibModel/Row.cpp
+++ b/Libraries/LibModel/Row.cpp
@@ -12,11 +12,13 @@
     const char *name_;
 };
 
-constexpr std::array<KindName, 5> kindNames = {{{RowKind::Region, "region"},
+constexpr std::array<KindName, 7> kindNames = {{{RowKind::Region, "region"},
                                                 {RowKind::Domain, "domain"},
                                                 {RowKind::Service, "service"},
                                                 {RowKind::Class, "class"},
-                                                {RowKind::Target, "target"}}};
+                                                {RowKind::Target, "target"},
+                                                {RowKind::Route, "route"},
+                                                {RowKind::Limits, "limits"}}};
 
 bool isNameCharacter(char character)
 {
--- a/Libraries/LibModel/Row.h
+++ b/Libraries/LibModel/Row.h
@@ -12,7 +12,7 @@
 namespace Model {
 
 /// What a row of the operators' table is about.
-enum class RowKind { Region, Domain, Service, Class, Target };
+enum class RowKind { Region, Domain, Service, Class, Target, Route, Limits };
 
 /// Names one row, for example "service gauging".
 struct RowKey
@@ -36,7 +36,7 @@
     bool operator==(const Row &) const = default;
 };
 
-/// Returns "region", "domain", "service", "class" or "target". Thread safety: any thread.
+/// Returns "region", "domain", "service", "class", "target", "route" or "limits". Thread safety: any thread.
 std::string toText(RowKind kind);
 /// Returns "service gauging" and the like. Thread safety: any thread.
 std::string toText(const RowKey &key);
--- a/Libraries/LibModel/Table.cpp
+++ b/Libraries/LibModel/Table.cpp
@@ -99,6 +99,55 @@
     }
 }
 
+void checkRoute(const Row &row, const std::set<RowKey> &keys, std::vector<CellError> &errors)
+{
+    if (row.key_.kind_ != RowKind::Route)
+        return;
+    const std::string prefix = cellOrDefault(row, "prefix");
+    if (!prefix.starts_with('/') || !prefix.ends_with('/')) {
+        errors.push_back({ResultCode::BadValue, row.key_, "prefix", prefix,
+                          "a path that begins and ends with a slash"});
+    }
+    const std::string services = cellOrDefault(row, "services");
+    const auto parts = routePartsFromText(services);
+    if (!parts) {
+        errors.push_back({ResultCode::BadValue, row.key_, "services", services,
+                          "a service, or services with weights above 0 in all, as in a:90, b:10"});
+        return;
+    }
+    for (const auto &part : *parts) {
+        if (!keys.contains({RowKind::Service, part.service_.value()})) {
+            errors.push_back({ResultCode::DanglingReference, row.key_, "services",
+                              part.service_.value(), "the name of a service row"});
+        }
+    }
+    for (const auto &region : listIn(row, "home_regions")) {
+        if (!keys.contains({RowKind::Region, region})) {
+            errors.push_back({ResultCode::DanglingReference, row.key_, "home_regions", region,
+                              "the name of a region row"});
+        }
+    }
+}
+
+Route routeOf(const Row &row)
+{
+    Route route;
+    route.id_ = RouteId(row.key_.name_);
+    route.host_ = cellOrDefault(row, "host");
+    route.prefix_ = cellOrDefault(row, "prefix");
+    route.parts_ = routePartsFromText(cellOrDefault(row, "services")).value_or(
+        std::vector<RoutePart>());
+    route.isIdempotent_ = cellOrDefault(row, "idempotent") == "yes";
+    route.timeout_ = Milliseconds(std::stoll(cellOrDefault(row, "timeout_ms")));
+    route.latencyGoal_ = Milliseconds(std::stoll(cellOrDefault(row, "latency_goal_ms")));
+    route.priority_ = std::stoi(cellOrDefault(row, "priority"));
+    route.attempts_ = std::stoi(cellOrDefault(row, "attempts"));
+    route.hasAffinity_ = cellOrDefault(row, "affinity") == "yes";
+    for (const auto &region : listIn(row, "home_regions"))
+        route.homeRegions_.push_back(RegionId(region));
+    return route;
+}
+
 } // namespace
 
 std::vector<CellError> Table::check(const std::vector<Row> &rows)
@@ -117,8 +166,10 @@
         const auto before = errors.size();
         checkCells(row, keys, errors);
         checkRequired(row, errors);
-        if (errors.size() == before)
-            checkDrain(row, errors);
+        if (errors.size() != before)
+            continue;
+        checkDrain(row, errors);
+        checkRoute(row, keys, errors);
     }
     return errors;
 }
@@ -167,6 +218,8 @@
         service.regionShiftCap_ = SharePerSecond(numberIn(row, "region_shift_cap") * percent);
         service.isIdempotent_ = cellOrDefault(row, "idempotent") == "yes";
         service.useLimit_ = Share(numberIn(row, "use_limit") * percent);
+        service.coldLimit_ = RequestsPerSecond(numberIn(row, "cold_rps"));
+        service.connections_ = std::stoi(cellOrDefault(row, "connections"));
         services_.push_back(service);
         return;
     }
@@ -192,6 +245,15 @@
         targets_.push_back(std::move(target));
         return;
     }
+    case RowKind::Route:
+        routes_.add(routeOf(row));
+        return;
+    case RowKind::Limits:
+        callerLimits_.headBytes_ = std::stoull(cellOrDefault(row, "head_bytes"));
+        callerLimits_.bodyBytes_ = std::stoull(cellOrDefault(row, "body_bytes"));
+        callerLimits_.request_ = Milliseconds(std::stoll(cellOrDefault(row, "request_ms")));
+        callerLimits_.idle_ = Milliseconds(std::stoll(cellOrDefault(row, "idle_ms")));
+        return;
     }
 }
 
--- a/Libraries/LibModel/Table.h
+++ b/Libraries/LibModel/Table.h
@@ -2,6 +2,7 @@
 
 #include "Address.h"
 #include "Identifiers.h"
+#include "Route.h"
 #include "Row.h"
 #include "Units.h"
 
@@ -38,6 +39,21 @@
     SharePerSecond regionShiftCap_;
     bool isIdempotent_ = false;
     Share useLimit_;
+    /// What a cold target bears from all entries together; zero means no limit.
+    RequestsPerSecond coldLimit_;
+    /// Connections of a target that registers itself, from all entries together.
+    int connections_ = 0;
+};
+
+/// What callers may send, and how long they may take over it.
+struct CallerLimits
+{
+    std::size_t headBytes_ = 16384;
+    std::size_t bodyBytes_ = 1048576;
+    Milliseconds request_{10000};
+    Milliseconds idle_{60000};
+
+    bool operator==(const CallerLimits &) const = default;
 };
 
 struct CallerClass
@@ -110,6 +126,8 @@
     const std::vector<Service> &services() const { return services_; }
     const std::vector<CallerClass> &classes() const { return classes_; }
     const std::vector<Target> &targets() const { return targets_; }
+    const RouteIndex &routes() const { return routes_; }
+    const CallerLimits &callerLimits() const { return callerLimits_; }
     const std::vector<ShiftStart> &shiftStarts() const { return shiftStarts_; }
 
     /// Each returns nullptr where the table has no such row. Thread safety: any thread.
@@ -137,6 +155,8 @@
     std::vector<Service> services_;
     std::vector<CallerClass> classes_;
     std::vector<Target> targets_;
+    RouteIndex routes_;
+    CallerLimits callerLimits_;
     std::vector<ShiftStart> shiftStarts_;
     std::map<std::pair<ServiceId, FailureDomainId>, Slots> slots_;
 };
--- a/Libraries/LibModel/Units.h
+++ b/Libraries/LibModel/Units.h
@@ -58,6 +58,8 @@
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Milliseconds>;
 /// A time of a clock that never goes back; used for deadlines and ages.
 using SteadyTime = std::chrono::steady_clock::time_point;
+/// Stands for "never so far" among steady times: the clock may have begun with the process.
+constexpr SteadyTime longAgo{-std::chrono::hours(24)};
 
 /// Returns the seconds in \a duration as a floating-point number.
 template <typename Duration>
--- a/Libraries/LibObserve/Daemon.cpp
+++ b/Libraries/LibObserve/Daemon.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-DaemonStart startDaemon(int argc, char **argv, const std::string &purpose)
+DaemonStart startDaemon(int argc, char **argv, const std::string &purpose, SettingUse use,
+                        const std::string &usualPath)
 {
     const std::string help
         = purpose + "\n\nUsage: " + std::string(argv[0])
@@ -35,7 +36,7 @@
             "SIGTERM or SIGINT is a planned stop. Exit codes: 0 stopped as planned, 1 failed, "
             "2 bad settings, 3 bad usage, 4 cannot listen.";
     if (showHelpIfAsked(argc, argv, help, "LibObserve/Daemon"))
-        return {std::nullopt, ExitCode::Ok};
+        return {std::nullopt, ExitCode::Ok, ""};
     // Dashes are what users type; gflags knows names with underscores.
     for (int i = 1; i < argc; ++i) {
         if (std::string(argv[i]) == "--check-settings")
@@ -46,22 +47,23 @@
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
 
-    if (FLAGS_settings.empty()) {
+    const std::string path = FLAGS_settings.empty() ? usualPath : FLAGS_settings;
+    if (path.empty()) {
         std::cerr << "--settings FILE is needed; --help tells more\n";
-        return {std::nullopt, ExitCode::BadUsage};
+        return {std::nullopt, ExitCode::BadUsage, path};
     }
-    auto check = settingsFromFile(FLAGS_settings);
+    auto check = settingsFromFile(path, use);
     if (!check.settings_) {
         for (const auto &mistake : check.mistakes_)
             std::cerr << mistake << "\n";
         logEvent(Event::SettingsRefused, {{"mistakes", std::to_string(check.mistakes_.size())}});
-        return {std::nullopt, ExitCode::BadSettings};
+        return {std::nullopt, ExitCode::BadSettings, path};
     }
     if (FLAGS_check_settings) {
         std::cout << "settings are good\n";
-        return {std::nullopt, ExitCode::Ok};
+        return {std::nullopt, ExitCode::Ok, ""};
     }
-    return {std::move(check.settings_), ExitCode::Ok};
+    return {std::move(check.settings_), ExitCode::Ok, path};
 }
 
 bool showHelpIfAsked(int argc, char **argv, const std::string &help, const std::string &flagFile)
--- a/Libraries/LibObserve/Daemon.h
+++ b/Libraries/LibObserve/Daemon.h
@@ -15,13 +15,17 @@
 {
     std::optional<Settings> settings_;
     ExitCode exitCode_ = ExitCode::Ok;
+    /// Where the settings were read from.
+    std::string path_;
 };
 
 /// Reads the command line (--settings, --check-settings, --help), sets up the log, and reads and
-/// checks the settings. \a purpose is the first line of the help.
+/// checks the settings that \a use names. \a purpose is the first line of the help; \a usualPath is
+/// where the settings are if the command line does not say.
 ///
 /// Precondition: called once, first in main(). Thread safety: none.
-DaemonStart startDaemon(int argc, char **argv, const std::string &purpose);
+DaemonStart startDaemon(int argc, char **argv, const std::string &purpose,
+                        SettingUse use = SettingUse::Daemons, const std::string &usualPath = "");
 
 /// Prints \a help and the flags defined in the source file whose path holds \a flagFile, if the
 /// command line asks for help. Returns whether it did. Thread safety: none.
--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -39,22 +39,49 @@
         {ControlBack, Info, "ControlBack", "The local control process answers (again)."},
         {SnapshotRefused, Warning, "SnapshotRefused",
          "The local control process offered an older or invalid table."},
+        {RequestAnswered, Info, "RequestAnswered", "A target answered the request.", 30},
+        {RequestRefused, Info, "RequestRefused", "The request was refused and has not run.", 30},
+        {RequestUnknown, Warning, "RequestUnknown",
+         "The request ended without an answer of a target; it may have run.", 50},
+        {RequestRetried, Info, "RequestRetried", "The request is sent to a second target."},
+        {RequestAbandoned, Info, "RequestAbandoned", "The caller left before the answer."},
+        {TargetAdded, Info, "TargetAdded", "A target registered itself.", 100},
+        {TargetChanged, Info, "TargetChanged", "What a target says of itself changed.", 100},
+        {TargetGone, Info, "TargetGone", "A target's registration is gone; it gets no new work.",
+         100},
+        {TargetMissing, Warning, "TargetMissing",
+         "A registration lapsed around an outage of the store; the target is used a little longer.",
+         100},
+        {KnowledgeFromPeer, Info, "KnowledgeFromPeer",
+         "A peer knew newer rows while the store does not answer here."},
+        {HistoryLost, Warning, "HistoryLost", "The store forgot its history; all rows are read."},
+        {ClockGap, Warning, "ClockGap", "The process stood still; what it knew is old."},
+        {SettingsReloaded, Info, "SettingsReloaded", "The settings file was read anew."},
+        {SettingsReloadRefused, Error, "SettingsReloadRefused",
+         "The new settings have mistakes; the old ones stay in force."},
+        {LinesLeftOut, Info, "LinesLeftOut", "Lines of an event were left out in the last second."},
     };
     return catalogue;
 }
 
-void logEvent(Event event, const std::vector<Field> &fields)
+const EventInfo &infoOf(Event event)
 {
     const auto &catalogue = events();
     const auto found = std::find_if(catalogue.begin(), catalogue.end(), [event](const auto &info) {
         return info.event_ == event;
     });
+    return *found;
+}
+
+void logEvent(Event event, const std::vector<Field> &fields)
+{
+    const EventInfo &info = infoOf(event);
     std::string line
-        = "[" + std::to_string(static_cast<int>(event)) + " " + std::string(found->name_) + "]";
+        = "[" + std::to_string(static_cast<int>(event)) + " " + std::string(info.name_) + "]";
     for (const auto &field : fields)
         line += " " + std::string(field.name_) + "=" + field.value_;
 
-    switch (found->severity_) {
+    switch (info.severity_) {
     case Severity::Info:
         LOG(INFO) << line;
         return;
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -37,6 +37,22 @@
     ControlLost = 4002,
     ControlBack = 4003,
     SnapshotRefused = 4004,
+
+    RequestAnswered = 5001,
+    RequestRefused = 5002,
+    RequestUnknown = 5003,
+    RequestRetried = 5004,
+    RequestAbandoned = 5005,
+    TargetAdded = 5101,
+    TargetChanged = 5102,
+    TargetGone = 5103,
+    TargetMissing = 5104,
+    KnowledgeFromPeer = 5201,
+    HistoryLost = 5202,
+    ClockGap = 5203,
+    SettingsReloaded = 5301,
+    SettingsReloadRefused = 5302,
+    LinesLeftOut = 5401,
 };
 
 enum class Severity { Info, Warning, Error };
@@ -48,11 +64,16 @@
     Severity severity_;
     std::string_view name_;
     std::string_view meaning_;
+    /// Lines that a process writes of it in a second, at the most, in its decision log.
+    int linesPerSecond_ = 20;
 };
 
 /// Returns the whole catalogue in ascending order. Thread safety: any thread.
 const std::vector<EventInfo> &events();
 
+/// Returns the line of the catalogue for \a event. Thread safety: any thread.
+const EventInfo &infoOf(Event event);
+
 /// One name and value of a logged event.
 struct Field
 {
--- a/Libraries/LibObserve/LibObserve.h
+++ b/Libraries/LibObserve/LibObserve.h
@@ -5,6 +5,7 @@
 
 #include "Audit.h"
 #include "Daemon.h"
+#include "DecisionLog.h"
 #include "Event.h"
 #include "Metrics.h"
 #include "Settings.h"
--- a/Libraries/LibObserve/Settings.cpp
+++ b/Libraries/LibObserve/Settings.cpp
@@ -12,34 +12,42 @@
 
 using Model::ResultCode;
 
+using enum SettingUse;
+
 const std::vector<SettingInfo> infos = {
-    {"instance", "id", "", true, "a name", "the instance's name in the platform's list"},
-    {"instance", "region", "", true, "a name", "the region in which the instance runs"},
-    {"instance", "domain", "", true, "a name", "the failure domain in which the instance runs"},
-    {"listen", "lookup", "", true, "IP:port", "callers ask for an entry here"},
-    {"listen", "entry", "", true, "IP:port", "callers send requests here"},
-    {"listen", "entry_peer", "", true, "IP:port", "other entries hand requests over here"},
-    {"listen", "control", "", true, "IP:port", "other instances exchange state here"},
-    {"listen", "control_local", "", true, "IP:port", "the instance's own processes connect here"},
-    {"listen", "entry_admin", "", true, "IP:port", "readout of entryd"},
-    {"listen", "lookup_admin", "", true, "IP:port", "readout of lookupd"},
-    {"listen", "control_admin", "", true, "IP:port", "readout of controld"},
-    {"platform", "address", "", true, "IP:port", "the platform's table service and object store"},
-    {"platform", "timeout_ms", "1000", false, "1 to 60000", "longest wait for one answer"},
-    {"peers", "seeds", "", false, "IP:port, ...", "control addresses of some other instances"},
-    {"entry", "threads", "2", false, "1 to 64", "threads that serve requests"},
-    {"entry", "head_limit_bytes", "16384", false, "256 to 1048576", "largest head of a request"},
-    {"entry", "body_limit_bytes", "1048576", false, "0 to 268435456", "largest body of a request"},
-    {"entry", "idle_timeout_ms", "60000", false, "100 to 3600000",
+    {"instance", "id", "", true, Both, "a name", "the instance's name in the platform's list"},
+    {"instance", "region", "", true, Both, "a name", "the region in which the instance runs"},
+    {"instance", "domain", "", true, Both, "a name", "the failure domain in which the instance runs"},
+    {"listen", "lookup", "", true, Both, "IP:port", "callers ask for an entry here"},
+    {"listen", "entry", "", true, Both, "IP:port", "callers send requests here"},
+    {"listen", "entry_peer", "", true, Daemons, "IP:port", "other entries hand requests over here"},
+    {"listen", "control", "", true, Both, "IP:port", "other instances exchange state here"},
+    {"listen", "control_local", "", true, Daemons, "IP:port", "the instance's own processes connect here"},
+    {"listen", "entry_admin", "", true, Daemons, "IP:port", "readout of entryd"},
+    {"listen", "lookup_admin", "", true, Daemons, "IP:port", "readout of lookupd"},
+    {"listen", "control_admin", "", true, Daemons, "IP:port", "readout of controld"},
+    {"listen", "ready", "", true, OneProcess, "IP:port", "tells whether callers may be sent here"},
+    {"listen", "admin", "", true, OneProcess, "IP:port", "readout of instanced"},
+    {"platform", "terms", "", false, OneProcess, "name=value, ...",
+     "what the platform promises and asks, in its own words"},
+    {"site", "domains", "", true, OneProcess, "domain:region, ...",
+     "each failure domain with its region"},
+    {"platform", "address", "", true, Both, "IP:port", "the platform's table service and object store"},
+    {"platform", "timeout_ms", "1000", false, Both, "1 to 60000", "longest wait for one answer"},
+    {"peers", "seeds", "", false, Both, "IP:port, ...", "control addresses of some other instances"},
+    {"entry", "threads", "2", false, Daemons, "1 to 64", "threads that serve requests"},
+    {"entry", "head_limit_bytes", "16384", false, Daemons, "256 to 1048576", "largest head of a request"},
+    {"entry", "body_limit_bytes", "1048576", false, Daemons, "0 to 268435456", "largest body of a request"},
+    {"entry", "idle_timeout_ms", "60000", false, Daemons, "100 to 3600000",
      "how long a connection may rest between requests"},
-    {"entry", "request_timeout_ms", "10000", false, "10 to 600000",
+    {"entry", "request_timeout_ms", "10000", false, Daemons, "10 to 600000",
      "how long a request may take to arrive whole"},
-    {"lookup", "threads", "1", false, "1 to 64", "threads that answer look-ups"},
-    {"lookup", "ttl_ms", "2000", false, "100 to 60000", "how long callers may keep an answer"},
-    {"lookup", "entries", "4", false, "1 to 64", "entries named in one answer"},
-    {"control", "gossip_period_ms", "200", false, "10 to 60000", "time between two rounds"},
-    {"control", "gossip_peers", "2", false, "1 to 16", "peers asked in one round"},
-    {"control", "fleet_store_reads_per_s", "20", false, "0.1 to 2000",
+    {"lookup", "threads", "1", false, Daemons, "1 to 64", "threads that answer look-ups"},
+    {"lookup", "ttl_ms", "2000", false, Both, "100 to 60000", "how long callers may keep an answer"},
+    {"lookup", "entries", "4", false, Daemons, "1 to 64", "entries named in one answer"},
+    {"control", "gossip_period_ms", "200", false, Daemons, "10 to 60000", "time between two rounds"},
+    {"control", "gossip_peers", "2", false, Daemons, "1 to 16", "peers asked in one round"},
+    {"control", "fleet_store_reads_per_s", "20", false, Daemons, "0.1 to 2000",
      "reads of the store by all instances together"},
 };
 
@@ -49,8 +57,9 @@
 class Reader
 {
 public:
-    explicit Reader(const boost::property_tree::ptree &tree)
+    Reader(const boost::property_tree::ptree &tree, SettingUse use)
         : tree_(tree)
+        , use_(use)
     {
     }
 
@@ -63,7 +72,7 @@
             if (node != sectionNode->second.not_found())
                 return node->second.data();
         }
-        if (known.required_)
+        if (known.required_ && (known.use_ == use_ || known.use_ == Both))
             add(ResultCode::SettingsMissing, known, "");
         return std::string(known.default_);
     }
@@ -133,6 +142,24 @@
         return Model::Milliseconds(whole(section, key));
     }
 
+    std::vector<std::pair<Model::FailureDomainId, Model::RegionId>> domains()
+    {
+        std::vector<std::pair<Model::FailureDomainId, Model::RegionId>> result;
+        std::istringstream stream(text("site", "domains"));
+        for (std::string item; std::getline(stream, item, ',');) {
+            item.erase(0, item.find_first_not_of(' '));
+            item.erase(item.find_last_not_of(' ') + 1);
+            const auto colon = item.find(':');
+            if (colon == std::string::npos || colon == 0 || colon + 1 == item.size()) {
+                add(ResultCode::SettingsBadValue, info("site", "domains"), item);
+                continue;
+            }
+            result.emplace_back(Model::FailureDomainId(item.substr(0, colon)),
+                                Model::RegionId(item.substr(colon + 1)));
+        }
+        return result;
+    }
+
     std::map<Model::Address, Model::Address> dialMap()
     {
         std::map<Model::Address, Model::Address> result;
@@ -203,6 +230,7 @@
     }
 
     const boost::property_tree::ptree &tree_;
+    SettingUse use_;
     std::vector<std::string> mistakes_;
 };
 
@@ -215,6 +243,8 @@
     settings.controlLocal_ = reader.address("listen", "control_local");
     settings.entryAdmin_ = reader.address("listen", "entry_admin");
     settings.lookupAdmin_ = reader.address("listen", "lookup_admin");
+    settings.ready_ = reader.address("listen", "ready");
+    settings.admin_ = reader.address("listen", "admin");
     settings.addresses_.controlAdmin_ = reader.address("listen", "control_admin");
 }
 
@@ -240,7 +270,7 @@
     return infos;
 }
 
-SettingsCheck settingsFromText(const std::string &text)
+SettingsCheck settingsFromText(const std::string &text, SettingUse use)
 {
     SettingsCheck check;
     boost::property_tree::ptree tree;
@@ -253,7 +283,7 @@
         return check;
     }
 
-    Reader reader(tree);
+    Reader reader(tree, use);
     Settings settings;
     settings.instance_ = Model::InstanceId(reader.name("instance", "id"));
     settings.region_ = Model::RegionId(reader.name("instance", "region"));
@@ -262,6 +292,8 @@
     settings.platform_ = reader.address("platform", "address");
     settings.platformTimeout_ = reader.milliseconds("platform", "timeout_ms");
     settings.seeds_ = reader.addresses("peers", "seeds");
+    settings.platformTerms_ = reader.text("platform", "terms");
+    settings.domains_ = reader.domains();
     readLimits(reader, settings);
     settings.dial_ = reader.dialMap();
     reader.checkUnknown();
@@ -272,7 +304,7 @@
     return check;
 }
 
-SettingsCheck settingsFromFile(const std::string &path)
+SettingsCheck settingsFromFile(const std::string &path, SettingUse use)
 {
     std::ifstream file(path);
     if (!file) {
@@ -282,7 +314,7 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
-    return settingsFromText(text.str());
+    return settingsFromText(text.str(), use);
 }
 
 Model::Address dialAddress(const Settings &settings, const Model::Address &address)
--- a/Libraries/LibObserve/Settings.h
+++ b/Libraries/LibObserve/Settings.h
@@ -10,6 +10,15 @@
 
 namespace Observe {
 
+/// Which binaries read a setting.
+enum class SettingUse {
+    /// The three daemons of an instance of the project's own installation.
+    Daemons,
+    /// The one process of an instance on a platform that hands out small instances.
+    OneProcess,
+    Both,
+};
+
 /// Everything that the processes of one instance read from its settings file.
 struct Settings
 {
@@ -27,6 +36,15 @@
     Model::Milliseconds platformTimeout_{0};
     std::vector<Model::Address> seeds_;
 
+    /// One process only: tells whether the instance takes callers' requests.
+    Model::Address ready_;
+    /// One process only: metrics and status.
+    Model::Address admin_;
+    /// One process only: what the platform promises and asks, in its own words.
+    std::string platformTerms_;
+    /// One process only: each failure domain with its region.
+    std::vector<std::pair<Model::FailureDomainId, Model::RegionId>> domains_;
+
     int entryThreads_ = 1;
     std::size_t headLimitBytes_ = 0;
     std::size_t bodyLimitBytes_ = 0;
@@ -52,6 +70,7 @@
     std::string_view key_;
     std::string_view default_;
     bool required_ = false;
+    SettingUse use_ = SettingUse::Daemons;
     std::string_view allowed_;
     std::string_view meaning_;
 };
@@ -66,12 +85,12 @@
     std::vector<std::string> mistakes_;
 };
 
-/// Reads and checks a whole settings text. Either `settings_` is set or `mistakes_` lists every
+/// Reads and checks a whole settings text for the binaries \a use. Either `settings_` is set or `mistakes_` lists every
 /// mistake at once. Thread safety: any thread.
-SettingsCheck settingsFromText(const std::string &text);
+SettingsCheck settingsFromText(const std::string &text, SettingUse use = SettingUse::Daemons);
 
 /// As settingsFromText(), for the file at \a path. Thread safety: any thread.
-SettingsCheck settingsFromFile(const std::string &path);
+SettingsCheck settingsFromFile(const std::string &path, SettingUse use = SettingUse::Daemons);
 
 /// Returns where to connect to in order to reach \a address. Thread safety: any thread.
 Model::Address dialAddress(const Settings &settings, const Model::Address &address);
--- a/Libraries/LibPlatform/LibPlatform.h
+++ b/Libraries/LibPlatform/LibPlatform.h
@@ -7,4 +7,5 @@
 #include "ClaimBatcher.h"
 #include "Edits.h"
 #include "Store.h"
+#include "StoreCall.h"
 #include "TableMirror.h"
--- a/Libraries/LibPlatform/Store.cpp
+++ b/Libraries/LibPlatform/Store.cpp
@@ -1,5 +1,7 @@
 #include "Store.h"
 
+#include "StoreCall.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Platform {
@@ -10,47 +12,11 @@
 
 namespace {
 
-constexpr std::size_t connectionsToStore = 4;
-constexpr const char *hexDigits = "0123456789ABCDEF";
-
-std::string escaped(const std::string &text)
-{
-    std::string result;
-    for (unsigned char character : text) {
-        if (std::isalnum(character) || character == '-' || character == '_' || character == '.'
-            || character == '/') {
-            result += static_cast<char>(character);
-            continue;
-        }
-        result += '%';
-        result += hexDigits[character >> 4];
-        result += hexDigits[character & 15];
-    }
-    return result;
-}
-
-Task<Http::ExchangeResult> send(Store &store, Http::http::verb method, std::string target,
-                                std::string body)
-{
-    Http::Request request(method, target, 11);
-    request.set(Http::http::field::host, Model::toText(store.address_));
-    request.body() = std::move(body);
-    request.prepare_payload();
-
-    Http::ExchangeOptions options;
-    options.address_ = store.address_;
-    options.connectTimeout_ = store.timeout_;
-    options.deadline_ = std::chrono::steady_clock::now() + store.timeout_;
-    options.longestIdle_ = Model::Milliseconds(2000);
-    options.connectionLimit_ = connectionsToStore;
-    co_return co_await Http::exchange(*store.pool_, options, request, Http::anyAnswer);
-}
-
 /// Sends a read, once more on a new connection if a kept one failed: reads may be repeated.
 Task<std::optional<json>> readJson(Store &store, std::string target)
 {
     ++store.reads_;
-    const auto result = co_await send(store, Http::http::verb::get, target, "");
+    const auto result = co_await call(store, Http::http::verb::get, target, "");
     if (!result.answer_)
         co_return Model::fail(ResultCode::PlatformUnreachable, target);
     if (result.answer_->result() != Http::http::status::ok) {
@@ -136,7 +102,7 @@
 {
     ++store.writes_;
     const auto result
-        = co_await send(store, Http::http::verb::post, "/v1/commit", toJson(commit).dump());
+        = co_await call(store, Http::http::verb::post, "/v1/commit", toJson(commit).dump());
     if (result.stage_ == Http::ExchangeStage::NotConnected)
         co_return Model::fail(ResultCode::PlatformUnreachable, "commit");
     if (!result.answer_)
@@ -183,7 +149,7 @@
 {
     ++store.reads_;
     const auto result
-        = co_await send(store, Http::http::verb::get, "/v1/objects/" + escaped(name), "");
+        = co_await call(store, Http::http::verb::get, "/v1/objects/" + escaped(name), "");
     if (!result.answer_)
         co_return Model::fail(ResultCode::PlatformUnreachable, name);
     if (result.answer_->result() != Http::http::status::ok) {
--- /dev/null
+++ b/Libraries/LibPlatform/StoreCall.cpp
@@ -0,0 +1,50 @@
+#include "StoreCall.h"
+
+namespace Platform {
+
+using Http::Task;
+
+namespace {
+
+constexpr std::size_t connectionsToStore = 4;
+constexpr const char *hexDigits = "0123456789ABCDEF";
+/// A connection that rested longer may have been forgotten by something on the way.
+constexpr Model::Milliseconds longestRest{2000};
+
+} // namespace
+
+Task<Http::ExchangeResult> call(Store &store, Http::http::verb method, std::string target,
+                                std::string body, Model::Milliseconds patience)
+{
+    Http::Request request(method, target, 11);
+    request.set(Http::http::field::host, Model::toText(store.address_));
+    request.body() = std::move(body);
+    request.prepare_payload();
+
+    const auto limit = patience.count() > 0 ? patience : store.timeout_;
+    Http::ExchangeOptions options;
+    options.address_ = store.address_;
+    options.connectTimeout_ = store.timeout_;
+    options.deadline_ = std::chrono::steady_clock::now() + limit;
+    options.longestIdle_ = longestRest;
+    options.connectionLimit_ = connectionsToStore;
+    co_return co_await Http::exchange(*store.pool_, options, request, Http::anyAnswer);
+}
+
+std::string escaped(const std::string &text)
+{
+    std::string result;
+    for (unsigned char character : text) {
+        if (std::isalnum(character) || character == '-' || character == '_' || character == '.'
+            || character == '/') {
+            result += static_cast<char>(character);
+            continue;
+        }
+        result += '%';
+        result += hexDigits[character >> 4];
+        result += hexDigits[character & 15];
+    }
+    return result;
+}
+
+} // namespace Platform
--- /dev/null
+++ b/Libraries/LibPolicy/ColdRamp.cpp
@@ -0,0 +1,49 @@
+#include "ColdRamp.h"
+
+#include "Admission.h"
+
+#include <algorithm>
+
+namespace Policy {
+
+namespace {
+
+constexpr double mostSaved = 1;
+
+double tokensAt(const ColdRamp &ramp, Model::RequestsPerSecond limit, std::size_t holders,
+                Model::SteadyTime now)
+{
+    const double rate = limitPart(limit, holders).value();
+    const double earned = std::max(0.0, Model::inSeconds(now - ramp.filledAt_)) * rate;
+    return std::min(mostSaved, ramp.tokens_ + earned);
+}
+
+} // namespace
+
+void startRamp(ColdRamp &ramp, Model::SteadyTime now)
+{
+    ramp.tokens_ = 0;
+    ramp.filledAt_ = now;
+}
+
+bool takeFromRamp(ColdRamp &ramp, Model::RequestsPerSecond limit, std::size_t holders,
+                  Model::SteadyTime now)
+{
+    if (limit.value() <= 0)
+        return true;
+    const double tokens = tokensAt(ramp, limit, holders, now);
+    ramp.filledAt_ = now;
+    ramp.tokens_ = tokens;
+    if (tokens < 1)
+        return false;
+    ramp.tokens_ -= 1;
+    return true;
+}
+
+bool hasRampRoom(const ColdRamp &ramp, Model::RequestsPerSecond limit, std::size_t holders,
+                 Model::SteadyTime now)
+{
+    return limit.value() <= 0 || tokensAt(ramp, limit, holders, now) >= 1;
+}
+
+} // namespace Policy
--- a/Libraries/LibPolicy/EntryRanking.cpp
+++ b/Libraries/LibPolicy/EntryRanking.cpp
@@ -34,6 +34,21 @@
 
 } // namespace
 
+std::vector<Model::Instance> entriesOfRegion(const LookupQuery &query,
+                                             const std::vector<EntryCandidate> &candidates)
+{
+    const bool hasOwn = hasStayingEntry(query, candidates);
+    std::vector<Model::Instance> entries;
+    for (const auto &candidate : candidates) {
+        const auto &instance = candidate.instance_;
+        if (!candidate.isAlive_ || instance.isLeaving_)
+            continue;
+        if (!hasOwn || instance.region_ == query.origin_)
+            entries.push_back(instance);
+    }
+    return entries;
+}
+
 std::uint64_t rendezvousScore(const std::string &first, const std::string &second)
 {
     const XXH64_hash_t seed = XXH3_64bits(first.data(), first.size());
--- a/Libraries/LibPolicy/EntryRanking.h
+++ b/Libraries/LibPolicy/EntryRanking.h
@@ -38,6 +38,14 @@
                                          const std::vector<EntryCandidate> &candidates,
                                          std::size_t most);
 
+/// Returns the entries among which a caller may choose freely: the living ones of its own region
+/// that stay, or of all other regions where its own has none.
+///
+/// For callers that draw one of the entries named by chance instead of trying them in order.
+/// Thread safety: any thread.
+std::vector<Model::Instance> entriesOfRegion(const LookupQuery &query,
+                                             const std::vector<EntryCandidate> &candidates);
+
 /// Returns a well-mixed number for a pair of names, the same on every instance.
 ///
 /// Thread safety: any thread.
--- /dev/null
+++ b/Libraries/LibPolicy/Liveness.cpp
@@ -0,0 +1,49 @@
+#include "Liveness.h"
+
+#include <algorithm>
+
+namespace Policy {
+
+bool hearOf(Members &members, const Member &said, Model::SteadyTime now)
+{
+    Member &known = members[said.instance_.id_];
+    const bool isNew = known.instance_.id_.isEmpty();
+    const bool isLater = said.incarnation_ > known.incarnation_;
+    const bool isRise
+        = said.incarnation_ == known.incarnation_ && said.heartbeat_ > known.heartbeat_;
+    if (!isNew && !isLater && !isRise && !known.isHearsay_)
+        return false;
+    if (!isNew && known.isHearsay_ && said.isHearsay_)
+        return false;
+    known = said;
+    known.heardAt_ = now;
+    return true;
+}
+
+bool isAlive(const Member &member, Model::SteadyTime now)
+{
+    return !member.isHearsay_ && now - member.heardAt_ <= aliveFor;
+}
+
+void forgetSilent(Members &members, const Model::InstanceId &own, Model::SteadyTime now)
+{
+    std::erase_if(members, [&](const auto &entry) {
+        return entry.first != own && now - entry.second.heardAt_ > rememberedFor;
+    });
+}
+
+std::size_t holdersFor(const Members &members, const Model::RegionId &region,
+                       Model::SteadyTime now)
+{
+    std::size_t inRegion = 0;
+    std::size_t everywhere = 0;
+    for (const auto &[id, member] : members) {
+        if (member.isHearsay_ || now - member.heardAt_ > rememberedFor)
+            continue;
+        ++everywhere;
+        inRegion += member.instance_.region_ == region ? 1 : 0;
+    }
+    return std::max<std::size_t>(1, inRegion > 0 ? inRegion : everywhere);
+}
+
+} // namespace Policy
--- a/Libraries/LibPolicy/Outcome.cpp
+++ b/Libraries/LibPolicy/Outcome.cpp
@@ -31,9 +31,9 @@
     return Outcome::Unknown;
 }
 
-void earnRetryCredit(RetryBudget &budget)
+void earnRetryCredit(RetryBudget &budget, const RetryTerms &terms)
 {
-    budget.credit_ = std::min(largestRetryCredit, budget.credit_ + retryShare);
+    budget.credit_ = std::min(terms.largest_, budget.credit_ + terms.share_);
 }
 
 bool holdRetryCredit(RetryBudget &budget, bool isIdempotent, int attempts)
@@ -50,9 +50,10 @@
     budget.credit_ += 1;
 }
 
-bool mayRetry(RetryBudget &budget, Outcome outcome, bool isIdempotent, int attempts)
+bool mayRetry(RetryBudget &budget, Outcome outcome, bool isIdempotent, int attempts,
+              int attemptLimit)
 {
-    if (outcome == Outcome::Run || attempts >= mostAttempts)
+    if (outcome == Outcome::Run || attempts >= attemptLimit)
         return false;
     if (outcome == Outcome::Unknown && !isIdempotent)
         return false;
--- a/Libraries/LibPolicy/Outcome.h
+++ b/Libraries/LibPolicy/Outcome.h
@@ -42,8 +42,15 @@
 /// Attempts in all for one request.
 constexpr int mostAttempts = 2;
 
+/// How fast credit is earned and how much can be saved up.
+struct RetryTerms
+{
+    double share_ = retryShare;
+    double largest_ = largestRetryCredit;
+};
+
 /// Earns credit for one arriving request. Thread safety: \a budget belongs to the calling thread.
-void earnRetryCredit(RetryBudget &budget);
+void earnRetryCredit(RetryBudget &budget, const RetryTerms &terms = {});
 
 /// Sets credit aside for one more attempt of a request whose attempt number \a attempts begins.
 ///
@@ -62,6 +69,7 @@
 /// What goes wrong without the budget: when many targets fail at once, retries multiply the load
 /// that is left and keep it from recovering. What goes wrong without the test of the outcome:
 /// a non-idempotent request that may have started runs twice. Thread safety: as above.
-bool mayRetry(RetryBudget &budget, Outcome outcome, bool isIdempotent, int attempts);
+bool mayRetry(RetryBudget &budget, Outcome outcome, bool isIdempotent, int attempts,
+              int attemptLimit = mostAttempts);
 
 } // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/PartTurns.cpp
@@ -0,0 +1,23 @@
+#include "PartTurns.h"
+
+namespace Policy {
+
+std::size_t nextPart(PartTurns &turns, const std::vector<Model::RoutePart> &parts)
+{
+    if (parts.size() < 2)
+        return 0;
+    turns.owed_.resize(parts.size(), 0);
+    double sum = 0;
+    for (const auto &part : parts)
+        sum += part.weight_.value();
+    std::size_t next = 0;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        turns.owed_[i] += parts[i].weight_.value() / sum;
+        if (turns.owed_[i] > turns.owed_[next])
+            next = i;
+    }
+    turns.owed_[next] -= 1;
+    return next;
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/WorkTimes.cpp
@@ -0,0 +1,62 @@
+#include "WorkTimes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Policy {
+
+namespace {
+
+void blend(double &average, double value, double weight)
+{
+    average += (value - average) * weight;
+}
+
+} // namespace
+
+WorkTimes firstWorkTimes(Model::Milliseconds latencyGoal)
+{
+    const auto goalUs
+        = static_cast<double>(std::chrono::duration_cast<Model::Microseconds>(latencyGoal).count());
+    return {goalUs * firstWarmPart, goalUs * firstColdPart};
+}
+
+void learnWorkTime(WorkTimes &times, Model::Microseconds worked, bool isKnownWarm)
+{
+    const auto value = static_cast<double>(worked.count());
+    const bool isNearWarm = value < (times.warmUs_ + times.coldUs_) / 2;
+    if (isKnownWarm || isNearWarm) {
+        blend(times.warmUs_, value, workTimeWeight);
+    } else {
+        blend(times.coldUs_, value, workTimeWeight);
+    }
+    // Cold work is never believed to be faster than warm work.
+    times.coldUs_ = std::max(times.coldUs_, times.warmUs_);
+}
+
+TargetPace paceAt(const TargetPace &pace, Model::SteadyTime now)
+{
+    const double halves = std::max(0.0, Model::inSeconds(now - pace.changedAt_))
+                          / Model::inSeconds(paceHalfLife);
+    const double kept = std::exp2(-halves);
+    return {1 + (pace.slowness_ - 1) * kept, pace.failureRate_ * kept, now};
+}
+
+void learnAnswer(TargetPace &pace, Model::Microseconds worked, Model::Microseconds expected,
+                 Model::SteadyTime now)
+{
+    pace = paceAt(pace, now);
+    const auto usual = static_cast<double>(std::max<long long>(1, expected.count()));
+    const double ratio
+        = std::clamp(static_cast<double>(worked.count()) / usual, 1.0, mostSlowness);
+    blend(pace.slowness_, ratio, paceWeight);
+    blend(pace.failureRate_, 0, paceWeight);
+}
+
+void learnFailure(TargetPace &pace, Model::SteadyTime now)
+{
+    pace = paceAt(pace, now);
+    blend(pace.failureRate_, 1, paceWeight);
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -0,0 +1,400 @@
+#include "Dispatcher.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Steering {
+
+using Http::Task;
+using Model::Microseconds;
+using Model::Milliseconds;
+using Model::ResultCode;
+using Model::SteadyTime;
+using Observe::Event;
+using Policy::Outcome;
+namespace http = Http::http;
+
+namespace {
+
+/// A target is reached within a round trip; one that does not answer to the first packet by then
+/// is down or cut off.
+constexpr Milliseconds connectTimeout{400};
+/// A request that must not run twice goes on a fresher connection than one that may.
+constexpr Milliseconds longestRest{8000};
+constexpr Milliseconds longestRestOnce{3000};
+/// How long after the deadline a target's own word that it gave up may still arrive.
+constexpr Milliseconds deadlineSlack{150};
+/// A target that could not be reached is not tried again for so long.
+constexpr Milliseconds unreachablePause{1000};
+/// One request needs one connection; targets hold about four hundred for all entries together.
+constexpr std::size_t connectionsToTarget = 24;
+/// Late answers to earlier requests that may stand in front of the right one.
+constexpr int foreignAnswersSkipped = 2;
+/// Part of the second attempts that the platform lets all instances make, so that a miscount of
+/// instances breaks nothing.
+constexpr double usedRetryPart = 0.5;
+/// An instance that knows no table yet expects one within this time.
+constexpr Milliseconds comeBackWhenReady{300};
+constexpr long long longestDeadlineMs = 600000;
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+Http::beast::string_view viewOf(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string_view textOf(Http::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string_view withoutPort(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+std::optional<Milliseconds> timeLeftIn(std::string_view text)
+{
+    long long value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value <= 0)
+        return std::nullopt;
+    return Milliseconds(std::min(value, longestDeadlineMs));
+}
+
+std::string secondsText(Milliseconds duration)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", Model::inSeconds(duration));
+    return text;
+}
+
+/// Keeps the list of requests in progress in step with a request's life.
+class Registration
+{
+public:
+    Registration(std::list<Job *> &jobs, Job &job)
+        : jobs_(jobs)
+        , place_(jobs.insert(jobs.end(), &job))
+    {
+    }
+    ~Registration() { jobs_.erase(place_); }
+    Registration(const Registration &) = delete;
+    Registration &operator=(const Registration &) = delete;
+
+private:
+    std::list<Job *> &jobs_;
+    std::list<Job *>::iterator place_;
+};
+
+} // namespace
+
+Dispatcher::Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
+                       const Knowledge &knowledge, Placer &placer, Observe::DecisionLog &log)
+    : context_(context)
+    , port_(port)
+    , knowledge_(knowledge)
+    , placer_(placer)
+    , log_(log)
+    , pool_(context)
+{
+}
+
+Task<Http::Response> Dispatcher::answer(Http::IncomingRequest incoming)
+{
+    ++counters_.requests_;
+    Job job;
+    job.incoming_ = std::move(incoming);
+    const Registration registration(jobs_, job);
+    auto refused = readRequest(job);
+    if (refused)
+        co_return std::move(*refused);
+    Http::Response response = co_await carry(job);
+    if (job.isAbandoned_)
+        ++counters_.abandoned_;
+    co_return response;
+}
+
+std::optional<Http::Response> Dispatcher::readRequest(Job &job)
+{
+    const Http::Request &message = job.incoming_.message_;
+    job.arrivedAt_ = job.incoming_.arrivedAt_;
+    job.id_ = std::string(textOf(message[viewOf(port_.headers_.requestId_)]));
+    job.table_ = knowledge_.table();
+    if (!job.table_)
+        return refuse(job, {ResultCode::NotReady, comeBackWhenReady, Microseconds(0)});
+
+    const std::string_view host = withoutPort(textOf(message[http::field::host]));
+    job.route_ = job.table_->routes().find(host, pathOf(textOf(message.target())));
+    if (!job.route_)
+        return refuse(job, {ResultCode::UnknownRoute, Milliseconds(0), Microseconds(0)});
+
+    const auto patience = timeLeftIn(textOf(message[viewOf(port_.headers_.timeLeft_)]));
+    const Milliseconds timeout = job.route_->timeout_;
+    job.deadline_ = job.arrivedAt_ + std::min(patience.value_or(timeout), timeout);
+    const auto key = textOf(message[viewOf(port_.headers_.affinityKey_)]);
+    job.hasObject_ = job.route_->hasAffinity_ && !key.empty();
+    // Objects of different routes are different things, though their keys may be alike.
+    const std::string_view spread = job.hasObject_ ? key : std::string_view(job.id_);
+    job.object_ = Policy::ownerScore(Policy::seedOf(spread), Policy::seedOf(job.route_->id_.value()));
+    job.service_ = placer_.chooseService(*job.route_);
+    Policy::RetryTerms terms;
+    terms.share_ = port_.terms_.retryShare_ * usedRetryPart;
+    terms.largest_ = port_.terms_.retryExtra_ * usedRetryPart / static_cast<double>(instances_);
+    Policy::earnRetryCredit(retryBudgets_[job.service_], terms);
+    return std::nullopt;
+}
+
+Task<Http::Response> Dispatcher::carry(Job &job)
+{
+    std::optional<Attempt> last;
+    while (true) {
+        const auto placed = placer_.place(job, steadyNow());
+        if (const auto *refusal = std::get_if<Refusal>(&placed)) {
+            // What an earlier attempt left open stays open.
+            if (last && last->outcome_ != Outcome::NotRun)
+                co_return giveUp(job, *last);
+            co_return refuse(job, *refusal);
+        }
+        const Placement placement = std::get<Placement>(placed);
+        Attempt attempted = co_await attempt(job, placement);
+        if (attempted.answer_)
+            co_return deliver(job, placement, std::move(attempted));
+        const auto now = steadyNow();
+        if (!mayTryAgain(job, attempted, now))
+            co_return giveUp(job, attempted);
+        ++counters_.retried_;
+        log_.line(Event::RequestRetried)
+            .add("id", job.id_)
+            .add("after", Model::describe(attempted.code_))
+            .add("target", placement.target_->record_.id_.value());
+        last = std::move(attempted);
+    }
+}
+
+Task<Dispatcher::Attempt> Dispatcher::attempt(Job &job, const Placement &placement)
+{
+    TargetState &target = *placement.target_;
+    job.tried_.push_back(target.record_.id_);
+    const auto sentAt = steadyNow();
+    const Http::Request message = messageFor(job, target, sentAt);
+    Http::ExchangeOptions options;
+    options.address_ = target.record_.address_;
+    options.deadline_ = job.deadline_ + deadlineSlack;
+    options.connectTimeout_ = connectTimeout;
+    options.longestIdle_ = job.route_->isIdempotent_ ? longestRest : longestRestOnce;
+    if (job.attempts_ > 0)
+        options.longestIdle_ = Milliseconds(0);
+    options.connectionLimit_ = connectionsToTarget;
+    options.takesUnframed_ = true;
+    options.foreignAnswersSkipped_ = foreignAnswersSkipped;
+    options.control_ = &job.control_;
+
+    ++target.ownInFlight_;
+    Http::ExchangeResult result = co_await Http::exchange(
+        pool_, options, message,
+        [name = viewOf(port_.headers_.requestId_)](const Http::Request &request,
+                                                   const Http::Response &answer) {
+            return answer.count(name) == 1 && answer[name] == request[name];
+        });
+    --target.ownInFlight_;
+    const auto now = steadyNow();
+    if (result.connectTook_.count() > 0)
+        placer_.noteConnect(target, result.connectTook_);
+    if (result.stage_ != Http::ExchangeStage::NotConnected)
+        ++job.attempts_;
+    const auto took = std::chrono::duration_cast<Microseconds>(now - sentAt);
+    Attempt attempted = judge(job, placement, std::move(result));
+    if (attempted.answer_)
+        placer_.noteAnswer(job, placement, took, now);
+    co_return attempted;
+}
+
+Http::Request Dispatcher::messageFor(const Job &job, const TargetState &target,
+                                     SteadyTime now) const
+{
+    Http::Request message = job.incoming_.message_;
+    Http::stripConnectionFields(message);
+    const auto left = std::chrono::duration_cast<Milliseconds>(job.deadline_ - now);
+    message.set(viewOf(port_.headers_.timeLeft_),
+                std::to_string(std::max<long long>(1, left.count())));
+    // An address may by now belong to another target, which must not run the request.
+    message.set(viewOf(port_.headers_.expectedTarget_), target.record_.id_.value());
+    message.keep_alive(true);
+    message.prepare_payload();
+    return message;
+}
+
+void Dispatcher::noteLoad(TargetState &target, const Http::Response &answer)
+{
+    const auto load = port_.loadIn_(answer);
+    if (!load)
+        return;
+    target.reportedInFlight_ = load->running_ + load->waiting_;
+    target.ownInFlightAtReport_ = target.ownInFlight_;
+    target.reportedAt_ = steadyNow();
+}
+
+Dispatcher::Attempt Dispatcher::judge(Job &job, const Placement &placement,
+                                      Http::ExchangeResult result)
+{
+    TargetState &target = *placement.target_;
+    const auto now = steadyNow();
+    Attempt attempted;
+    attempted.wasSent_ = result.stage_ != Http::ExchangeStage::NotConnected;
+    counters_.foreignAnswers_ += static_cast<std::uint64_t>(result.foreignAnswers_);
+    if (result.foreignAnswers_ > 0) {
+        log_.line(Event::ForeignAnswerDropped)
+            .add("id", job.id_)
+            .add("target", target.record_.id_.value());
+    }
+    if (!result.answer_) {
+        attempted.code_ = result.code_;
+        attempted.outcome_ = attempted.wasSent_ ? Policy::outcomeOf(Policy::AttemptStage::Sent)
+                                                : Policy::outcomeOf(
+                                                    Policy::AttemptStage::NotConnected);
+        if (!job.isAbandoned_)
+            placer_.noteFailure(placement, now);
+        if (!attempted.wasSent_) {
+            target.unreachableUntil_ = now + unreachablePause;
+            log_.line(Event::TargetSuspect)
+                .add("target", target.record_.id_.value())
+                .add("reason", Model::describe(result.code_));
+        }
+        return attempted;
+    }
+    noteLoad(target, *result.answer_);
+    const auto status = result.answer_->result();
+    const bool isMisdirected = status == http::status::misdirected_request;
+    if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
+        ++counters_.refusedByTargets_;
+        attempted.outcome_ = Policy::outcomeOf(Policy::AttemptStage::RefusedByTarget);
+        attempted.code_ = ResultCode::TargetRefused;
+        if (isMisdirected) {
+            target.isReplaced_ = true;
+            log_.line(Event::TargetGone)
+                .add("target", target.record_.id_.value())
+                .add("by", "another target at its address");
+        } else {
+            placer_.noteFailure(placement, now);
+        }
+        return attempted;
+    }
+    attempted.outcome_ = Policy::outcomeOf(Policy::AttemptStage::Answered);
+    attempted.answer_ = std::move(result.answer_);
+    return attempted;
+}
+
+bool Dispatcher::mayTryAgain(const Job &job, const Attempt &attempt, SteadyTime now)
+{
+    if (job.isAbandoned_ || now >= job.deadline_)
+        return false;
+    const auto &route = *job.route_;
+    // What never left counts against no budget, but it does not go on for ever either.
+    const auto tries = static_cast<int>(job.tried_.size());
+    if (!attempt.wasSent_)
+        return tries <= route.attempts_;
+    return Policy::mayRetry(retryBudgets_[job.service_], attempt.outcome_, route.isIdempotent_,
+                            job.attempts_, route.attempts_);
+}
+
+Http::Response Dispatcher::refuse(Job &job, const Refusal &refusal)
+{
+    ++counters_.refused_;
+    ++counters_.byCode_[refusal.code_];
+    const auto now = steadyNow();
+    log_.line(Event::RequestRefused)
+        .add("id", job.id_)
+        .add("code", static_cast<std::int64_t>(Model::number(refusal.code_)))
+        .add("route", job.route_ ? job.route_->id_.value() : "")
+        .add("service", job.service_.value())
+        .add("expected_ms", refusal.expected_)
+        .add("held_ms", std::chrono::duration_cast<Microseconds>(now - job.arrivedAt_))
+        .add("attempts", static_cast<std::int64_t>(job.attempts_))
+        .add("come_back_ms", static_cast<std::int64_t>(refusal.comeBack_.count()))
+        .add("version",
+             job.table_ ? static_cast<std::int64_t>(job.table_->version().value()) : 0);
+    auto response = Http::refusal({refusal.code_, ""}, job.incoming_.message_.version());
+    if (refusal.comeBack_.count() > 0)
+        response.set(http::field::retry_after, secondsText(refusal.comeBack_));
+    response.set(viewOf(port_.headers_.requestId_), job.id_);
+    return response;
+}
+
+Http::Response Dispatcher::giveUp(Job &job, const Attempt &attempt)
+{
+    if (attempt.outcome_ == Outcome::NotRun) {
+        const auto comeBack = Policy::returnAfter(Microseconds(0), job.route_->latencyGoal_, 0.5);
+        return refuse(job, {attempt.code_, comeBack, Microseconds(0)});
+    }
+    ++counters_.unknown_;
+    ++counters_.byCode_[attempt.code_];
+    const auto now = steadyNow();
+    log_.line(job.isAbandoned_ ? Event::RequestAbandoned : Event::RequestUnknown)
+        .add("id", job.id_)
+        .add("code", static_cast<std::int64_t>(Model::number(attempt.code_)))
+        .add("route", job.route_->id_.value())
+        .add("service", job.service_.value())
+        .add("target", job.tried_.empty() ? "" : job.tried_.back().value())
+        .add("attempts", static_cast<std::int64_t>(job.attempts_))
+        .add("held_ms", std::chrono::duration_cast<Microseconds>(now - job.arrivedAt_))
+        .add("deadline_ms",
+             std::chrono::duration_cast<Microseconds>(job.deadline_ - job.arrivedAt_))
+        .add("version", static_cast<std::int64_t>(job.table_->version().value()));
+    auto response = Http::refusal({attempt.code_, ""}, job.incoming_.message_.version());
+    response.set(viewOf(port_.headers_.requestId_), job.id_);
+    return response;
+}
+
+Http::Response Dispatcher::deliver(Job &job, const Placement &placement, Attempt attempt)
+{
+    ++counters_.answered_;
+    counters_.toHome_ += placement.isHome_ ? 1 : 0;
+    counters_.toWarm_ += placement.isWarm_ ? 1 : 0;
+    const auto took = std::chrono::duration_cast<Microseconds>(steadyNow() - job.arrivedAt_);
+    counters_.latency_[job.route_->id_].add(took);
+    log_.line(Event::RequestAnswered)
+        .add("id", job.id_)
+        .add("status", static_cast<std::int64_t>(attempt.answer_->result_int()))
+        .add("route", job.route_->id_.value())
+        .add("service", job.service_.value())
+        .add("target", placement.target_->record_.id_.value())
+        .add("home", placement.isHome_ ? "yes" : "no")
+        .add("warm", placement.isWarm_ ? "yes" : "no")
+        .add("load", static_cast<std::int64_t>(placement.load_))
+        .add("expected_ms", placement.expected_)
+        .add("took_ms", took)
+        .add("attempts", static_cast<std::int64_t>(job.attempts_))
+        .add("version", static_cast<std::int64_t>(job.table_->version().value()));
+    Http::stripConnectionFields(*attempt.answer_);
+    attempt.answer_->prepare_payload();
+    return std::move(*attempt.answer_);
+}
+
+void Dispatcher::sweepAbandoned()
+{
+    for (Job *job : jobs_) {
+        if (job->isAbandoned_ || !job->route_ || !job->incoming_.isGone_())
+            continue;
+        job->isAbandoned_ = true;
+        if (job->route_->isIdempotent_)
+            job->control_.cancel();
+    }
+}
+
+void Dispatcher::dropIdleConnections(const TargetBook &book)
+{
+    for (const auto &[id, target] : book.all())
+        pool_.dropIdle(target->record_.address_);
+}
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Placer.h"
+
+#include <list>
+
+namespace Steering {
+
+/// What became of the requests that came to this instance.
+struct DispatchCounters
+{
+    std::uint64_t requests_ = 0;
+    std::uint64_t answered_ = 0;
+    std::uint64_t refused_ = 0;
+    std::uint64_t unknown_ = 0;
+    std::uint64_t retried_ = 0;
+    std::uint64_t abandoned_ = 0;
+    std::uint64_t refusedByTargets_ = 0;
+    std::uint64_t foreignAnswers_ = 0;
+    std::uint64_t toHome_ = 0;
+    std::uint64_t toWarm_ = 0;
+    std::map<Model::ResultCode, std::uint64_t> byCode_;
+    /// By route.
+    std::map<Model::RouteId, Observe::DurationSummary> latency_;
+};
+
+/// Carries callers' requests to targets and their answers back.
+///
+/// Thread safety: none; runs on one thread's io_context.
+class Dispatcher
+{
+public:
+    Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
+               const Knowledge &knowledge, Placer &placer, Observe::DecisionLog &log);
+
+    /// Answers one request of a caller.
+    Http::Task<Http::Response> answer(Http::IncomingRequest incoming);
+
+    /// Ends the attempts of requests whose callers have left, where they may be repeated.
+    ///
+    /// What goes wrong without it: under overload callers leave, targets go on working for nobody,
+    /// and the slots that would serve those who stayed are taken.
+    void sweepAbandoned();
+
+    /// Sets how many instances share the budget of second attempts.
+    void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
+
+    /// Closes idle connections to every target: after a standstill they may be long dead.
+    void dropIdleConnections(const TargetBook &book);
+
+    std::size_t inProgress() const { return jobs_.size(); }
+    const DispatchCounters &counters() const { return counters_; }
+
+private:
+    /// What one attempt came to.
+    struct Attempt
+    {
+        Policy::Outcome outcome_ = Policy::Outcome::NotRun;
+        Model::ResultCode code_ = Model::ResultCode::Ok;
+        std::optional<Http::Response> answer_;
+        bool wasSent_ = false;
+    };
+
+    std::optional<Http::Response> readRequest(Job &job);
+    Http::Task<Http::Response> carry(Job &job);
+    Http::Task<Attempt> attempt(Job &job, const Placement &placement);
+    Http::Request messageFor(const Job &job, const TargetState &target,
+                             Model::SteadyTime now) const;
+    Attempt judge(Job &job, const Placement &placement, Http::ExchangeResult result);
+    void noteLoad(TargetState &target, const Http::Response &answer);
+    bool mayTryAgain(const Job &job, const Attempt &attempt, Model::SteadyTime now);
+
+    Http::Response refuse(Job &job, const Refusal &refusal);
+    Http::Response giveUp(Job &job, const Attempt &attempt);
+    Http::Response deliver(Job &job, const Placement &placement, Attempt attempt);
+
+    Http::asio::io_context &context_;
+    const PlatformPort &port_;
+    const Knowledge &knowledge_;
+    Placer &placer_;
+    Observe::DecisionLog &log_;
+    Http::ConnectionPool pool_;
+    std::list<Job *> jobs_;
+    std::unordered_map<Model::ServiceId, Policy::RetryBudget> retryBudgets_;
+    std::size_t instances_ = 1;
+    DispatchCounters counters_;
+};
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/Instance.cpp
@@ -0,0 +1,423 @@
+#include "Instance.h"
+
+#include <ctime>
+#include <unistd.h>
+
+namespace Steering {
+
+using Http::Task;
+using Model::Microseconds;
+using Model::Milliseconds;
+using Model::SteadyTime;
+using Observe::Event;
+namespace http = Http::http;
+
+namespace {
+
+/// How often callers that have left are looked for and the log is written. Half of what a target
+/// may be left working for nobody is half a second.
+constexpr Milliseconds tickPeriod{100};
+
+/// A clock that counts standstills gets ahead by more than this only while the process stood still.
+constexpr Microseconds standstill{300000};
+
+/// How long callers may keep an answer of a look-up.
+constexpr Milliseconds lookupLife{1500};
+/// A fresh instance waits this long for its peers before it names entries alone.
+constexpr Milliseconds peerPatience{1500};
+constexpr std::size_t mostEntriesNamed = 64;
+
+/// Requests of one connection that are worked on at the same time.
+constexpr std::size_t pipelineDepth = 16;
+/// Callers are allowed this much more than the table's idle limit, so that none finds its
+/// connection closed at the very moment that it uses it.
+constexpr Milliseconds idleSlack{2000};
+
+/// A stop takes these steps; together with the longest request they stay inside the time after
+/// which a stopped process is killed.
+constexpr Milliseconds spreadTime{1700};
+constexpr Milliseconds acceptTime{800};
+constexpr Milliseconds stopStep{20};
+/// What is left of the platform's patience when the process ends at the latest.
+constexpr Milliseconds stopReserve{400};
+
+Microseconds gapBetweenClocks()
+{
+    timespec boot{};
+    timespec steady{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    clock_gettime(CLOCK_MONOTONIC, &steady);
+    return Microseconds((boot.tv_sec - steady.tv_sec) * 1000000LL
+                        + (boot.tv_nsec - steady.tv_nsec) / 1000);
+}
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+Http::ServerLimits entryLimits(const Model::CallerLimits &limits)
+{
+    Http::ServerLimits result;
+    result.headBytes_ = limits.headBytes_;
+    result.bodyBytes_ = limits.bodyBytes_;
+    result.idle_ = limits.idle_ + idleSlack;
+    result.request_ = limits.request_;
+    result.pipelineDepth_ = pipelineDepth;
+    return result;
+}
+
+} // namespace
+
+/// The parts that need the port, in the order in which they depend on each other.
+struct Instance::Parts
+{
+    Parts(Instance &instance)
+        : knowledge_(instance.port_, instance.settings_, instance.log_)
+        , book_(instance.port_, knowledge_, instance.log_)
+        , placer_(instance.settings_, knowledge_, book_)
+        , dispatcher_(instance.context_, instance.port_, knowledge_, placer_, instance.log_)
+        , peers_(instance.context_, instance.port_, instance.settings_, knowledge_, instance.log_)
+        , follower_(instance.context_, instance.port_, knowledge_, instance.log_,
+                    [&instance] {
+                        instance.knowledgeChanged();
+                    })
+        , entry_(instance.context_, entryLimits({}),
+                 [this](Http::IncomingRequest request) {
+                     return dispatcher_.answer(std::move(request));
+                 })
+        , lookup_(instance.context_, {},
+                  [&instance](Http::IncomingRequest request) {
+                      return instance.answerLookup(std::move(request));
+                  })
+        , ready_(instance.context_, {},
+                 [&instance](Http::IncomingRequest request) {
+                     return instance.answerReady(std::move(request));
+                 })
+        , admin_(instance.context_, {}, [&instance](Http::IncomingRequest request) {
+            return instance.answerAdmin(std::move(request));
+        })
+    {
+    }
+
+    Knowledge knowledge_;
+    TargetBook book_;
+    Placer placer_;
+    Dispatcher dispatcher_;
+    PeerExchange peers_;
+    StoreFollower follower_;
+    Http::Server entry_;
+    Http::Server lookup_;
+    Http::Server ready_;
+    Http::Server admin_;
+};
+
+Instance::Instance(const Observe::Settings &settings, std::string settingsPath)
+    : settings_(settings)
+    , settingsPath_(std::move(settingsPath))
+    , signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    , storePool_(context_)
+    , log_(STDOUT_FILENO)
+{
+    store_.address_ = settings_.platform_;
+    store_.timeout_ = settings_.platformTimeout_;
+    store_.pool_ = &storePool_;
+}
+
+Instance::~Instance() = default;
+
+void Instance::usePlatform(PlatformPort port)
+{
+    port_ = std::move(port);
+    parts_ = std::make_unique<Parts>(*this);
+}
+
+bool Instance::start()
+{
+    const bool isListening = parts_->entry_.listen(settings_.addresses_.entry_)
+                             && parts_->lookup_.listen(settings_.addresses_.lookup_)
+                             && parts_->ready_.listen(settings_.ready_)
+                             && parts_->admin_.listen(settings_.admin_)
+                             && parts_->peers_.start();
+    if (!isListening) {
+        log_.line(Event::ListenFailed).add("reason", toText(Model::lastReason()));
+        log_.flush();
+        return false;
+    }
+    startedAt_ = steadyNow();
+    clockGap_ = gapBetweenClocks();
+    log_.line(Event::Started)
+        .add("instance", settings_.instance_.value())
+        .add("domain", settings_.domain_.value())
+        .add("region", settings_.region_.value());
+    parts_->peers_.setKnowledgeChanged([this] {
+        knowledgeChanged();
+    });
+    parts_->follower_.start();
+    awaitSignal();
+    Http::asio::co_spawn(context_, tickLoop(), Http::asio::detached);
+    Http::asio::co_spawn(context_, introduce(), Http::asio::detached);
+    return true;
+}
+
+void Instance::run()
+{
+    context_.run();
+    log_.line(Event::Stopped)
+        .add("in_progress", static_cast<std::int64_t>(parts_->dispatcher_.inProgress()));
+    log_.flush();
+}
+
+void Instance::awaitSignal()
+{
+    signals_.async_wait([this](const Http::ErrorCode &error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            reload();
+        } else if (!isStopping_) {
+            isStopping_ = true;
+            Http::asio::co_spawn(context_, stopGently(), Http::asio::detached);
+        }
+        awaitSignal();
+    });
+}
+
+Task<void> Instance::introduce()
+{
+    const std::string id = settings_.instance_.value();
+    const bool isWritten = co_await port_.writeInstance_(id, parts_->peers_.ownRecord());
+    const auto records = co_await port_.readInstances_();
+    if (!isWritten || !records) {
+        log_.line(Event::StoreLost)
+            .add("table", "instances")
+            .add("reason", toText(Model::lastReason()));
+    }
+    if (records) {
+        for (const auto &record : *records)
+            parts_->peers_.addRecord(record);
+    }
+}
+
+Task<void> Instance::tickLoop()
+{
+    while (true) {
+        co_await Http::sleepFor(tickPeriod);
+        const auto now = steadyNow();
+        checkClocks();
+        parts_->book_.dropMissing(now);
+        parts_->dispatcher_.sweepAbandoned();
+        parts_->peers_.setStoreReached(parts_->follower_.isReached());
+        countEntries();
+        updateReadiness();
+        log_.flush();
+    }
+}
+
+void Instance::checkClocks()
+{
+    const auto gap = gapBetweenClocks();
+    if (gap - clockGap_ > standstill) {
+        log_.line(Event::ClockGap).add("stood_still_ms", gap - clockGap_);
+        parts_->peers_.forgetAges();
+        parts_->dispatcher_.dropIdleConnections(parts_->book_);
+        storePool_.dropIdle(store_.address_);
+    }
+    clockGap_ = gap;
+}
+
+void Instance::countEntries()
+{
+    const auto &table = parts_->knowledge_.table();
+    if (!table)
+        return;
+    const auto now = steadyNow();
+    std::vector<std::size_t> entries;
+    std::size_t all = 0;
+    for (const auto &region : table->regions()) {
+        std::size_t count = 0;
+        for (const auto &[id, member] : parts_->peers_.members()) {
+            const bool mayRun
+                = !member.isHearsay_ && now - member.heardAt_ <= Policy::rememberedFor;
+            count += mayRun && member.instance_.region_ == region.id_ ? 1 : 0;
+        }
+        entries.push_back(count);
+        all += count;
+    }
+    parts_->placer_.setEntries(std::move(entries));
+    parts_->dispatcher_.setInstances(all);
+}
+
+void Instance::knowledgeChanged()
+{
+    auto &knowledge = parts_->knowledge_;
+    if (tableSeen_ != knowledge.tableChanges()) {
+        tableSeen_ = knowledge.tableChanges();
+        parts_->placer_.tableChanged();
+        parts_->entry_.setLimits(entryLimits(knowledge.table()->callerLimits()));
+    }
+    parts_->book_.update(steadyNow(), parts_->follower_.failedAt());
+    countEntries();
+    updateReadiness();
+}
+
+void Instance::updateReadiness()
+{
+    const bool isReady = !isStopping_ && parts_->knowledge_.table()
+                         && parts_->knowledge_.mirror(StoreTable::Targets).isKnown_;
+    if (isReady == isReady_)
+        return;
+    isReady_ = isReady;
+    parts_->peers_.setReady(isReady);
+    if (isReady)
+        log_.line(Event::Ready);
+}
+
+void Instance::reload()
+{
+    const auto check = Observe::settingsFromFile(settingsPath_, Observe::SettingUse::OneProcess);
+    if (!check.settings_) {
+        for (const auto &mistake : check.mistakes_)
+            log_.line(Event::SettingsReloadRefused).add("mistake", mistake);
+        return;
+    }
+    const auto &fresh = *check.settings_;
+    const bool needsRestart = fresh.addresses_ != settings_.addresses_
+                              || fresh.instance_ != settings_.instance_
+                              || fresh.platform_ != settings_.platform_
+                              || fresh.domains_ != settings_.domains_;
+    const bool hasNewSeeds = fresh.seeds_ != settings_.seeds_;
+    settings_.seeds_ = fresh.seeds_;
+    log_.line(Event::SettingsReloaded)
+        .add("seeds", hasNewSeeds ? "changed" : "same")
+        .add("needs_restart", needsRestart ? "yes" : "no");
+}
+
+Task<Http::Response> Instance::answerLookup(Http::IncomingRequest request)
+{
+    const unsigned version = request.message_.version();
+    const auto query = port_.readLookup_(request.message_);
+    if (!query)
+        co_return Http::refusal(Model::lastReason(), version);
+    const auto now = steadyNow();
+    const bool hasHeard = parts_->peers_.hasAsked() || now - startedAt_ > peerPatience;
+    std::vector<Policy::EntryCandidate> candidates;
+    for (const auto &[id, member] : parts_->peers_.members()) {
+        candidates.push_back(
+            {member.instance_, member.isReady_ && Policy::isAlive(member, now) && hasHeard});
+    }
+    auto entries = Policy::entriesOfRegion(*query, candidates);
+    if (entries.empty())
+        co_return Http::refusal({Model::ResultCode::NotReady, ""}, version);
+    if (entries.size() > mostEntriesNamed)
+        entries.resize(mostEntriesNamed);
+    co_return port_.lookupAnswer_(entries, lookupLife);
+}
+
+Task<Http::Response> Instance::answerReady(Http::IncomingRequest request)
+{
+    const unsigned version = request.message_.version();
+    if (!port_.asksReadiness_(request.message_)) {
+        co_return Http::textAnswer(http::status::not_found, "text/plain", "", version);
+    }
+    const auto status = isReady_ ? http::status::ok : http::status::service_unavailable;
+    co_return Http::textAnswer(status, "text/plain", isReady_ ? "ready\n" : "not ready\n", version);
+}
+
+Task<Http::Response> Instance::answerAdmin(Http::IncomingRequest request)
+{
+    const unsigned version = request.message_.version();
+    if (request.message_.target() != "/metrics") {
+        co_return Http::textAnswer(http::status::not_found, "text/plain",
+                                   "known here: /metrics\n", version);
+    }
+    co_return Http::textAnswer(http::status::ok, "text/plain; version=0.0.4", metricsText(),
+                               version);
+}
+
+Task<void> Instance::stopGently()
+{
+    const auto endAt = steadyNow() + port_.terms_.stopGrace_ - stopReserve;
+    log_.line(Event::StopRequested)
+        .add("in_progress", static_cast<std::int64_t>(parts_->dispatcher_.inProgress()));
+    // First nobody is sent here any more; who comes all the same is still served.
+    updateReadiness();
+    parts_->peers_.setLeaving();
+    parts_->entry_.beginLeaving();
+    Http::asio::co_spawn(
+        context_,
+        [](const PlatformPort &port, std::string id) -> Task<void> {
+            co_await port.writeInstance_(std::move(id), std::nullopt);
+        }(port_, settings_.instance_.value()),
+        Http::asio::detached);
+    co_await Http::sleepFor(spreadTime);
+    parts_->entry_.closeIdle();
+    co_await Http::sleepFor(acceptTime);
+    parts_->entry_.stopAccepting();
+    while (steadyNow() < endAt) {
+        parts_->entry_.closeIdle();
+        if (parts_->entry_.openSessions() == 0)
+            break;
+        co_await Http::sleepFor(stopStep);
+    }
+    context_.stop();
+}
+
+std::string Instance::metricsText() const
+{
+    Observe::MetricsText text;
+    const auto &counters = parts_->dispatcher_.counters();
+    const auto count = [&](const char *name, const char *help, std::uint64_t value) {
+        text.add(name, help, "counter", static_cast<double>(value));
+    };
+    count("cassiacrank_requests_total", "Requests taken.", counters.requests_);
+    count("cassiacrank_answered_total", "Requests answered by a target.", counters.answered_);
+    count("cassiacrank_refused_total", "Requests refused, not run.", counters.refused_);
+    count("cassiacrank_unknown_total", "Requests with an unknown outcome.", counters.unknown_);
+    count("cassiacrank_retried_total", "Second attempts.", counters.retried_);
+    count("cassiacrank_abandoned_total", "Requests whose caller left.", counters.abandoned_);
+    count("cassiacrank_refused_by_targets_total", "Attempts that a target refused.",
+          counters.refusedByTargets_);
+    count("cassiacrank_foreign_answers_total", "Answers dropped as another request's.",
+          counters.foreignAnswers_);
+    count("cassiacrank_to_home_total", "Answers from the object's home.", counters.toHome_);
+    count("cassiacrank_to_warm_total", "Answers from a target that knew the object.",
+          counters.toWarm_);
+    count("cassiacrank_store_reads_total", "Read calls to the store.", store_.reads_);
+    count("cassiacrank_store_writes_total", "Write calls to the store.", store_.writes_);
+    count("cassiacrank_log_lines_total", "Lines of the decision log.", log_.written());
+    count("cassiacrank_log_left_out_total", "Lines left out for the bound.", log_.leftOut());
+    count("cassiacrank_log_dropped_total", "Lines dropped as nobody read.", log_.dropped());
+    for (const auto &[code, number] : counters.byCode_) {
+        text.add("cassiacrank_result_total", "Requests by result code.", "counter",
+                 static_cast<double>(number),
+                 "code=\"" + std::to_string(Model::number(code)) + "\"");
+    }
+    const auto &table = parts_->knowledge_.table();
+    text.add("cassiacrank_table_version", "Version of the table in force.", "gauge",
+             table ? static_cast<double>(table->version().value()) : 0);
+    text.add("cassiacrank_in_progress", "Requests in progress.", "gauge",
+             static_cast<double>(parts_->dispatcher_.inProgress()));
+    text.add("cassiacrank_targets", "Targets known.", "gauge",
+             static_cast<double>(parts_->book_.all().size()));
+    const auto now = steadyNow();
+    std::size_t alive = 0;
+    for (const auto &[id, member] : parts_->peers_.members())
+        alive += Policy::isAlive(member, now) ? 1 : 0;
+    text.add("cassiacrank_instances", "Instances heard of lately.", "gauge",
+             static_cast<double>(alive));
+    text.add("cassiacrank_store_reached", "Whether the store answers.", "gauge",
+             parts_->follower_.isReached() ? 1 : 0);
+    for (const auto table : {StoreTable::Operators, StoreTable::Targets}) {
+        text.add("cassiacrank_knowledge_age_seconds", "Since the store confirmed a table.",
+                 "gauge", Model::inSeconds(now - parts_->follower_.confirmedAt(table)),
+                 table == StoreTable::Operators ? "table=\"operators\"" : "table=\"targets\"");
+    }
+    for (const auto &[route, summary] : counters.latency_) {
+        text.addSummary("cassiacrank_latency_seconds", "From request to answer.", summary,
+                        "route=\"" + route.value() + "\"");
+    }
+    return text.text();
+}
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/Job.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "TargetBook.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Steering {
+
+/// One request on its way through this instance.
+struct Job
+{
+    Http::IncomingRequest incoming_;
+    /// Keeps the route alive while the table is replaced.
+    std::shared_ptr<const Model::Table> table_;
+    const Model::Route *route_ = nullptr;
+    Model::ServiceId service_;
+    std::string id_;
+    std::uint64_t object_ = 0;
+    bool hasObject_ = false;
+    Model::SteadyTime arrivedAt_;
+    /// The earlier of the caller's own deadline and the route's timeout.
+    Model::SteadyTime deadline_;
+    /// Targets to which it was sent; how many of them may have worked on it.
+    std::vector<Model::TargetId> tried_;
+    int attempts_ = 0;
+    Http::ExchangeControl control_;
+    bool isAbandoned_ = false;
+};
+
+/// Where a request goes, and what that rests on.
+struct Placement
+{
+    std::shared_ptr<TargetState> target_;
+    bool isHome_ = false;
+    bool isWarm_ = false;
+    double load_ = 0;
+    Model::Microseconds expected_{0};
+    /// What the target's own work was expected to take.
+    Model::Microseconds work_{0};
+};
+
+/// Why a request is not sent anywhere now, and when to ask again.
+struct Refusal
+{
+    Model::ResultCode code_ = Model::ResultCode::OverCapacity;
+    Model::Milliseconds comeBack_{0};
+    Model::Microseconds expected_{0};
+};
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -0,0 +1,208 @@
+#include "Knowledge.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Steering {
+
+using nlohmann::json;
+using Observe::Event;
+
+namespace {
+
+/// Since always: a drain that an operator has ordered without a time is in force at once.
+constexpr const char *longAgo = "2000-01-01T00:00:00Z";
+
+json toJson(const Mirror &mirror)
+{
+    json rows = json::array();
+    for (const auto &[key, row] : mirror.rows_)
+        rows.push_back({key, row.value_.value_or(""), row.revision_.value()});
+    return {{"position", mirror.position_.value()}, {"rows", rows}};
+}
+
+Platform::StoredRows rowsFromJson(const json &text)
+{
+    Platform::StoredRows rows;
+    rows.revision_ = Platform::Revision(text.at("position").get<std::uint64_t>());
+    for (const auto &item : text.at("rows")) {
+        rows.rows_.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(),
+                              Platform::Revision(item.at(2).get<std::uint64_t>())});
+    }
+    return rows;
+}
+
+} // namespace
+
+bool Mirror::replace(const Platform::StoredRows &rows)
+{
+    if (isKnown_ && rows.revision_ < position_)
+        return false;
+    rows_.clear();
+    for (const auto &row : rows.rows_) {
+        if (row.value_)
+            rows_[row.key_] = row;
+    }
+    position_ = rows.revision_;
+    isKnown_ = true;
+    return true;
+}
+
+void Mirror::apply(const Platform::StoredRows &changes)
+{
+    for (const auto &row : changes.rows_) {
+        if (row.value_) {
+            rows_[row.key_] = row;
+        } else {
+            rows_.erase(row.key_);
+        }
+    }
+    position_ = std::max(position_, changes.revision_);
+}
+
+Knowledge::Knowledge(const PlatformPort &port, const Observe::Settings &settings,
+                     Observe::DecisionLog &log)
+    : port_(port)
+    , settings_(settings)
+    , log_(log)
+{
+}
+
+const Mirror &Knowledge::mirror(StoreTable table) const
+{
+    return table == StoreTable::Operators ? operators_ : targets_;
+}
+
+void Knowledge::replace(StoreTable table, const Platform::StoredRows &rows,
+                        std::string_view source)
+{
+    Mirror &mirror = table == StoreTable::Operators ? operators_ : targets_;
+    if (!mirror.replace(rows)) {
+        log_.line(Event::TableRefused)
+            .add("source", source)
+            .add("held", static_cast<std::int64_t>(mirror.position_.value()))
+            .add("offered", static_cast<std::int64_t>(rows.revision_.value()));
+        return;
+    }
+    if (table == StoreTable::Operators) {
+        operatorsChanged(source);
+    } else {
+        ++targetChanges_;
+    }
+}
+
+void Knowledge::apply(StoreTable table, const Platform::StoredRows &changes)
+{
+    Mirror &mirror = table == StoreTable::Operators ? operators_ : targets_;
+    // A peer may have told of something newer while the store's answer was on its way.
+    if (changes.revision_ < mirror.position_)
+        return;
+    mirror.apply(changes);
+    if (changes.rows_.empty())
+        return;
+    if (table == StoreTable::Operators) {
+        operatorsChanged("store");
+    } else {
+        ++targetChanges_;
+    }
+}
+
+std::vector<Model::Row> Knowledge::allRows(const OperatorRows &operators) const
+{
+    std::vector<Model::Row> rows = operators.rows_;
+    std::set<Model::RegionId> regions;
+    for (const auto &[domain, region] : settings_.domains_) {
+        if (regions.insert(region).second)
+            rows.push_back({{Model::RowKind::Region, region.value()}, {}, {}, false});
+        Model::Row row;
+        row.key_ = {Model::RowKind::Domain, domain.value()};
+        row.cells_["region"] = region.value();
+        if (operators.drained_.contains(domain))
+            row.cells_["drain_start"] = longAgo;
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+void Knowledge::operatorsChanged(std::string_view source)
+{
+    std::vector<Platform::StoredRow> rows;
+    for (const auto &[key, row] : operators_.rows_)
+        rows.push_back(row);
+    const auto decoded = port_.decodeOperators_(rows);
+    if (!decoded) {
+        log_.line(Event::TableRefused)
+            .add("source", source)
+            .add("reason", toText(Model::lastReason()));
+        return;
+    }
+    if (table_ && decoded->version_ < table_->version()) {
+        log_.line(Event::TableRefused)
+            .add("source", source)
+            .add("held", static_cast<std::int64_t>(table_->version().value()))
+            .add("offered", static_cast<std::int64_t>(decoded->version_.value()));
+        return;
+    }
+    auto built = Model::Table::build(decoded->version_, allRows(*decoded), {});
+    if (!built) {
+        log_.line(Event::TableRefused)
+            .add("source", source)
+            .add("reason", toText(Model::lastReason()));
+        return;
+    }
+    table_ = std::make_shared<const Model::Table>(std::move(*built));
+    drained_ = decoded->drained_;
+    ++tableChanges_;
+    std::string drained;
+    for (const auto &domain : drained_)
+        drained += (drained.empty() ? "" : ",") + domain.value();
+    log_.line(Event::TableApplied)
+        .add("version", static_cast<std::int64_t>(table_->version().value()))
+        .add("position", static_cast<std::int64_t>(operators_.position_.value()))
+        .add("source", source)
+        .add("routes", static_cast<std::int64_t>(table_->routes().all().size()))
+        .add("drained", drained);
+}
+
+std::string Knowledge::forPeer() const
+{
+    json text = json::object();
+    if (operators_.isKnown_)
+        text["operators"] = toJson(operators_);
+    if (targets_.isKnown_)
+        text["targets"] = toJson(targets_);
+    return text.dump();
+}
+
+bool Knowledge::takeFromPeer(const std::string &text, const std::string &peer)
+{
+    const json parsed = json::parse(text, nullptr, false);
+    if (!parsed.is_object()) {
+        log_.line(Event::TableRefused).add("source", peer).add("reason", "not a JSON object");
+        return false;
+    }
+    bool isNews = false;
+    const auto take = [&](StoreTable table, const char *name) {
+        if (!parsed.contains(name))
+            return;
+        const auto rows = rowsFromJson(parsed[name]);
+        const Mirror &held = mirror(table);
+        if (held.isKnown_ && rows.revision_ <= held.position_)
+            return;
+        isNews = true;
+        log_.line(Event::KnowledgeFromPeer)
+            .add("peer", peer)
+            .add("table", name)
+            .add("held", static_cast<std::int64_t>(held.position_.value()))
+            .add("offered", static_cast<std::int64_t>(rows.revision_.value()));
+        replace(table, rows, peer);
+    };
+    try {
+        take(StoreTable::Operators, "operators");
+        take(StoreTable::Targets, "targets");
+    } catch (const json::exception &error) {
+        log_.line(Event::TableRefused).add("source", peer).add("reason", error.what());
+    }
+    return isNews;
+}
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/Knowledge.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "PlatformPort.h"
+
+#include <LibObserve/LibObserve.h>
+
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace Steering {
+
+/// One table of the store as it is known here, whoever told of it.
+struct Mirror
+{
+    std::map<std::string, Platform::StoredRow> rows_;
+    /// Everything up to this revision is in rows_.
+    Platform::Revision position_;
+    bool isKnown_ = false;
+
+    /// Replaces everything, unless \a rows is older than what is known. Returns whether it did.
+    bool replace(const Platform::StoredRows &rows);
+    /// Takes in changes that lead on from position_.
+    void apply(const Platform::StoredRows &changes);
+};
+
+/// What an instance knows of the platform: the operators' table and the targets, each with its age.
+///
+/// Versions only grow, whoever offers them. Thread safety: none; belongs to one thread.
+class Knowledge
+{
+public:
+    Knowledge(const PlatformPort &port, const Observe::Settings &settings,
+              Observe::DecisionLog &log);
+
+    /// Takes in all rows of a table, or changes since its position.
+    void replace(StoreTable table, const Platform::StoredRows &rows, std::string_view source);
+    void apply(StoreTable table, const Platform::StoredRows &changes);
+
+    const Mirror &mirror(StoreTable table) const;
+
+    /// The operators' table in force, or nullptr before any is known.
+    const std::shared_ptr<const Model::Table> &table() const { return table_; }
+    /// Failure domains whose targets are to get nothing for now.
+    const std::set<Model::FailureDomainId> &drained() const { return drained_; }
+    /// Grows with each change of the table or of what is drained.
+    std::uint64_t tableChanges() const { return tableChanges_; }
+    /// Grows with each change of a target's row.
+    std::uint64_t targetChanges() const { return targetChanges_; }
+
+    /// Returns what a peer needs to know as much: a JSON text that takeFromPeer() reads.
+    std::string forPeer() const;
+    /// Takes in what a peer knows where it is newer. Returns whether anything was.
+    bool takeFromPeer(const std::string &text, const std::string &peer);
+
+private:
+    void operatorsChanged(std::string_view source);
+    std::vector<Model::Row> allRows(const OperatorRows &operators) const;
+
+    const PlatformPort &port_;
+    const Observe::Settings &settings_;
+    Observe::DecisionLog &log_;
+    Mirror operators_;
+    Mirror targets_;
+    std::shared_ptr<const Model::Table> table_;
+    std::set<Model::FailureDomainId> drained_;
+    std::uint64_t tableChanges_ = 0;
+    std::uint64_t targetChanges_ = 0;
+};
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/Placer.cpp
@@ -0,0 +1,289 @@
+#include "Placer.h"
+
+#include <algorithm>
+
+namespace Steering {
+
+using Model::Microseconds;
+using Model::Milliseconds;
+using Model::ResultCode;
+using Model::SteadyTime;
+
+namespace {
+
+/// Until a connection was made to a region: what failure domains of one region and regions of one
+/// continent usually have between them.
+constexpr Microseconds firstRoundTripNear{2000};
+constexpr Microseconds firstRoundTripFar{60000};
+
+/// Weight of one new connection in the round trip to a region.
+constexpr double roundTripWeight = 0.2;
+
+/// Weight of one answer in the mean time of a service's requests.
+constexpr double serviceMeanWeight = 0.02;
+
+/// Objects remembered for each target; targets themselves keep some dozens.
+constexpr std::size_t mostObjects = 256;
+
+/// When to ask again where no target takes work at all: news of a target takes about so long.
+constexpr Milliseconds comeBackWithoutTarget{500};
+
+} // namespace
+
+Placer::Placer(const Observe::Settings &settings, const Knowledge &knowledge, TargetBook &book)
+    : settings_(settings)
+    , knowledge_(knowledge)
+    , book_(book)
+{
+}
+
+void Placer::tableChanged()
+{
+    const auto &table = knowledge_.table();
+    if (!table)
+        return;
+    for (std::size_t i = 0; i < table->domains().size(); ++i) {
+        if (table->domains()[i].id_ == settings_.domain_)
+            ownDomain_ = i;
+    }
+    const auto &regions = table->regions();
+    const bool isFirst = roundTrips_.size() != regions.size();
+    roundTrips_.resize(regions.size(), firstRoundTripFar);
+    for (std::size_t i = 0; i < regions.size(); ++i) {
+        if (regions[i].id_ != settings_.region_)
+            continue;
+        ownRegion_ = i;
+        if (isFirst)
+            roundTrips_[i] = firstRoundTripNear;
+    }
+}
+
+Model::ServiceId Placer::chooseService(const Model::Route &route)
+{
+    RouteState &state = routes_[route.id_];
+    if (state.turns_.owed_.size() != route.parts_.size())
+        state.turns_.owed_.assign(route.parts_.size(), 0);
+    return route.parts_[Policy::nextPart(state.turns_, route.parts_)].service_;
+}
+
+Policy::WorkTimes &Placer::workOf(const Model::Route &route, const Model::ServiceId &service)
+{
+    auto &work = routes_[route.id_].work_;
+    const auto known = work.find(service);
+    if (known != work.end())
+        return known->second;
+    return work.emplace(service, Policy::firstWorkTimes(route.latencyGoal_)).first->second;
+}
+
+bool Placer::isAllowed(const Model::Route &route, std::size_t domain) const
+{
+    if (route.homeRegions_.empty())
+        return true;
+    const auto &region = knowledge_.table()->domains()[domain].region_;
+    return std::find(route.homeRegions_.begin(), route.homeRegions_.end(), region)
+           != route.homeRegions_.end();
+}
+
+Placer::ObjectView Placer::viewOf(const Job &job, const ServiceTargets &targets) const
+{
+    ObjectView view;
+    view.draws_ = Policy::domainDraws(job.object_, book_.domainSeeds());
+    std::vector<double> shares = targets.homes_[ownDomain_];
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        if (!isAllowed(*job.route_, i))
+            shares[i] = 0;
+    }
+    view.home_ = Policy::homeOf(view.draws_, shares);
+    return view;
+}
+
+std::size_t Placer::holdersOf(const TargetState &target) const
+{
+    if (target.region_ < entries_.size() && entries_[target.region_] > 0)
+        return entries_[target.region_];
+    std::size_t all = 0;
+    for (const std::size_t count : entries_)
+        all += count;
+    return std::max<std::size_t>(1, all);
+}
+
+bool Placer::mayTake(const Job &job, const TargetState &target, SteadyTime now) const
+{
+    if (!target.takesWork() || now < target.unreachableUntil_)
+        return false;
+    if (std::find(job.tried_.begin(), job.tried_.end(), target.record_.id_) != job.tried_.end())
+        return false;
+    if (!target.isCold(now))
+        return true;
+    // What a cold target bears is shared out among the entries of its own region.
+    const bool isOthers = target.region_ != ownRegion_ && target.region_ < entries_.size()
+                          && entries_[target.region_] > 0;
+    const auto *service = job.table_->service(job.service_);
+    return !isOthers && service
+           && Policy::hasRampRoom(target.ramp_, service->coldLimit_, holdersOf(target), now);
+}
+
+Policy::Candidate Placer::candidateFor(const Job &job, const TargetState &target,
+                                       SteadyTime now) const
+{
+    Policy::TargetView view;
+    view.slots_ = target.record_.slots_.value();
+    view.ownInFlight_ = target.ownInFlight_;
+    view.reportedInFlight_ = target.reportedInFlight_;
+    view.ownInFlightAtReport_ = target.ownInFlightAtReport_;
+    view.reportAge_ = std::chrono::duration_cast<Milliseconds>(now - target.reportedAt_);
+    const auto mean = serviceMeanUs_.find(job.service_);
+    if (mean != serviceMeanUs_.end())
+        view.latency_ = Microseconds(static_cast<long long>(mean->second));
+
+    Policy::Candidate candidate;
+    candidate.slots_ = static_cast<double>(view.slots_);
+    candidate.load_ = static_cast<double>(Policy::steadyInFlight(view));
+    candidate.roundTrip_ = roundTrips_[target.region_];
+    const auto pace = Policy::paceAt(target.pace_, now);
+    candidate.slowness_ = pace.slowness_;
+    candidate.failureRate_ = pace.failureRate_;
+    candidate.isWarm_ = !job.hasObject_ || target.objects_.contains(job.object_);
+    return candidate;
+}
+
+void Placer::addOwners(const Job &job, const std::vector<std::shared_ptr<TargetState>> &targets,
+                       bool isHome, bool isHomeOfNeighbours, SteadyTime now)
+{
+    const std::shared_ptr<TargetState> *first = nullptr;
+    const std::shared_ptr<TargetState> *second = nullptr;
+    std::uint64_t firstScore = 0;
+    std::uint64_t secondScore = 0;
+    for (const auto &target : targets) {
+        if (!mayTake(job, *target, now))
+            continue;
+        const std::uint64_t score = Policy::ownerScore(job.object_, target->seed_);
+        if (!first || score > firstScore) {
+            second = first;
+            secondScore = firstScore;
+            first = &target;
+            firstScore = score;
+        } else if (!second || score > secondScore) {
+            second = &target;
+            secondScore = score;
+        }
+    }
+    const auto add = [&](const std::shared_ptr<TargetState> &target, bool isOwner) {
+        Policy::Candidate candidate = candidateFor(job, *target, now);
+        candidate.isHome_ = isOwner && isHome;
+        // Callers near that domain send the object there too.
+        candidate.isWarm_ = candidate.isWarm_ || (isOwner && isHomeOfNeighbours);
+        candidates_.push_back(candidate);
+        candidateTargets_.push_back(target);
+    };
+    if (first)
+        add(*first, true);
+    if (second && isHome)
+        add(*second, false);
+}
+
+void Placer::gather(const Job &job, const ServiceTargets &targets, SteadyTime now)
+{
+    candidates_.clear();
+    candidateTargets_.clear();
+    const ObjectView view = viewOf(job, targets);
+    for (std::size_t i = 0; i < targets.byDomain_.size(); ++i) {
+        if (targets.byDomain_[i].empty() || !isAllowed(*job.route_, i))
+            continue;
+        const bool isHomeOfNeighbours = Policy::homeOf(view.draws_, targets.homes_[i]) == i;
+        addOwners(job, targets.byDomain_[i], i == view.home_, isHomeOfNeighbours, now);
+    }
+}
+
+std::variant<Placement, Refusal> Placer::place(const Job &job, SteadyTime now)
+{
+    const ServiceTargets *targets = book_.service(job.service_);
+    if (targets) {
+        gather(job, *targets, now);
+    } else {
+        candidates_.clear();
+    }
+    const auto &route = *job.route_;
+    const Policy::WorkTimes &times = workOf(route, job.service_);
+    Policy::WorkEstimate work;
+    work.warm_ = Microseconds(static_cast<long long>(times.warmUs_));
+    work.cold_ = Microseconds(static_cast<long long>(times.coldUs_));
+    const auto mean = serviceMeanUs_.find(job.service_);
+    work.serviceMean_ = mean == serviceMeanUs_.end()
+                            ? work.warm_
+                            : Microseconds(static_cast<long long>(mean->second));
+    const auto choice = Policy::chooseAmong(candidates_, work);
+    if (!choice)
+        return Refusal{ResultCode::NoTarget, comeBackWithoutTarget, Microseconds(0)};
+
+    Policy::AdmissionCase admission;
+    admission.expected_ = choice->expected_;
+    admission.left_ = std::chrono::duration_cast<Microseconds>(job.deadline_ - now);
+    admission.goalLeft_
+        = std::chrono::duration_cast<Microseconds>(job.arrivedAt_ + route.latencyGoal_ - now);
+    admission.priority_ = route.priority_;
+    const auto verdict = Policy::judgeAdmission(admission, route.latencyGoal_);
+    if (verdict != Policy::AdmissionVerdict::Take) {
+        const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+        const bool isTooLate = verdict == Policy::AdmissionVerdict::TooLate;
+        return Refusal{isTooLate ? ResultCode::WouldBeLate : ResultCode::OverCapacity,
+                       Policy::returnAfter(choice->expected_, route.latencyGoal_, draw),
+                       choice->expected_};
+    }
+    const Policy::Candidate &chosen = candidates_[choice->candidate_];
+    Placement placement;
+    placement.target_ = candidateTargets_[choice->candidate_];
+    placement.isHome_ = chosen.isHome_;
+    placement.isWarm_ = chosen.isWarm_;
+    placement.load_ = chosen.load_;
+    placement.expected_ = choice->expected_;
+    placement.work_ = chosen.isWarm_ ? work.warm_ : work.cold_;
+    TargetState &target = *placement.target_;
+    if (target.isCold(now)) {
+        const auto *service = job.table_->service(job.service_);
+        Policy::takeFromRamp(target.ramp_, service->coldLimit_, holdersOf(target), now);
+    }
+    return placement;
+}
+
+void Placer::noteAnswer(const Job &job, const Placement &placement, Microseconds took,
+                        SteadyTime now)
+{
+    TargetState &target = *placement.target_;
+    const auto roundTrip = roundTrips_[target.region_];
+    const auto worked = std::max(took - roundTrip, Microseconds(1));
+    const auto expected = std::max(placement.expected_ - roundTrip, placement.work_);
+    Policy::learnAnswer(target.pace_, worked, expected, now);
+
+    const bool isKnownWarm = job.hasObject_ && target.objects_.contains(job.object_);
+    if (job.hasObject_) {
+        if (target.objects_.size() >= mostObjects)
+            target.objects_.clear();
+        target.objects_[job.object_] = now;
+    }
+    // An answer that waited for a slot says nothing of the work alone.
+    const bool hadSlot
+        = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
+    if (!hadSlot || target.isCold(now))
+        return;
+    Policy::learnWorkTime(workOf(*job.route_, job.service_), worked, isKnownWarm);
+    const auto value = static_cast<double>(worked.count());
+    const auto [mean, isFirst] = serviceMeanUs_.emplace(job.service_, value);
+    if (!isFirst)
+        mean->second += (value - mean->second) * serviceMeanWeight;
+}
+
+void Placer::noteFailure(const Placement &placement, SteadyTime now)
+{
+    Policy::learnFailure(placement.target_->pace_, now);
+}
+
+void Placer::noteConnect(const TargetState &target, Microseconds took)
+{
+    auto &known = roundTrips_[target.region_];
+    const double value = static_cast<double>(known.count())
+                         + static_cast<double>((took - known).count()) * roundTripWeight;
+    known = Microseconds(static_cast<long long>(value));
+}
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -0,0 +1,143 @@
+#include "StoreFollower.h"
+
+#include <algorithm>
+
+namespace Steering {
+
+using Http::Task;
+using Model::Milliseconds;
+using Model::ResultCode;
+using Observe::Event;
+
+namespace {
+
+/// How long one call waits for news. A connection that went silent for good shows no later than
+/// this; a shorter time costs calls of which each is paid for.
+constexpr Milliseconds longestWait{5000};
+
+/// After news, further news of the targets are gathered for this long: a release brings a change
+/// every few hundred milliseconds, and each call is paid for. It is a tenth of the two and a half
+/// seconds in which a change must be known.
+constexpr Milliseconds gatherTargets{250};
+constexpr Milliseconds gatherOperators{50};
+
+constexpr Milliseconds firstPause{150};
+constexpr Milliseconds longestPause{1000};
+
+Milliseconds pauseAfter(int failures)
+{
+    const int doublings = std::clamp(failures - 1, 0, 4);
+    return std::min(longestPause, firstPause * (1 << doublings));
+}
+
+const char *nameOf(StoreTable table)
+{
+    return table == StoreTable::Operators ? "operators" : "targets";
+}
+
+} // namespace
+
+StoreFollower::StoreFollower(Http::asio::io_context &context, const PlatformPort &port,
+                             Knowledge &knowledge, Observe::DecisionLog &log,
+                             std::function<void()> changed)
+    : context_(context)
+    , port_(port)
+    , knowledge_(knowledge)
+    , log_(log)
+    , changed_(std::move(changed))
+{
+}
+
+void StoreFollower::start()
+{
+    Http::asio::co_spawn(context_, follow(StoreTable::Operators), Http::asio::detached);
+    Http::asio::co_spawn(context_, follow(StoreTable::Targets), Http::asio::detached);
+}
+
+bool StoreFollower::isReached() const
+{
+    return operators_.isReached_ && targets_.isReached_;
+}
+
+Model::SteadyTime StoreFollower::confirmedAt(StoreTable table) const
+{
+    return table == StoreTable::Operators ? operators_.confirmedAt_ : targets_.confirmedAt_;
+}
+
+Task<void> StoreFollower::follow(StoreTable table)
+{
+    Progress &progress = table == StoreTable::Operators ? operators_ : targets_;
+    while (!isStopping_) {
+        bool isOk = false;
+        if (progress.needsAll_) {
+            isOk = co_await readAll(table, progress);
+        } else {
+            isOk = co_await readChanges(table, progress);
+        }
+        if (!isOk) {
+            co_await Http::sleepFor(pauseAfter(progress.failures_));
+        }
+    }
+}
+
+Task<bool> StoreFollower::readAll(StoreTable table, Progress &progress)
+{
+    const auto rows = co_await port_.readAll_(table);
+    if (!rows) {
+        noteFailed(table, progress);
+        co_return false;
+    }
+    noteReached(table, progress);
+    progress.needsAll_ = false;
+    knowledge_.replace(table, *rows, "store");
+    changed_();
+    co_return true;
+}
+
+Task<bool> StoreFollower::readChanges(StoreTable table, Progress &progress)
+{
+    const auto position = knowledge_.mirror(table).position_;
+    const auto changes = co_await port_.awaitChanges_(table, position, longestWait);
+    if (!changes) {
+        if (Model::lastReason().code_ == ResultCode::PlatformHistoryGone) {
+            log_.line(Event::HistoryLost)
+                .add("table", nameOf(table))
+                .add("position", static_cast<std::int64_t>(position.value()));
+            progress.needsAll_ = true;
+            co_return true;
+        }
+        noteFailed(table, progress);
+        co_return false;
+    }
+    noteReached(table, progress);
+    const bool isNews = !changes->rows_.empty();
+    knowledge_.apply(table, *changes);
+    if (isNews) {
+        changed_();
+        co_await Http::sleepFor(table == StoreTable::Targets ? gatherTargets : gatherOperators);
+    }
+    co_return true;
+}
+
+void StoreFollower::noteReached(StoreTable table, Progress &progress)
+{
+    if (!progress.isReached_)
+        log_.line(Event::StoreBack).add("table", nameOf(table));
+    progress.isReached_ = true;
+    progress.failures_ = 0;
+    progress.confirmedAt_ = std::chrono::steady_clock::now();
+}
+
+void StoreFollower::noteFailed(StoreTable table, Progress &progress)
+{
+    failedAt_ = std::chrono::steady_clock::now();
+    ++progress.failures_;
+    if (progress.isReached_ || progress.failures_ == 1) {
+        log_.line(Event::StoreLost)
+            .add("table", nameOf(table))
+            .add("reason", toText(Model::lastReason()));
+    }
+    progress.isReached_ = false;
+}
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/TargetBook.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "Knowledge.h"
+
+#include <LibPolicy/LibPolicy.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Steering {
+
+/// One run of a target with what this instance has seen of it.
+struct TargetState
+{
+    Model::TargetRecord record_;
+    Platform::Revision revision_;
+    /// Indexes into the table's domains and regions; where the table has none, the target is not
+    /// used.
+    std::size_t domain_ = 0;
+    std::size_t region_ = 0;
+    bool hasPlace_ = false;
+    /// A number that ranks the target among others, the same on every instance.
+    std::uint64_t seed_ = 0;
+
+    std::int64_t ownInFlight_ = 0;
+    std::int64_t reportedInFlight_ = 0;
+    std::int64_t ownInFlightAtReport_ = 0;
+    Model::SteadyTime reportedAt_ = Model::longAgo;
+
+    Policy::TargetPace pace_;
+    Policy::ColdRamp ramp_;
+    Model::SteadyTime coldUntil_;
+    /// No connection could be made; not tried again before then.
+    Model::SteadyTime unreachableUntil_;
+    /// It said itself that it is another run than the one that was asked for.
+    bool isReplaced_ = false;
+    /// Its registration is gone though it may only have lapsed; gone for good then.
+    std::optional<Model::SteadyTime> missingSince_;
+    /// When each object was sent here last.
+    std::unordered_map<std::uint64_t, Model::SteadyTime> objects_;
+
+    bool isCold(Model::SteadyTime now) const { return now < coldUntil_; }
+    /// It may get new work, as far as its registration and its own word say.
+    bool takesWork() const { return hasPlace_ && !record_.isLeaving_ && !isReplaced_; }
+};
+
+/// The targets of one service, and where the objects of its callers have their homes.
+struct ServiceTargets
+{
+    /// By index of the table's domains.
+    std::vector<std::vector<std::shared_ptr<TargetState>>> byDomain_;
+    Policy::HomeShares homes_;
+};
+
+/// Around an outage of the store registrations lapse though their targets live, and come back
+/// within two seconds of its return. A target whose registration is missing is used on for this
+/// long after the row went, which is inside the time for which a leaving target still serves.
+constexpr Model::Milliseconds lapseGrace{2000};
+
+/// How long after the store was last seen to fail its rows may still be missing.
+constexpr Model::Milliseconds lapseWindow{4000};
+
+/// So many registrations that go at once, none announced, look like a lapse and not like leaving.
+constexpr std::size_t manyAtOnce = 3;
+
+/// All targets that are known, with what this instance has seen of them.
+///
+/// Thread safety: none; belongs to one thread.
+class TargetBook
+{
+public:
+    TargetBook(const PlatformPort &port, const Knowledge &knowledge, Observe::DecisionLog &log);
+
+    /// Brings the book in line with what is known. \a storeFailedAt is when a call to the store
+    /// last failed.
+    void update(Model::SteadyTime now, Model::SteadyTime storeFailedAt);
+
+    /// Drops targets whose registration has been missing for too long. Returns whether any went.
+    bool dropMissing(Model::SteadyTime now);
+
+    /// Returns the targets of \a service, or nullptr.
+    const ServiceTargets *service(const Model::ServiceId &service) const;
+
+    const std::map<Model::TargetId, std::shared_ptr<TargetState>> &all() const { return targets_; }
+    /// A seed for each of the table's domains, the same on every instance.
+    const std::vector<std::uint64_t> &domainSeeds() const { return domainSeeds_; }
+
+private:
+    void take(const Platform::StoredRow &row, Model::SteadyTime now);
+    void noteMissing(Model::SteadyTime now, Model::SteadyTime storeFailedAt);
+    void findPlace(TargetState &target) const;
+    void arrange();
+    Policy::HomeShares homesOf(const ServiceTargets &targets) const;
+
+    const PlatformPort &port_;
+    const Knowledge &knowledge_;
+    Observe::DecisionLog &log_;
+    std::map<Model::TargetId, std::shared_ptr<TargetState>> targets_;
+    std::unordered_map<Model::ServiceId, ServiceTargets> services_;
+    std::vector<std::uint64_t> domainSeeds_;
+};
+
+} // namespace Steering
--- a/Services/Entryd/CallerRequest.cpp
+++ b/Services/Entryd/CallerRequest.cpp
@@ -34,37 +34,16 @@
            && Http::beast::iequals(name.substr(0, prefix.size()), viewOf(prefix));
 }
 
-/// Headers that hold for one connection only (RFC 9110, section 7.6.1).
-bool isHopByHop(http::field field)
-{
-    switch (field) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::expect:
-        return true;
-    default:
-        return false;
-    }
-}
-
+/// Leaves out what holds for one connection only and what is our own.
 template <typename Message>
-void strip(Message &message, bool stripsInternal)
+void strip(Message &message)
 {
-    // "Connection" may name further headers that hold for this connection only.
-    std::vector<std::string> named;
-    for (const auto token : http::token_list(message[http::field::connection]))
-        named.emplace_back(token.data(), token.size());
+    Http::stripConnectionFields(message);
     std::vector<std::string> names;
     for (const auto &field : message) {
-        if (isHopByHop(field.name()) || (stripsInternal && isInternal(field.name_string())))
+        if (isInternal(field.name_string()))
             names.emplace_back(field.name_string().data(), field.name_string().size());
     }
-    names.insert(names.end(), named.begin(), named.end());
     for (const auto &name : names)
         message.erase(viewOf(name));
 }
@@ -155,7 +134,7 @@
     auto request = readCommon(snapshot, std::move(incoming));
     if (!request)
         return std::nullopt;
-    strip(request->message_, true);
+    strip(request->message_);
     request->id_ = std::move(id);
     request->origin_ = originOf(snapshot, remoteHost);
 
@@ -190,7 +169,7 @@
     auto request = readCommon(snapshot, std::move(incoming));
     if (!request || !left)
         return std::nullopt;
-    strip(request->message_, true);
+    strip(request->message_);
     request->id_ = Model::RequestId(id);
     request->caller_ = Model::CallerId(caller);
     request->class_ = classFor(*snapshot.table_, request->caller_);
@@ -233,7 +212,7 @@
 
 void stripAnswer(Http::Response &answer)
 {
-    strip(answer, true);
+    strip(answer);
 }
 
 } // namespace Entryd
--- /dev/null
+++ b/Services/Instanced/main.cpp
@@ -0,0 +1,23 @@
+#include <LibSteering/LibSteering.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <platform/Adapter.h>
+
+int main(int argc, char **argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const char *usualPath = std::getenv(Adapter::settingsVariable);
+    const auto start = Observe::startDaemon(
+        argc, argv,
+        "instanced: a whole instance in one process: takes callers' requests and look-ups.",
+        Observe::SettingUse::OneProcess, usualPath ? usualPath : "");
+    if (!start.settings_)
+        return static_cast<int>(start.exitCode_);
+    Steering::Instance instance(*start.settings_, start.path_);
+    instance.usePlatform(Adapter::makePort(instance.store(), start.settings_->platformTerms_));
+    if (!instance.start())
+        return static_cast<int>(Observe::ExitCode::ListenFailed);
+    instance.run();
+    return static_cast<int>(Observe::ExitCode::Ok);
+}
