--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -19,6 +19,7 @@
 #include "PartTurns.h"
 #include "RequestAdmission.h"
 #include "Shares.h"
+#include "SpillMeter.h"
 #include "TargetChoice.h"
 #include "TargetPicker.h"
 #include "WorkTimes.h"
--- a/Libraries/LibSteering/Knowledge.cpp
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -109,6 +109,11 @@
 std::vector<Model::Row> Knowledge::allRows(const OperatorRows &operators) const
 {
     std::vector<Model::Row> rows = operators.rows_;
+    const std::string cap = std::to_string(port_.terms_.regionShiftCap_.value() * 100);
+    for (auto &row : rows) {
+        if (row.key_.kind_ == Model::RowKind::Service)
+            row.cells_.emplace("region_shift_cap", cap);
+    }
     std::set<Model::RegionId> regions;
     for (const auto &[domain, region] : settings_.domains_) {
         if (regions.insert(region).second)
--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -193,6 +193,31 @@
         const bool isHomeOfNeighbours = Policy::homeOf(view.draws_, targets.homes_[i]) == i;
         addOwners(job, targets.byDomain_[i], i == view.home_, isHomeOfNeighbours, now);
     }
+    limitSpill(job, view.home_, now);
+}
+
+void Placer::limitSpill(const Job &job, std::size_t home, SteadyTime now)
+{
+    const auto &domains = job.table_->domains();
+    if (home >= domains.size())
+        return;
+    std::size_t inHomeRegion = 0;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+        const auto domain = candidateTargets_[i]->domain_;
+        candidates_[i].leavesHomeRegion_ = domains[domain].region_ != domains[home].region_;
+        inHomeRegion += candidates_[i].leavesHomeRegion_ ? 0 : 1;
+    }
+    const auto *service = job.table_->service(job.service_);
+    // Where nobody is left in the home region, going elsewhere is the only way to be served.
+    if (inHomeRegion == 0 || !service
+        || Policy::maySpill(spill_, service->regionShiftCap_, now))
+        return;
+    for (std::size_t i = candidates_.size(); i-- > 0;) {
+        if (!candidates_[i].leavesHomeRegion_)
+            continue;
+        candidates_.erase(candidates_.begin() + static_cast<std::ptrdiff_t>(i));
+        candidateTargets_.erase(candidateTargets_.begin() + static_cast<std::ptrdiff_t>(i));
+    }
 }
 
 std::variant<Placement, Refusal> Placer::place(const Job &job, SteadyTime now)
@@ -238,6 +263,7 @@
     placement.load_ = chosen.load_;
     placement.expected_ = choice->expected_;
     placement.work_ = chosen.isWarm_ ? work.warm_ : work.cold_;
+    Policy::countRequest(spill_, chosen.leavesHomeRegion_, now);
     TargetState &target = *placement.target_;
     if (target.isCold(now)) {
         const auto *service = job.table_->service(job.service_);
--- a/Libraries/LibSteering/Placer.h
+++ b/Libraries/LibSteering/Placer.h
@@ -51,6 +51,7 @@
 
     ObjectView viewOf(const Job &job, const ServiceTargets &targets) const;
     void gather(const Job &job, const ServiceTargets &targets, Model::SteadyTime now);
+    void limitSpill(const Job &job, std::size_t home, Model::SteadyTime now);
     void addOwners(const Job &job, const std::vector<std::shared_ptr<TargetState>> &targets,
                    bool isHome, bool isHomeOfNeighbours, Model::SteadyTime now);
     Policy::Candidate candidateFor(const Job &job, const TargetState &target,
@@ -74,6 +75,7 @@
     /// Filled anew for each request; kept for their memory.
     std::vector<Policy::Candidate> candidates_;
     std::vector<std::shared_ptr<TargetState>> candidateTargets_;
+    Policy::SpillMeter spill_;
     std::mt19937_64 random_{std::random_device()()};
 };
 
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -42,6 +42,8 @@
     double retryShare_ = 0.2;
     /// ... and so many more in a window.
     double retryExtra_ = 64;
+    /// Part of a region's traffic that may change the region in which it runs in a second.
+    Model::SharePerSecond regionShiftCap_{0.05};
 };
 
 /// What a target said of its load in an answer.
