LibPolicy: Believe a target's silence, probe it with one request

Cause: a target that lost power answers nothing, so nothing was learned of it; requests went on until their number made it look full, and each waited out its deadline; after each pause a dozen went at once. Connections were waited for 400 ms, longer than most callers have.

--- a/Libraries/LibPolicy/TargetChoice.h
+++ b/Libraries/LibPolicy/TargetChoice.h
@@ -41,7 +41,7 @@
 /// A target that is not at the object's home must promise to be faster by this much: a request that
 /// strays makes another target load the object, which costs that target the time of three or four
 /// warm requests. Measured as the difference between cold and warm work of the requests seen.
-constexpr Model::Microseconds strayPenalty{150000};
+constexpr Model::Microseconds strayPenalty{250000};
 
 /// What a refusal or failure costs in time: the round trip and the wait at a second target.
 constexpr Model::Microseconds failureCost{300000};
--- a/Libraries/LibPolicy/WorkTimes.cpp
+++ b/Libraries/LibPolicy/WorkTimes.cpp
@@ -59,4 +59,40 @@
     blend(pace.failureRate_, 1, paceWeight);
 }
 
+double slownessBySilence(Model::Microseconds age, Model::Microseconds expected)
+{
+    const auto usual = static_cast<double>(std::max<long long>(1, expected.count()));
+    const double ratio = static_cast<double>(age.count()) / usual;
+    return ratio < silenceFactor ? 1 : std::min(ratio, mostSlowness);
+}
+
+void noteUnreachable(Reachability &state, Model::SteadyTime now)
+{
+    state.isProbed_ = false;
+    state.failures_ = std::min(state.failures_ + 1, 8);
+    const auto pause = firstRetryPause * (1 << (state.failures_ - 1));
+    state.retryAt_ = now + std::min(pause, longestRetryPause);
+}
+
+void noteReached(Reachability &state)
+{
+    state = Reachability();
+}
+
+bool mayTry(const Reachability &state, Model::SteadyTime now)
+{
+    return state.failures_ == 0 || (!state.isProbed_ && now >= state.retryAt_);
+}
+
+void noteTry(Reachability &state)
+{
+    state.isProbed_ = state.failures_ > 0;
+}
+
+Model::Milliseconds connectPatience(Model::Microseconds roundTrip)
+{
+    constexpr Model::Milliseconds processing{100};
+    return processing + 2 * std::chrono::duration_cast<Model::Milliseconds>(roundTrip);
+}
+
 } // namespace Policy
--- a/Libraries/LibPolicy/WorkTimes.h
+++ b/Libraries/LibPolicy/WorkTimes.h
@@ -54,4 +54,47 @@
                  Model::SteadyTime now);
 void learnFailure(TargetPace &pace, Model::SteadyTime now);
 
+/// A request that has been out for so many times its expected time speaks against its target before
+/// it is answered.
+constexpr double silenceFactor = 2;
+
+/// Returns how slow a target looks by a request that has been out for \a age where \a expected was
+/// expected: 1 until that says anything.
+///
+/// What goes wrong without it: a target that lost power answers nothing, so nothing is learned from
+/// its answers; each entry sends it request after request until their number alone makes it look
+/// full, and each of them waits out its deadline. Thread safety: any thread.
+double slownessBySilence(Model::Microseconds age, Model::Microseconds expected);
+
+/// When a target that could not be reached is tried again. Not shared between threads.
+struct Reachability
+{
+    int failures_ = 0;
+    Model::SteadyTime retryAt_;
+    /// One request is on its way to find out; no other one goes with it.
+    bool isProbed_ = false;
+};
+
+constexpr Model::Milliseconds firstRetryPause{500};
+constexpr Model::Milliseconds longestRetryPause{4000};
+
+/// Takes in that no connection could be made, or that the target answered.
+/// Thread safety: \a state belongs to the calling thread.
+void noteUnreachable(Reachability &state, Model::SteadyTime now);
+void noteReached(Reachability &state);
+
+/// Tells whether a request may go to the target.
+///
+/// What goes wrong without the single probe: each time that the pause ends a dozen requests go to
+/// a dead target at once and lose the time of a connection attempt. Thread safety: any thread.
+bool mayTry(const Reachability &state, Model::SteadyTime now);
+/// Notes that a request goes to the target. Thread safety: as noteReached().
+void noteTry(Reachability &state);
+
+/// Returns how long to wait for a new connection over a round trip of \a roundTrip.
+///
+/// Two round trips and some processing: a first packet that was lost is sent again only after a
+/// second, so a new attempt is sooner than waiting. Thread safety: any thread.
+Model::Milliseconds connectPatience(Model::Microseconds roundTrip);
+
 } // namespace Policy
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -16,16 +16,11 @@
 
 namespace {
 
-/// A target is reached within a round trip; one that does not answer to the first packet by then
-/// is down or cut off.
-constexpr Milliseconds connectTimeout{400};
 /// A request that must not run twice goes on a fresher connection than one that may.
 constexpr Milliseconds longestRest{8000};
 constexpr Milliseconds longestRestOnce{3000};
 /// How long after the deadline a target's own word that it gave up may still arrive.
 constexpr Milliseconds deadlineSlack{150};
-/// A target that could not be reached is not tried again for so long.
-constexpr Milliseconds unreachablePause{1000};
 /// One request needs one connection; targets hold about four hundred for all entries together.
 constexpr std::size_t connectionsToTarget = 24;
 /// Late answers to earlier requests that may stand in front of the right one.
@@ -190,7 +185,7 @@
     Http::ExchangeOptions options;
     options.address_ = target.record_.address_;
     options.deadline_ = job.deadline_ + deadlineSlack;
-    options.connectTimeout_ = connectTimeout;
+    options.connectTimeout_ = placer_.connectPatienceFor(target);
     options.longestIdle_ = job.route_->isIdempotent_ ? longestRest : longestRestOnce;
     if (job.attempts_ > 0)
         options.longestIdle_ = Milliseconds(0);
@@ -200,6 +195,7 @@
     options.control_ = &job.control_;
 
     ++target.ownInFlight_;
+    const auto sent = target.sent_.insert(target.sent_.end(), {sentAt, placement.expected_});
     Http::ExchangeResult result = co_await Http::exchange(
         pool_, options, message,
         [name = viewOf(port_.headers_.requestId_)](const Http::Request &request,
@@ -207,6 +203,7 @@
             return answer.count(name) == 1 && answer[name] == request[name];
         });
     --target.ownInFlight_;
+    target.sent_.erase(sent);
     const auto now = steadyNow();
     if (result.connectTook_.count() > 0)
         placer_.noteConnect(target, result.connectTook_);
@@ -264,14 +261,17 @@
                                                     Policy::AttemptStage::NotConnected);
         if (!job.isAbandoned_)
             placer_.noteFailure(placement, now);
+        // A probe that got no answer shows as much as one that did not get through.
+        if (!attempted.wasSent_ || target.reachability_.isProbed_)
+            Policy::noteUnreachable(target.reachability_, now);
         if (!attempted.wasSent_) {
-            target.unreachableUntil_ = now + unreachablePause;
             log_.line(Event::TargetSuspect)
                 .add("target", target.record_.id_.value())
                 .add("reason", Model::describe(result.code_));
         }
         return attempted;
     }
+    Policy::noteReached(target.reachability_);
     noteLoad(target, *result.answer_);
     const auto status = result.answer_->result();
     const bool isMisdirected = status == http::status::misdirected_request;
--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -109,7 +109,7 @@
 
 bool Placer::mayTake(const Job &job, const TargetState &target, SteadyTime now) const
 {
-    if (!target.takesWork() || now < target.unreachableUntil_)
+    if (!target.takesWork() || !Policy::mayTry(target.reachability_, now))
         return false;
     if (std::find(job.tried_.begin(), job.tried_.end(), target.record_.id_) != job.tried_.end())
         return false;
@@ -142,6 +142,12 @@
     candidate.roundTrip_ = roundTrips_[target.region_];
     const auto pace = Policy::paceAt(target.pace_, now);
     candidate.slowness_ = pace.slowness_;
+    if (!target.sent_.empty()) {
+        const SentRequest &oldest = target.sent_.front();
+        const auto age = std::chrono::duration_cast<Microseconds>(now - oldest.at_);
+        candidate.slowness_ = std::max(candidate.slowness_,
+                                       Policy::slownessBySilence(age, oldest.expected_));
+    }
     candidate.failureRate_ = pace.failureRate_;
     candidate.isWarm_ = !job.hasObject_ || target.objects_.contains(job.object_);
     return candidate;
@@ -263,6 +269,7 @@
     placement.load_ = chosen.load_;
     placement.expected_ = choice->expected_;
     placement.work_ = chosen.isWarm_ ? work.warm_ : work.cold_;
+    Policy::noteTry(placement.target_->reachability_);
     Policy::countRequest(spill_, chosen.leavesHomeRegion_, now);
     TargetState &target = *placement.target_;
     if (target.isCold(now)) {
@@ -304,6 +311,11 @@
     Policy::learnFailure(placement.target_->pace_, now);
 }
 
+Milliseconds Placer::connectPatienceFor(const TargetState &target) const
+{
+    return Policy::connectPatience(roundTrips_[target.region_]);
+}
+
 void Placer::noteConnect(const TargetState &target, Microseconds took)
 {
     auto &known = roundTrips_[target.region_];
--- a/Libraries/LibSteering/Placer.h
+++ b/Libraries/LibSteering/Placer.h
@@ -31,6 +31,8 @@
     void noteAnswer(const Job &job, const Placement &placement, Model::Microseconds took,
                     Model::SteadyTime now);
     void noteFailure(const Placement &placement, Model::SteadyTime now);
+    /// Returns how long to wait for a new connection to \a target.
+    Model::Milliseconds connectPatienceFor(const TargetState &target) const;
     /// Takes in how long a new connection to a target took to be made: one round trip.
     void noteConnect(const TargetState &target, Model::Microseconds took);
 
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -4,7 +4,7 @@
 
 #include <LibPolicy/LibPolicy.h>
 
-#include <deque>
+#include <list>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -12,6 +12,13 @@
 
 namespace Steering {
 
+/// A request that is in progress at a target.
+struct SentRequest
+{
+    Model::SteadyTime at_;
+    Model::Microseconds expected_{0};
+};
+
 /// One run of a target with what this instance has seen of it.
 struct TargetState
 {
@@ -26,6 +33,8 @@
     std::uint64_t seed_ = 0;
 
     std::int64_t ownInFlight_ = 0;
+    /// The requests in progress, oldest first.
+    std::list<SentRequest> sent_;
     std::int64_t reportedInFlight_ = 0;
     std::int64_t ownInFlightAtReport_ = 0;
     Model::SteadyTime reportedAt_ = Model::longAgo;
@@ -33,8 +42,7 @@
     Policy::TargetPace pace_;
     Policy::ColdRamp ramp_;
     Model::SteadyTime coldUntil_;
-    /// No connection could be made; not tried again before then.
-    Model::SteadyTime unreachableUntil_;
+    Policy::Reachability reachability_;
     /// It said itself that it is another run than the one that was asked for.
     bool isReplaced_ = false;
     /// Its registration is gone though it may only have lapsed; gone for good then.
