--- a/Libraries/LibPolicy/RequestAdmission.cpp
+++ b/Libraries/LibPolicy/RequestAdmission.cpp
@@ -28,7 +28,7 @@
                                 double draw)
 {
     const auto excess = std::chrono::duration_cast<Model::Milliseconds>(expected) - latencyGoal;
-    const auto base = std::clamp(excess, leastReturn, longestReturn);
+    const auto base = std::clamp(3 * excess, 3 * leastReturn, longestReturn);
     const auto spread = static_cast<double>(base.count()) * (0.75 + 0.5 * draw);
     return Model::Milliseconds(static_cast<long long>(spread));
 }
--- a/Libraries/LibPolicy/RequestAdmission.h
+++ b/Libraries/LibPolicy/RequestAdmission.h
@@ -18,7 +18,7 @@
 
 /// A request that will be late is still taken while the wait is at most so many latency goals more;
 /// one rank less urgent, half as many.
-constexpr double latenessOfFirstRank = 1.5;
+constexpr double latenessOfFirstRank = 2.0;
 
 enum class AdmissionVerdict { Take, TooLate, NoRoom };
 
