--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -74,8 +74,8 @@
 ///
 /// A connection that failed in any way is closed, so that a late answer on it can never be taken
 /// for the answer to a later request. \a isOwnAnswer is asked about a complete answer; if it says
-/// no, the answer is dropped; without another one the code is ForeignAnswer. Thread safety: the pool
-/// belongs to the calling thread.
+/// no, the answer is dropped; without another one the code is ForeignAnswer. Thread safety: the
+/// pool belongs to the calling thread.
 Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
                               const Request &request, const AnswerCheck &isOwnAnswer);
 
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -4,8 +4,8 @@
 #include "HeaderNames.h"
 
 #include <algorithm>
-#include <deque>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
 
 namespace Http {
 
--- a/Libraries/LibModel/Route.cpp
+++ b/Libraries/LibModel/Route.cpp
@@ -25,8 +25,7 @@
         return RoutePart{ServiceId(text), Weight(1)};
     const std::string number = trimmed(text.substr(colon + 1));
     double weight = 0;
-    const auto [end, error]
-        = std::from_chars(number.data(), number.data() + number.size(), weight);
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), weight);
     const bool isWhole = error == std::errc() && end == number.data() + number.size();
     if (!isWhole || !std::isfinite(weight) || weight < 0)
         return std::nullopt;
--- a/Libraries/LibModel/Row.h
+++ b/Libraries/LibModel/Row.h
@@ -36,7 +36,8 @@
     bool operator==(const Row &) const = default;
 };
 
-/// Returns "region", "domain", "service", "class", "target", "route" or "limits". Thread safety: any thread.
+/// Returns "region", "domain", "service", "class", "target", "route" or "limits". Thread safety:
+/// any thread.
 std::string toText(RowKind kind);
 /// Returns "service gauging" and the like. Thread safety: any thread.
 std::string toText(const RowKey &key);
--- a/Libraries/LibObserve/DecisionLog.h
+++ b/Libraries/LibObserve/DecisionLog.h
@@ -34,7 +34,10 @@
         Line &operator=(const Line &) = delete;
 
         Line &add(std::string_view name, std::string_view value);
-        Line &add(std::string_view name, const char *value) { return add(name, std::string_view(value)); }
+        Line &add(std::string_view name, const char *value)
+        {
+            return add(name, std::string_view(value));
+        }
         Line &add(std::string_view name, std::int64_t value);
         Line &add(std::string_view name, Model::Microseconds value);
 
--- a/Libraries/LibObserve/Settings.h
+++ b/Libraries/LibObserve/Settings.h
@@ -85,8 +85,8 @@
     std::vector<std::string> mistakes_;
 };
 
-/// Reads and checks a whole settings text for the binaries \a use. Either `settings_` is set or `mistakes_` lists every
-/// mistake at once. Thread safety: any thread.
+/// Reads and checks a whole settings text for the binaries \a use. Either `settings_` is set or
+/// `mistakes_` lists every mistake at once. Thread safety: any thread.
 SettingsCheck settingsFromText(const std::string &text, SettingUse use = SettingUse::Daemons);
 
 /// As settingsFromText(), for the file at \a path. Thread safety: any thread.
--- a/Libraries/LibPolicy/HomePlacement.h
+++ b/Libraries/LibPolicy/HomePlacement.h
@@ -22,8 +22,9 @@
 /// The use of all slots together for which homes are planned.
 ///
 /// Near one, every region is as full as the others, whatever the demand. Below, poor regions keep
-/// more of their callers' objects and are overrun at each peak, at 0.6 a fifth of their callers more
-/// are served late or not at all; above one, what has no room is spread without regard to slots.
+/// more of their callers' objects and are overrun at each peak, at 0.6 a fifth of their callers
+/// more are served late or not at all; above one, what has no room is spread without regard to
+/// slots.
 constexpr double plannedUse = 0.95;
 
 /// For the callers near each failure domain, the part of the objects that has its home in each
@@ -36,14 +37,15 @@
 /// What goes wrong without it: a region with a third of the callers and a fourteenth of the slots
 /// is overrun while the others idle; or, if objects are spread over all slots, two thirds of all
 /// answers cross between regions. With a home in each domain of a region, every object is loaded
-/// twice as often, and a fiftieth more of all requests are late. A pure function of slots and demand, so that all entries agree
-/// without a message. Thread safety: any thread.
+/// twice as often, and a fiftieth more of all requests are late. A pure function of slots and
+/// demand, so that all entries agree without a message. Thread safety: any thread.
 HomeShares homeShares(const std::vector<DomainCapacity> &domains, double use = plannedUse);
 
 /// Returns how far \a object is from each failure domain: one exponential draw of rate one for each
 /// of \a domainSeeds, which hold a number for each domain that is the same on every instance.
 /// Thread safety: any thread.
-std::vector<double> domainDraws(std::uint64_t object, const std::vector<std::uint64_t> &domainSeeds);
+std::vector<double> domainDraws(std::uint64_t object,
+                                const std::vector<std::uint64_t> &domainSeeds);
 
 /// Returns the index of the failure domain in which an object with \a draws has its home, for
 /// callers whose domain has the row \a shares, or shares.size() if all shares are zero.
--- a/Libraries/LibPolicy/WorkTimes.cpp
+++ b/Libraries/LibPolicy/WorkTimes.cpp
@@ -36,8 +36,8 @@
 
 TargetPace paceAt(const TargetPace &pace, Model::SteadyTime now)
 {
-    const double halves = std::max(0.0, Model::inSeconds(now - pace.changedAt_))
-                          / Model::inSeconds(paceHalfLife);
+    const double halves
+        = std::max(0.0, Model::inSeconds(now - pace.changedAt_)) / Model::inSeconds(paceHalfLife);
     const double kept = std::exp2(-halves);
     return {1 + (pace.slowness_ - 1) * kept, pace.failureRate_ * kept, now};
 }
@@ -47,8 +47,7 @@
 {
     pace = paceAt(pace, now);
     const auto usual = static_cast<double>(std::max<long long>(1, expected.count()));
-    const double ratio
-        = std::clamp(static_cast<double>(worked.count()) / usual, 1.0, mostSlowness);
+    const double ratio = std::clamp(static_cast<double>(worked.count()) / usual, 1.0, mostSlowness);
     blend(pace.slowness_, ratio, paceWeight);
     blend(pace.failureRate_, 0, paceWeight);
 }
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -143,7 +143,8 @@
     job.hasObject_ = job.route_->hasAffinity_ && !key.empty();
     // Objects of different routes are different things, though their keys may be alike.
     const std::string_view spread = job.hasObject_ ? key : std::string_view(job.id_);
-    job.object_ = Policy::ownerScore(Policy::seedOf(spread), Policy::seedOf(job.route_->id_.value()));
+    job.object_
+        = Policy::ownerScore(Policy::seedOf(spread), Policy::seedOf(job.route_->id_.value()));
     job.service_ = placer_.chooseService(*job.route_);
     Policy::RetryTerms terms;
     terms.share_ = port_.terms_.retryShare_ * usedRetryPart;
@@ -275,9 +276,9 @@
     }
     if (!result.answer_) {
         attempted.code_ = result.code_;
-        attempted.outcome_ = attempted.wasSent_ ? Policy::outcomeOf(Policy::AttemptStage::Sent)
-                                                : Policy::outcomeOf(
-                                                    Policy::AttemptStage::NotConnected);
+        attempted.outcome_ = attempted.wasSent_
+                                 ? Policy::outcomeOf(Policy::AttemptStage::Sent)
+                                 : Policy::outcomeOf(Policy::AttemptStage::NotConnected);
         if (!job.isAbandoned_)
             placer_.noteFailure(placement, now);
         // A probe that got no answer shows as much as one that did not get through.
@@ -340,8 +341,7 @@
         .add("held_ms", std::chrono::duration_cast<Microseconds>(now - job.arrivedAt_))
         .add("attempts", static_cast<std::int64_t>(job.attempts_))
         .add("come_back_ms", static_cast<std::int64_t>(refusal.comeBack_.count()))
-        .add("version",
-             job.table_ ? static_cast<std::int64_t>(job.table_->version().value()) : 0);
+        .add("version", job.table_ ? static_cast<std::int64_t>(job.table_->version().value()) : 0);
     auto response = Http::refusal({refusal.code_, ""}, job.incoming_.message_.version());
     if (refusal.comeBack_.count() > 0)
         response.set(http::field::retry_after, secondsText(refusal.comeBack_));
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -137,8 +137,7 @@
     const bool isListening = parts_->entry_.listen(settings_.addresses_.entry_)
                              && parts_->lookup_.listen(settings_.addresses_.lookup_)
                              && parts_->ready_.listen(settings_.ready_)
-                             && parts_->admin_.listen(settings_.admin_)
-                             && parts_->peers_.start();
+                             && parts_->admin_.listen(settings_.admin_) && parts_->peers_.start();
     if (!isListening) {
         log_.line(Event::ListenFailed).add("reason", toText(Model::lastReason()));
         log_.flush();
@@ -277,10 +276,9 @@
         return;
     }
     const auto &fresh = *check.settings_;
-    const bool needsRestart = fresh.addresses_ != settings_.addresses_
-                              || fresh.instance_ != settings_.instance_
-                              || fresh.platform_ != settings_.platform_
-                              || fresh.domains_ != settings_.domains_;
+    const bool needsRestart
+        = fresh.addresses_ != settings_.addresses_ || fresh.instance_ != settings_.instance_
+          || fresh.platform_ != settings_.platform_ || fresh.domains_ != settings_.domains_;
     const bool hasNewSeeds = fresh.seeds_ != settings_.seeds_;
     settings_.seeds_ = fresh.seeds_;
     log_.line(Event::SettingsReloaded)
@@ -323,8 +321,8 @@
 {
     const unsigned version = request.message_.version();
     if (request.message_.target() != "/metrics") {
-        co_return Http::textAnswer(http::status::not_found, "text/plain",
-                                   "known here: /metrics\n", version);
+        co_return Http::textAnswer(http::status::not_found, "text/plain", "known here: /metrics\n",
+                                   version);
     }
     co_return Http::textAnswer(http::status::ok, "text/plain; version=0.0.4", metricsText(),
                                version);
@@ -404,8 +402,8 @@
     text.add("cassiacrank_store_reached", "Whether the store answers.", "gauge",
              parts_->follower_.isReached() ? 1 : 0);
     for (const auto table : {StoreTable::Operators, StoreTable::Targets}) {
-        text.add("cassiacrank_knowledge_age_seconds", "Since the store confirmed a table.",
-                 "gauge", Model::inSeconds(now - parts_->follower_.confirmedAt(table)),
+        text.add("cassiacrank_knowledge_age_seconds", "Since the store confirmed a table.", "gauge",
+                 Model::inSeconds(now - parts_->follower_.confirmedAt(table)),
                  table == StoreTable::Operators ? "table=\"operators\"" : "table=\"targets\"");
     }
     for (const auto &[route, summary] : counters.latency_) {
--- a/Libraries/LibSteering/Knowledge.cpp
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -72,8 +72,7 @@
     return table == StoreTable::Operators ? operators_ : targets_;
 }
 
-void Knowledge::replace(StoreTable table, const Platform::StoredRows &rows,
-                        std::string_view source)
+void Knowledge::replace(StoreTable table, const Platform::StoredRows &rows, std::string_view source)
 {
     Mirror &mirror = table == StoreTable::Operators ? operators_ : targets_;
     if (!mirror.replace(rows)) {
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -97,8 +97,8 @@
                   return answer(std::move(request));
               })
     , pool_(context)
-    , incarnation_(static_cast<std::uint64_t>(
-          std::chrono::system_clock::now().time_since_epoch().count()))
+    , incarnation_(
+          static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()))
 {
     refreshOwn();
 }
@@ -252,7 +252,8 @@
         log_.line(isAlive ? Event::PeerBack : Event::PeerLost)
             .add("instance", id.value())
             .add("region", member.instance_.region_.value())
-            .add("silent_ms", std::chrono::duration_cast<Model::Microseconds>(now - member.heardAt_));
+            .add("silent_ms",
+                 std::chrono::duration_cast<Model::Microseconds>(now - member.heardAt_));
     }
     std::erase_if(knownAlive_, [&](const auto &entry) {
         return !members_.contains(entry.first);
@@ -267,8 +268,7 @@
     options.deadline_ = std::chrono::steady_clock::now() + askTimeout;
     options.longestIdle_ = longestRest;
     options.connectionLimit_ = connectionsToPeer;
-    const Http::Request request
-        = requestTo(address, http::verb::post, gossipPath, messageText());
+    const Http::Request request = requestTo(address, http::verb::post, gossipPath, messageText());
     const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
     if (result.answer_ && result.answer_->result() == http::status::ok)
         take(result.answer_->body());
@@ -280,8 +280,7 @@
     const auto targets = knowledge_.mirror(StoreTable::Targets).position_.value();
     const Policy::Member *best = nullptr;
     for (const auto &[id, member] : members_) {
-        const bool knowsMore
-            = member.operatorsSeen_ > operators || member.targetsSeen_ > targets;
+        const bool knowsMore = member.operatorsSeen_ > operators || member.targetsSeen_ > targets;
         if (id == settings_.instance_ || !Policy::isAlive(member, now) || !knowsMore)
             continue;
         if (!best || member.targetsSeen_ > best->targetsSeen_)
--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -145,8 +145,8 @@
     if (!target.sent_.empty()) {
         const SentRequest &oldest = target.sent_.front();
         const auto age = std::chrono::duration_cast<Microseconds>(now - oldest.at_);
-        candidate.slowness_ = std::max(candidate.slowness_,
-                                       Policy::slownessBySilence(age, oldest.expected_));
+        candidate.slowness_
+            = std::max(candidate.slowness_, Policy::slownessBySilence(age, oldest.expected_));
     }
     candidate.failureRate_ = pace.failureRate_;
     candidate.isWarm_ = !job.hasObject_ || target.objects_.contains(job.object_);
@@ -215,8 +215,7 @@
     }
     const auto *service = job.table_->service(job.service_);
     // Where nobody is left in the home region, going elsewhere is the only way to be served.
-    if (inHomeRegion == 0 || !service
-        || Policy::maySpill(spill_, service->regionShiftCap_, now))
+    if (inHomeRegion == 0 || !service || Policy::maySpill(spill_, service->regionShiftCap_, now))
         return;
     for (std::size_t i = candidates_.size(); i-- > 0;) {
         if (!candidates_[i].leavesHomeRegion_)
@@ -295,8 +294,7 @@
         target.objects_[job.object_] = now;
     }
     // An answer that waited for a slot says nothing of the work alone.
-    const bool hadSlot
-        = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
+    const bool hadSlot = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
     if (!hadSlot || target.isCold(now))
         return;
     Policy::learnWorkTime(workOf(*job.route_, job.service_), worked, isKnownWarm);
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -7,7 +7,7 @@
 # The linter does not read precompiled headers of GCC.
 build=build/lint
 cmake -S . -B "$build" -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null || exit 1
-mapfile -t files < <(find Libraries Services Utilities Tests -name '*.cpp' | grep -v /Generated/ | sort)
+mapfile -t files < <(find Libraries Services Utilities platform Tests -name '*.cpp' | grep -v /Generated/ | sort)
 # Clang 14 has coroutines but does not say so in the way that Boost and libstdc++ ask for.
 findings="$(printf '%s\n' "${files[@]}" \
     | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet \
@@ -30,5 +30,8 @@
 grep -rnE '[?:] co_await' Libraries Services Utilities Tests --include='*.cpp' && say "co_await in a conditional expression"
 grep -rniwE 'customer|backend|back_end|zone' Libraries Services Utilities --include='*.cpp' --include='*.h' \
     | grep -v /Generated/ && say "a word that the house style replaces"
+# The users' platform is spoken in one folder only.
+git grep -nE 'X-Cassiacrank-|rows-(tx|get|feed|parts)|expectedRev|tombstone|coldLeftMs|coldPerS|targetLatencyMs|homeRegions|maxAttempts' \
+    -- Libraries Services Utilities ':!*.pb.*' && say "a name of the platform outside platform/"
 [ "$status" -eq 0 ] && echo "lint: clean"
 exit "$status"
--- a/Tests/LibPolicy/TestHomes.cpp
+++ b/Tests/LibPolicy/TestHomes.cpp
@@ -54,8 +54,8 @@
 
     // Pattern: a third of the callers in a region with a fourteenth of the slots, as at one of our
     // users: 1, 6 and 7 targets in each failure domain of three regions.
-    // Grounds: 12 slots of 168 are 0.071 of all; planned at 0.95 they carry 0.075 of the demand, and
-    // a third of it is near, so 0.226 of the objects stay; the rich regions keep all of theirs.
+    // Grounds: 12 slots of 168 are 0.071 of all; planned at 0.95 they carry 0.075 of the demand,
+    // and a third of it is near, so 0.226 of the objects stay; the rich regions keep all of theirs.
     void poorRegionKeepsWhatItsSlotsCarry()
     {
         const auto shares = Policy::homeShares(sixDomains({6, 6, 36, 36, 42, 42}));
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-std::optional<Steering::OperatorRows>
-decodeOperators(const std::vector<Platform::StoredRow> &rows)
+std::optional<Steering::OperatorRows> decodeOperators(const std::vector<Platform::StoredRow> &rows)
 {
     Steering::OperatorRows result;
     bool hasTable = false;
--- a/Tests/LibSteering/FakePlatform.h
+++ b/Tests/LibSteering/FakePlatform.h
@@ -21,8 +21,7 @@
 /// The text of an operators' row: services "gauging" and "transfers", and a route to each.
 std::string operatorsText(int version);
 
-Platform::StoredRow row(const std::string &key, const std::string &value,
-                        std::uint64_t revision);
+Platform::StoredRow row(const std::string &key, const std::string &value, std::uint64_t revision);
 Platform::StoredRows rows(std::uint64_t revision, std::vector<Platform::StoredRow> list);
 
 /// A target of \a service, "ready" and warm.
--- a/Tests/LibSteering/TestPlacer.cpp
+++ b/Tests/LibSteering/TestPlacer.cpp
@@ -91,7 +91,8 @@
         int moved = 0;
         for (std::uint64_t object = 0; object < 600; ++object)
             moved += placedAt(brain, object) != before[object] ? 1 : 0;
-        // A twelfth loses its owner, and the newcomer wins a twelfth: two twelfths together, or less.
+        // A twelfth loses its owner, and the newcomer wins a twelfth: two twelfths together, or
+        // less.
         CPPUNIT_ASSERT(moved < 600 * 2 / 12 + 30);
     }
 
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -109,7 +109,9 @@
     for (std::size_t i = 0; i < count; ++i)
         startOne();
     for (const auto &instance : instances_) {
-        if (!Harness::waitUntil(startPatience, [&] { return isReady(*instance); }))
+        if (!Harness::waitUntil(startPatience, [&] {
+                return isReady(*instance);
+            }))
             throw std::runtime_error(instance->name_ + " does not get ready:\n"
                                      + instance->process_->log());
     }
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -30,8 +30,8 @@
 public:
     Fleet();
 
-    /// Writes a configuration of one host with two routes: /read/ (may be repeated) and /order/ (may
-    /// not), both to service s. The route named \a extra is there too if it is not empty.
+    /// Writes a configuration of one host with two routes: /read/ (may be repeated) and /order/
+    /// (may not), both to service s. The route named \a extra is there too if it is not empty.
     void configure(int version, const std::string &extra = "");
     /// Starts \a count instances, in the domains by turns, and waits until all are ready.
     void start(std::size_t count);
--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -160,8 +160,8 @@
 {
     const std::string table = queryValue(target, "table");
     const auto after = std::stoull(queryValue(target, "after"));
-    const auto until = std::chrono::steady_clock::now()
-                       + Milliseconds(std::stoll(queryValue(target, "waitMs")));
+    const auto until
+        = std::chrono::steady_clock::now() + Milliseconds(std::stoll(queryValue(target, "waitMs")));
     while (true) {
         {
             const std::lock_guard lock(mutex_);
@@ -197,9 +197,8 @@
     for (const auto &expected : call.at("expectedRev")) {
         const auto &rows = tables_[expected.at("table")];
         const auto found = rows.find(expected.at("key").get<std::string>());
-        const auto held = found == rows.end() || found->second.isRemoved_
-                              ? 0
-                              : found->second.revision_;
+        const auto held
+            = found == rows.end() || found->second.isRemoved_ ? 0 : found->second.revision_;
         if (held != expected.at("ver").get<std::uint64_t>())
             return jsonAnswer({{"ver", revision_}}, http::status::precondition_failed);
     }
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -176,8 +176,8 @@
         const auto before = leaving.runCount();
         for (int i = 0; i < 30; ++i) {
             const auto &instance = *fleet.instances_[static_cast<std::size_t>(i % 3)];
-            const auto answer = fleet.send(instance, "read", "r" + std::to_string(i), 2000,
-                                           std::to_string(i));
+            const auto answer
+                = fleet.send(instance, "read", "r" + std::to_string(i), 2000, std::to_string(i));
             CPPUNIT_ASSERT(statusOf(answer) == status::ok);
         }
         CPPUNIT_ASSERT_EQUAL(before, leaving.runCount());
@@ -283,7 +283,9 @@
         auto answer = std::async(std::launch::async, [&] {
             return fleet.send(stopping, "order", "o1");
         });
-        CPPUNIT_ASSERT(Harness::waitUntil(patience, [&] { return target.runCount() > before; }));
+        CPPUNIT_ASSERT(Harness::waitUntil(patience, [&] {
+            return target.runCount() > before;
+        }));
         stopping.process_->signal(SIGTERM);
         CPPUNIT_ASSERT(statusOf(answer.get()) == status::ok);
         CPPUNIT_ASSERT(!fleet.isReady(stopping));
@@ -310,7 +312,9 @@
         };
         CPPUNIT_ASSERT(Harness::waitUntil(patience, isNamed));
         fleet.instances_[0]->process_->kill();
-        CPPUNIT_ASSERT(Harness::waitUntil(Milliseconds(7000), [&] { return !isNamed(); }));
+        CPPUNIT_ASSERT(Harness::waitUntil(Milliseconds(7000), [&] {
+            return !isNamed();
+        }));
         CPPUNIT_ASSERT(!fleet.lookUp(*fleet.instances_[2], "r").empty());
     }
 
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -123,8 +123,7 @@
         Model::Instance instance;
         instance.addresses_.entry_ = {"10.0.0.1", 81};
         const auto answer = Adapter::lookupAnswer({instance}, Milliseconds(1500));
-        CPPUNIT_ASSERT_EQUAL(std::string(R"({"addrs":["10.0.0.1:81"],"ttlS":1.5})"),
-                             answer.body());
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"addrs":["10.0.0.1:81"],"ttlS":1.5})"), answer.body());
     }
 
     void termsAreReadAndUnknownOnesIgnored()
