--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -33,6 +33,9 @@
 constexpr double usedRetryPart = 0.5;
 /// An instance that knows no table yet expects one within this time.
 constexpr Milliseconds comeBackWhenReady{300};
+/// Targets that are tried where none could be reached: what never left counts against no budget. Half
+/// of a failure domain may be down at once, so two tries often meet two dead ones.
+constexpr std::size_t mostTries = 4;
 constexpr long long longestDeadlineMs = 600000;
 
 SteadyTime steadyNow()
@@ -323,10 +326,8 @@
     if (job.isAbandoned_ || now >= job.deadline_)
         return false;
     const auto &route = *job.route_;
-    // What never left counts against no budget, but it does not go on for ever either.
-    const auto tries = static_cast<int>(job.tried_.size());
     if (!attempt.wasSent_)
-        return tries <= route.attempts_;
+        return job.tried_.size() < mostTries;
     return Policy::mayRetry(retryBudgets_[job.service_], attempt.outcome_, route.isIdempotent_,
                             job.attempts_, route.attempts_);
 }
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -13,12 +13,12 @@
 
 /// How long one call waits for news. A connection that went silent for good shows no later than
 /// this; a shorter time costs calls of which each is paid for.
-constexpr Milliseconds longestWait{5000};
+constexpr Milliseconds longestWait{8000};
 
 /// After news, further news of the targets are gathered for this long: a release brings a change
-/// every few hundred milliseconds, and each call is paid for. It is a tenth of the two and a half
+/// every few hundred milliseconds, and each call is paid for. It is a fifth of the two and a half
 /// seconds in which a change must be known.
-constexpr Milliseconds gatherTargets{250};
+constexpr Milliseconds gatherTargets{500};
 constexpr Milliseconds gatherOperators{50};
 
 constexpr Milliseconds firstPause{150};
