--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -468,7 +468,6 @@
         return http::status::expectation_failed;
     case ResultCode::ClassLimited:
     case ResultCode::DisplacedByFairShare:
-    case ResultCode::OutrankedByUrgent:
         return http::status::too_many_requests;
     case ResultCode::TargetTimeout:
         return http::status::gateway_timeout;
--- a/Libraries/LibModel/ResultCode.cpp
+++ b/Libraries/LibModel/ResultCode.cpp
@@ -50,8 +50,6 @@
         {TargetUnreachable, "TargetUnreachable", "No connection to a target. Not run."},
         {WouldBeLate, "WouldBeLate",
          "No target could answer before the caller stops waiting. Not run."},
-        {OutrankedByUrgent, "OutrankedByUrgent",
-         "Slots are short and more urgent requests go first. Not run."},
         {TargetConnectionLost, "TargetConnectionLost",
          "The connection to the target was lost after dispatch. Unknown whether it ran."},
         {TargetTimeout, "TargetTimeout",
--- a/Libraries/LibModel/ResultCode.h
+++ b/Libraries/LibModel/ResultCode.h
@@ -39,7 +39,6 @@
     ClassLimited = 210,
     TargetUnreachable = 211,
     WouldBeLate = 212,
-    OutrankedByUrgent = 213,
 
     TargetConnectionLost = 301,
     TargetTimeout = 302,
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -33,8 +33,8 @@
 constexpr double usedRetryPart = 0.5;
 /// An instance that knows no table yet expects one within this time.
 constexpr Milliseconds comeBackWhenReady{300};
-/// Targets that are tried where none could be reached: what never left counts against no budget. Half
-/// of a failure domain may be down at once, so two tries often meet two dead ones.
+/// Targets that are tried where none could be reached: what never left counts against no budget.
+/// Half of a failure domain may be down at once, so two tries often meet two dead ones.
 constexpr std::size_t mostTries = 4;
 constexpr long long longestDeadlineMs = 600000;
 
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -1,4 +1,4 @@
-#include "Instance.h"
+#include "InstanceParts.h"
 
 #include <ctime>
 #include <unistd.h>
@@ -27,12 +27,6 @@
 constexpr Milliseconds peerPatience{1500};
 constexpr std::size_t mostEntriesNamed = 64;
 
-/// Requests of one connection that are worked on at the same time.
-constexpr std::size_t pipelineDepth = 16;
-/// Callers are allowed this much more than the table's idle limit, so that none finds its
-/// connection closed at the very moment that it uses it.
-constexpr Milliseconds idleSlack{2000};
-
 /// A stop takes these steps; together with the longest request they stay inside the time after
 /// which a stopped process is killed.
 constexpr Milliseconds spreadTime{1700};
@@ -56,62 +50,8 @@
     return std::chrono::steady_clock::now();
 }
 
-Http::ServerLimits entryLimits(const Model::CallerLimits &limits)
-{
-    Http::ServerLimits result;
-    result.headBytes_ = limits.headBytes_;
-    result.bodyBytes_ = limits.bodyBytes_;
-    result.idle_ = limits.idle_ + idleSlack;
-    result.request_ = limits.request_;
-    result.pipelineDepth_ = pipelineDepth;
-    return result;
-}
-
 } // namespace
 
-/// The parts that need the port, in the order in which they depend on each other.
-struct Instance::Parts
-{
-    Parts(Instance &instance)
-        : knowledge_(instance.port_, instance.settings_, instance.log_)
-        , book_(instance.port_, knowledge_, instance.log_)
-        , placer_(instance.settings_, knowledge_, book_)
-        , dispatcher_(instance.context_, instance.port_, knowledge_, placer_, instance.log_)
-        , peers_(instance.context_, instance.port_, instance.settings_, knowledge_, instance.log_)
-        , follower_(instance.context_, instance.port_, knowledge_, instance.log_,
-                    [&instance] {
-                        instance.knowledgeChanged();
-                    })
-        , entry_(instance.context_, entryLimits({}),
-                 [this](Http::IncomingRequest request) {
-                     return dispatcher_.answer(std::move(request));
-                 })
-        , lookup_(instance.context_, {},
-                  [&instance](Http::IncomingRequest request) {
-                      return instance.answerLookup(std::move(request));
-                  })
-        , ready_(instance.context_, {},
-                 [&instance](Http::IncomingRequest request) {
-                     return instance.answerReady(std::move(request));
-                 })
-        , admin_(instance.context_, {}, [&instance](Http::IncomingRequest request) {
-            return instance.answerAdmin(std::move(request));
-        })
-    {
-    }
-
-    Knowledge knowledge_;
-    TargetBook book_;
-    Placer placer_;
-    Dispatcher dispatcher_;
-    PeerExchange peers_;
-    StoreFollower follower_;
-    Http::Server entry_;
-    Http::Server lookup_;
-    Http::Server ready_;
-    Http::Server admin_;
-};
-
 Instance::Instance(const Observe::Settings &settings, std::string settingsPath)
     : settings_(settings)
     , settingsPath_(std::move(settingsPath))
@@ -304,7 +244,7 @@
         co_return Http::refusal({Model::ResultCode::NotReady, ""}, version);
     if (entries.size() > mostEntriesNamed)
         entries.resize(mostEntriesNamed);
-    co_return port_.lookupAnswer_(entries, lookupLife);
+    co_return port_.lookupAnswer_(entries, std::min(lookupLife, port_.terms_.longestLookupLife_));
 }
 
 Task<Http::Response> Instance::answerReady(Http::IncomingRequest request)
@@ -356,61 +296,4 @@
     context_.stop();
 }
 
-std::string Instance::metricsText() const
-{
-    Observe::MetricsText text;
-    const auto &counters = parts_->dispatcher_.counters();
-    const auto count = [&](const char *name, const char *help, std::uint64_t value) {
-        text.add(name, help, "counter", static_cast<double>(value));
-    };
-    count("cassiacrank_requests_total", "Requests taken.", counters.requests_);
-    count("cassiacrank_answered_total", "Requests answered by a target.", counters.answered_);
-    count("cassiacrank_refused_total", "Requests refused, not run.", counters.refused_);
-    count("cassiacrank_unknown_total", "Requests with an unknown outcome.", counters.unknown_);
-    count("cassiacrank_retried_total", "Second attempts.", counters.retried_);
-    count("cassiacrank_abandoned_total", "Requests whose caller left.", counters.abandoned_);
-    count("cassiacrank_refused_by_targets_total", "Attempts that a target refused.",
-          counters.refusedByTargets_);
-    count("cassiacrank_foreign_answers_total", "Answers dropped as another request's.",
-          counters.foreignAnswers_);
-    count("cassiacrank_to_home_total", "Answers from the object's home.", counters.toHome_);
-    count("cassiacrank_to_warm_total", "Answers from a target that knew the object.",
-          counters.toWarm_);
-    count("cassiacrank_store_reads_total", "Read calls to the store.", store_.reads_);
-    count("cassiacrank_store_writes_total", "Write calls to the store.", store_.writes_);
-    count("cassiacrank_log_lines_total", "Lines of the decision log.", log_.written());
-    count("cassiacrank_log_left_out_total", "Lines left out for the bound.", log_.leftOut());
-    count("cassiacrank_log_dropped_total", "Lines dropped as nobody read.", log_.dropped());
-    for (const auto &[code, number] : counters.byCode_) {
-        text.add("cassiacrank_result_total", "Requests by result code.", "counter",
-                 static_cast<double>(number),
-                 "code=\"" + std::to_string(Model::number(code)) + "\"");
-    }
-    const auto &table = parts_->knowledge_.table();
-    text.add("cassiacrank_table_version", "Version of the table in force.", "gauge",
-             table ? static_cast<double>(table->version().value()) : 0);
-    text.add("cassiacrank_in_progress", "Requests in progress.", "gauge",
-             static_cast<double>(parts_->dispatcher_.inProgress()));
-    text.add("cassiacrank_targets", "Targets known.", "gauge",
-             static_cast<double>(parts_->book_.all().size()));
-    const auto now = steadyNow();
-    std::size_t alive = 0;
-    for (const auto &[id, member] : parts_->peers_.members())
-        alive += Policy::isAlive(member, now) ? 1 : 0;
-    text.add("cassiacrank_instances", "Instances heard of lately.", "gauge",
-             static_cast<double>(alive));
-    text.add("cassiacrank_store_reached", "Whether the store answers.", "gauge",
-             parts_->follower_.isReached() ? 1 : 0);
-    for (const auto table : {StoreTable::Operators, StoreTable::Targets}) {
-        text.add("cassiacrank_knowledge_age_seconds", "Since the store confirmed a table.", "gauge",
-                 Model::inSeconds(now - parts_->follower_.confirmedAt(table)),
-                 table == StoreTable::Operators ? "table=\"operators\"" : "table=\"targets\"");
-    }
-    for (const auto &[route, summary] : counters.latency_) {
-        text.addSummary("cassiacrank_latency_seconds", "From request to answer.", summary,
-                        "route=\"" + route.value() + "\"");
-    }
-    return text.text();
-}
-
 } // namespace Steering
--- a/Libraries/LibSteering/Instance.h
+++ b/Libraries/LibSteering/Instance.h
@@ -17,6 +17,9 @@
 public:
     /// \a settingsPath is read again on SIGHUP.
     Instance(const Observe::Settings &settings, std::string settingsPath);
+    ~Instance();
+    Instance(const Instance &) = delete;
+    Instance &operator=(const Instance &) = delete;
 
     /// Sets how the platform is spoken to. Called once, before start().
     void usePlatform(PlatformPort port);
@@ -61,9 +64,6 @@
     bool isReady_ = false;
     bool isStopping_ = false;
     Model::SteadyTime startedAt_ = Model::longAgo;
-
-public:
-    ~Instance();
 };
 
 } // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -0,0 +1,62 @@
+#include "InstanceParts.h"
+
+namespace Steering {
+
+std::string Instance::metricsText() const
+{
+    Observe::MetricsText text;
+    const auto &counters = parts_->dispatcher_.counters();
+    const auto count = [&](const char *name, const char *help, std::uint64_t value) {
+        text.add(name, help, "counter", static_cast<double>(value));
+    };
+    count("cassiacrank_requests_total", "Requests taken.", counters.requests_);
+    count("cassiacrank_answered_total", "Requests answered by a target.", counters.answered_);
+    count("cassiacrank_refused_total", "Requests refused, not run.", counters.refused_);
+    count("cassiacrank_unknown_total", "Requests with an unknown outcome.", counters.unknown_);
+    count("cassiacrank_retried_total", "Second attempts.", counters.retried_);
+    count("cassiacrank_abandoned_total", "Requests whose caller left.", counters.abandoned_);
+    count("cassiacrank_refused_by_targets_total", "Attempts that a target refused.",
+          counters.refusedByTargets_);
+    count("cassiacrank_foreign_answers_total", "Answers dropped as another request's.",
+          counters.foreignAnswers_);
+    count("cassiacrank_to_home_total", "Answers from the object's home.", counters.toHome_);
+    count("cassiacrank_to_warm_total", "Answers from a target that knew the object.",
+          counters.toWarm_);
+    count("cassiacrank_store_reads_total", "Read calls to the store.", store_.reads_);
+    count("cassiacrank_store_writes_total", "Write calls to the store.", store_.writes_);
+    count("cassiacrank_log_lines_total", "Lines of the decision log.", log_.written());
+    count("cassiacrank_log_left_out_total", "Lines left out for the bound.", log_.leftOut());
+    count("cassiacrank_log_dropped_total", "Lines dropped as nobody read.", log_.dropped());
+    for (const auto &[code, number] : counters.byCode_) {
+        text.add("cassiacrank_result_total", "Requests by result code.", "counter",
+                 static_cast<double>(number),
+                 "code=\"" + std::to_string(Model::number(code)) + "\"");
+    }
+    const auto &table = parts_->knowledge_.table();
+    text.add("cassiacrank_table_version", "Version of the table in force.", "gauge",
+             table ? static_cast<double>(table->version().value()) : 0);
+    text.add("cassiacrank_in_progress", "Requests in progress.", "gauge",
+             static_cast<double>(parts_->dispatcher_.inProgress()));
+    text.add("cassiacrank_targets", "Targets known.", "gauge",
+             static_cast<double>(parts_->book_.all().size()));
+    const auto now = std::chrono::steady_clock::now();
+    std::size_t alive = 0;
+    for (const auto &[id, member] : parts_->peers_.members())
+        alive += Policy::isAlive(member, now) ? 1 : 0;
+    text.add("cassiacrank_instances", "Instances heard of lately.", "gauge",
+             static_cast<double>(alive));
+    text.add("cassiacrank_store_reached", "Whether the store answers.", "gauge",
+             parts_->follower_.isReached() ? 1 : 0);
+    for (const auto table : {StoreTable::Operators, StoreTable::Targets}) {
+        text.add("cassiacrank_knowledge_age_seconds", "Since the store confirmed a table.", "gauge",
+                 Model::inSeconds(now - parts_->follower_.confirmedAt(table)),
+                 table == StoreTable::Operators ? "table=\"operators\"" : "table=\"targets\"");
+    }
+    for (const auto &[route, summary] : counters.latency_) {
+        text.addSummary("cassiacrank_latency_seconds", "From request to answer.", summary,
+                        "route=\"" + route.value() + "\"");
+    }
+    return text.text();
+}
+
+} // namespace Steering
--- /dev/null
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -0,0 +1,56 @@
+#include "InstanceParts.h"
+
+namespace Steering {
+
+using Model::Milliseconds;
+
+namespace {
+
+/// Requests of one connection that are worked on at the same time.
+constexpr std::size_t pipelineDepth = 16;
+/// Callers are allowed this much more than the table's idle limit, so that none finds its
+/// connection closed at the very moment that it uses it.
+constexpr Milliseconds idleSlack{2000};
+
+} // namespace
+
+Http::ServerLimits entryLimits(const Model::CallerLimits &limits)
+{
+    Http::ServerLimits result;
+    result.headBytes_ = limits.headBytes_;
+    result.bodyBytes_ = limits.bodyBytes_;
+    result.idle_ = limits.idle_ + idleSlack;
+    result.request_ = limits.request_;
+    result.pipelineDepth_ = pipelineDepth;
+    return result;
+}
+
+Instance::Parts::Parts(Instance &instance)
+    : knowledge_(instance.port_, instance.settings_, instance.log_)
+    , book_(instance.port_, knowledge_, instance.log_)
+    , placer_(instance.settings_, knowledge_, book_)
+    , dispatcher_(instance.context_, instance.port_, knowledge_, placer_, instance.log_)
+    , peers_(instance.context_, instance.port_, instance.settings_, knowledge_, instance.log_)
+    , follower_(instance.context_, instance.port_, knowledge_, instance.log_,
+                [&instance] {
+                    instance.knowledgeChanged();
+                })
+    , entry_(instance.context_, entryLimits({}),
+             [this](Http::IncomingRequest request) {
+                 return dispatcher_.answer(std::move(request));
+             })
+    , lookup_(instance.context_, {},
+              [&instance](Http::IncomingRequest request) {
+                  return instance.answerLookup(std::move(request));
+              })
+    , ready_(instance.context_, {},
+             [&instance](Http::IncomingRequest request) {
+                 return instance.answerReady(std::move(request));
+             })
+    , admin_(instance.context_, {}, [&instance](Http::IncomingRequest request) {
+        return instance.answerAdmin(std::move(request));
+    })
+{
+}
+
+} // namespace Steering
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -75,6 +75,17 @@
     return request;
 }
 
+Http::ExchangeOptions optionsTo(const Model::Address &address, Milliseconds patience)
+{
+    Http::ExchangeOptions options;
+    options.address_ = address;
+    options.connectTimeout_ = askTimeout;
+    options.deadline_ = std::chrono::steady_clock::now() + patience;
+    options.longestIdle_ = longestRest;
+    options.connectionLimit_ = connectionsToPeer;
+    return options;
+}
+
 Http::ServerLimits peerLimits()
 {
     Http::ServerLimits limits;
@@ -262,12 +273,7 @@
 
 Task<void> PeerExchange::askPeer(Model::Address address)
 {
-    Http::ExchangeOptions options;
-    options.address_ = address;
-    options.connectTimeout_ = askTimeout;
-    options.deadline_ = std::chrono::steady_clock::now() + askTimeout;
-    options.longestIdle_ = longestRest;
-    options.connectionLimit_ = connectionsToPeer;
+    const Http::ExchangeOptions options = optionsTo(address, askTimeout);
     const Http::Request request = requestTo(address, http::verb::post, gossipPath, messageText());
     const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
     if (result.answer_ && result.answer_->result() == http::status::ok)
@@ -297,12 +303,7 @@
     isFetching_ = true;
     const std::string name = peer->instance_.id_.value();
     const Model::Address address = peer->instance_.addresses_.control_;
-    Http::ExchangeOptions options;
-    options.address_ = address;
-    options.connectTimeout_ = askTimeout;
-    options.deadline_ = std::chrono::steady_clock::now() + fetchTimeout;
-    options.longestIdle_ = longestRest;
-    options.connectionLimit_ = connectionsToPeer;
+    const Http::ExchangeOptions options = optionsTo(address, fetchTimeout);
     const Http::Request request = requestTo(address, http::verb::get, knowledgePath, "");
     const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
     isFetching_ = false;
--- a/Libraries/LibSteering/Placer.h
+++ b/Libraries/LibSteering/Placer.h
@@ -31,12 +31,12 @@
     void noteAnswer(const Job &job, const Placement &placement, Model::Microseconds took,
                     Model::SteadyTime now);
     void noteFailure(const Placement &placement, Model::SteadyTime now);
-    /// Takes in that nothing came back of a request that was sent at \a sentAt, or that none could be
-    /// sent.
+    /// Takes in that nothing came back of a request that was sent at \a sentAt, or that none could
+    /// be sent.
     ///
-    /// What goes wrong without it: what a request's loss says against a target fades within seconds,
-    /// then a handful of requests go there at once and are lost too, for as long as the target is
-    /// registered. One that answers nobody is asked by one request at a time.
+    /// What goes wrong without it: what a request's loss says against a target fades within
+    /// seconds, then a handful of requests go there at once and are lost too, for as long as the
+    /// target is registered. One that answers nobody is asked by one request at a time.
     void noteSilence(const Placement &placement, Model::SteadyTime sentAt, bool wasSent,
                      Model::SteadyTime now);
     /// Returns how long to wait for a new connection to \a target.
--- a/Tests/LibSteering/LoadedTargets.cpp
+++ b/Tests/LibSteering/LoadedTargets.cpp
@@ -52,7 +52,9 @@
     std::vector<PlayedResult> run()
     {
         for (std::size_t i = 0; i < requests_.size(); ++i)
-            at(start_ + requests_[i].at_, [this, i] { arrive(i); });
+            at(start_ + requests_[i].at_, [this, i] {
+                arrive(i);
+            });
         while (!events_.empty()) {
             now_ = events_.begin()->first;
             const auto event = std::move(events_.begin()->second);
@@ -97,7 +99,9 @@
         const std::string id = state.record_.id_.value();
         results_[number].target_ = id;
         if (model_.dark_.contains(id)) {
-            at(work.job_.deadline_, [this, work] { loseAnswer(work); });
+            at(work.job_.deadline_, [this, work] {
+                loseAnswer(work);
+            });
             return;
         }
         at(now_ + delayTo(work.entry_, targets_[id]), [this, work, id] {
@@ -124,8 +128,9 @@
                 const auto inFlight
                     = done.running_ + static_cast<std::int64_t>(done.waiting_.size());
                 begin(id);
-                at(now_ + delayTo(work.entry_, done),
-                   [this, work, inFlight] { answer(work, inFlight); });
+                at(now_ + delayTo(work.entry_, done), [this, work, inFlight] {
+                    answer(work, inFlight);
+                });
             });
         }
     }
--- a/Tests/LibSteering/TestLoads.cpp
+++ b/Tests/LibSteering/TestLoads.cpp
@@ -123,7 +123,8 @@
     }
 
     // Pattern: a target that works five times as long, as with a failing disk.
-    // Grounds: at its usual part of a twelfth of its region's requests it would need twice its slots.
+    // Grounds: at its usual part of a twelfth of its region's requests it would need twice its
+    // slots.
     void slowTargetLosesMostOfItsRequests()
     {
         const auto requests = evenLoad(400);
