--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -181,9 +181,10 @@
         result = co_await exchangeOn(*connection, options, request, isOwnAnswer);
     }
     result.isNewConnection_ = isNew;
-    if (isNew)
+    if (isNew) {
         result.connectTook_
             = std::chrono::duration_cast<Model::Microseconds>(connectedAt - startedAt);
+    }
     if (!result.answer_) {
         pool.discard(options.address_, std::move(connection));
         // A cancelled exchange says nothing of the other connections.
--- a/Libraries/LibModel/Route.h
+++ b/Libraries/LibModel/Route.h
@@ -40,7 +40,7 @@
     /// Requests for one object are best served by one target.
     bool hasAffinity_ = false;
     /// Regions in which requests must stay; empty is all.
-    std::vector<RegionId> homeRegions_;
+    std::vector<RegionId> allowedRegions_;
 };
 
 /// Reads "a" or "a:90, b:10".
--- a/Libraries/LibModel/Table.cpp
+++ b/Libraries/LibModel/Table.cpp
@@ -144,7 +144,7 @@
     route.attempts_ = std::stoi(cellOrDefault(row, "attempts"));
     route.hasAffinity_ = cellOrDefault(row, "affinity") == "yes";
     for (const auto &region : listIn(row, "home_regions"))
-        route.homeRegions_.push_back(RegionId(region));
+        route.allowedRegions_.push_back(RegionId(region));
     return route;
 }
 
--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -77,11 +77,11 @@
 
 bool Placer::isAllowed(const Model::Route &route, std::size_t domain) const
 {
-    if (route.homeRegions_.empty())
+    if (route.allowedRegions_.empty())
         return true;
     const auto &region = knowledge_.table()->domains()[domain].region_;
-    return std::find(route.homeRegions_.begin(), route.homeRegions_.end(), region)
-           != route.homeRegions_.end();
+    return std::find(route.allowedRegions_.begin(), route.allowedRegions_.end(), region)
+           != route.allowedRegions_.end();
 }
 
 Placer::ObjectView Placer::viewOf(const Job &job, const ServiceTargets &targets) const
--- a/Tests/LibSteering/LoadedTargets.cpp
+++ b/Tests/LibSteering/LoadedTargets.cpp
@@ -51,10 +51,11 @@
 
     std::vector<PlayedResult> run()
     {
-        for (std::size_t i = 0; i < requests_.size(); ++i)
+        for (std::size_t i = 0; i < requests_.size(); ++i) {
             at(start_ + requests_[i].at_, [this, i] {
                 arrive(i);
             });
+        }
         while (!events_.empty()) {
             now_ = events_.begin()->first;
             const auto event = std::move(events_.begin()->second);
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -111,9 +111,10 @@
     for (const auto &instance : instances_) {
         if (!Harness::waitUntil(startPatience, [&] {
                 return isReady(*instance);
-            }))
+            })) {
             throw std::runtime_error(instance->name_ + " does not get ready:\n"
                                      + instance->process_->log());
+        }
     }
 }
 
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -94,9 +94,10 @@
         fleet.start(1);
         CPPUNIT_ASSERT(fleet.waitUntilServing());
         // Credit for second attempts is earned by requests.
-        for (int i = 0; i < 60; ++i)
+        for (int i = 0; i < 60; ++i) {
             fleet.send(*fleet.instances_[0], "read", "e" + std::to_string(i), 2000,
                        std::to_string(i));
+        }
         gone.setFaults({.isTruncating_ = true});
         int served = 0;
         for (int i = 0; i < 4; ++i) {
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -54,7 +54,7 @@
         CPPUNIT_ASSERT(route->timeout_ == Milliseconds(1200));
         CPPUNIT_ASSERT(route->latencyGoal_ == Milliseconds(500));
         CPPUNIT_ASSERT_EQUAL(2, route->attempts_);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), route->homeRegions_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), route->allowedRegions_.size());
         const auto *longer = table->routes().find("h.example", "/a/b/c/d");
         CPPUNIT_ASSERT(longer && longer->isIdempotent_);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(10, longer->parts_[1].weight_.value(), 1e-9);
