--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -28,7 +28,7 @@
     const Model::TargetId id(row.key_);
     const auto known = targets_.find(id);
     if (known != targets_.end() && known->second->revision_ == row.revision_) {
-        known->second->missingSince_.reset();
+        known->second->missingUntil_.reset();
         return;
     }
     auto record = port_.decodeTarget_(row);
@@ -50,7 +50,7 @@
     // One run that was leaving does not come back, whatever an older row says.
     target->record_.isLeaving_ = record->isLeaving_ || wasLeaving;
     target->revision_ = row.revision_;
-    target->missingSince_.reset();
+    target->missingUntil_.reset();
     if (record->coldFor_.count() > 0) {
         target->coldUntil_ = now + record->coldFor_;
         // A cold target has lost what it kept of its objects.
@@ -74,15 +74,16 @@
     std::size_t unannounced = 0;
     for (const auto &[id, target] : targets_) {
         const bool isMissing = !rows.contains(id.value());
-        unannounced += isMissing && !target->record_.isLeaving_ && !target->missingSince_ ? 1 : 0;
+        unannounced += isMissing && !target->record_.isLeaving_ && !target->missingUntil_ ? 1 : 0;
     }
-    const bool isLapse = now - storeFailedAt < lapseWindow || unannounced >= manyAtOnce;
+    const bool hasFailed = now - storeFailedAt < lapseWindow;
+    const bool isLapse = hasFailed || unannounced >= manyAtOnce;
     std::erase_if(targets_, [&](const auto &entry) {
         const auto &[id, target] = entry;
-        if (rows.contains(id.value()) || target->missingSince_)
+        if (rows.contains(id.value()) || target->missingUntil_)
             return false;
         if (isLapse && !target->record_.isLeaving_) {
-            target->missingSince_ = now;
+            target->missingUntil_ = now + (hasFailed ? lapseGrace : unseenLapseGrace);
             log_.line(Event::TargetMissing)
                 .add("target", id.value())
                 .add("store_failed_ms",
@@ -101,7 +102,7 @@
 {
     const auto dropped = std::erase_if(targets_, [&](const auto &entry) {
         const auto &[id, target] = entry;
-        if (!target->missingSince_ || now - *target->missingSince_ < lapseGrace)
+        if (!target->missingUntil_ || now < *target->missingUntil_)
             return false;
         log_.line(Event::TargetGone).add("target", id.value()).add("after", "lapse");
         return true;
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -49,8 +49,8 @@
     bool isPreparing_ = false;
     /// It said itself that it is another run than the one that was asked for.
     bool isReplaced_ = false;
-    /// Its registration is gone though it may only have lapsed; gone for good then.
-    std::optional<Model::SteadyTime> missingSince_;
+    /// Its registration is gone though it may only have lapsed; from then on it gets nothing.
+    std::optional<Model::SteadyTime> missingUntil_;
     /// When each object was sent here last.
     std::unordered_map<std::uint64_t, Model::SteadyTime> objects_;
 
@@ -72,12 +72,17 @@
 /// long after the row went, which is inside the time for which a leaving target still serves.
 constexpr Model::Milliseconds lapseGrace{2000};
 
-/// How long after the store was last seen to fail its rows may still be missing.
-constexpr Model::Milliseconds lapseWindow{4000};
+/// How long after the store was last seen to fail its rows may still be missing: two seconds, and
+/// some for the first call that succeeds.
+constexpr Model::Milliseconds lapseWindow{2500};
 
 /// So many registrations that go at once, none announced, look like a lapse and not like leaving.
 constexpr std::size_t manyAtOnce = 3;
 
+/// Grace for those where the store was not seen to fail: they may have left all the same, and with
+/// the 0.7 s that news takes at the most a leaving target must get nothing after 2.5 s.
+constexpr Model::Milliseconds unseenLapseGrace{1200};
+
 /// All targets that are known, with what this instance has seen of them.
 ///
 /// Thread safety: none; belongs to one thread.
--- a/Tests/LibSteering/TestKnowledge.cpp
+++ b/Tests/LibSteering/TestKnowledge.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(unregisteredTargetGoesAtOnceOnACalmDay);
     CPPUNIT_TEST(lapsedTargetsAreUsedUntilTheyAreBack);
     CPPUNIT_TEST(lapsedTargetsThatStayAwayAreDropped);
+    CPPUNIT_TEST(targetsThatLeaveTogetherOnACalmDayGetNothingInTime);
+    CPPUNIT_TEST(outageOfLongAgoIsNoLapse);
     CPPUNIT_TEST(drainedDomainGetsNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +161,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable(brain, "gauging"));
     }
 
+    // Symptom: a request reaches a target 2.52 s after the store took its leave; the bound is 2.5
+    // s. Sequence: three targets go at the same moment without announcing it; the store never
+    // failed; the news is gathered for half a second. Cause: two seconds of grace for what looks
+    // like a lapse, on top of the time that news takes.
+    void targetsThatLeaveTogetherOnACalmDayGetNothingInTime()
+    {
+        Brain brain("r-a");
+        brain.tellOperators(7, 20);
+        auto list = fourTargets();
+        brain.tellTargets(21, list);
+        list.resize(1);
+        brain.tellTargets(22, list);
+        const auto newsTakes = Milliseconds(700);
+        brain.now_ += Milliseconds(2500) - newsTakes - Milliseconds(300);
+        brain.book_.dropMissing(brain.now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable(brain, "gauging"));
+    }
+
+    // Symptom, sequence and cause as above, where the store failed three seconds before: by then
+    // every target that lives has registered again.
+    void outageOfLongAgoIsNoLapse()
+    {
+        Brain brain("r-a");
+        brain.tellOperators(7, 20);
+        auto list = fourTargets();
+        brain.tellTargets(21, list);
+        brain.storeFailedAt_ = brain.now_;
+        brain.now_ += Milliseconds(3000);
+        list.pop_back();
+        brain.tellTargets(22, list);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable(brain, "gauging"));
+    }
+
     void drainedDomainGetsNothing()
     {
         Brain brain("r-a");
