Tests: Play faults against real processes and check the promises meanwhile

Change: `soak` draws a plan of faults from a seed (14 kinds), plays it against instances as processes with the store, the targets and the peers behind the fault proxy, and checks what callers were told against what targets ran: at most once, not run is true, own answers, leaving targets, edits, names, times, planned stops, recovery. An instance's peers and its store are dialled through the settings' [dial] like those of the daemons. Also: a run that began after its machine's clock went back counts once the run before has been silent (it was ignored for ten minutes), and what is still said of the run before does not come back.

--- a/Libraries/LibPolicy/Liveness.cpp
+++ b/Libraries/LibPolicy/Liveness.cpp
@@ -6,11 +6,21 @@
 
 namespace {
 
-bool isLaterThan(const MemberPulse &said, const MemberPulse &known)
+/// Tells which of two runs began later. The one with the lower incarnation did if its machine's
+/// clock went back before it began: then the other run has been silent, and what is still said of
+/// it is older than what is known.
+bool isLaterRun(const Member &said, const Member &known, Model::SteadyTime heardAt)
 {
-    if (said.incarnation_ != known.incarnation_)
-        return said.incarnation_ > known.incarnation_;
-    return said.heartbeat_ > known.heartbeat_;
+    if (said.pulse_.incarnation_ > known.pulse_.incarnation_)
+        return heardAt >= known.heardAt_;
+    return heardAt - known.heardAt_ > aliveFor;
+}
+
+bool isNews(const Member &said, const Member &known, Model::SteadyTime heardAt)
+{
+    if (said.pulse_.incarnation_ != known.pulse_.incarnation_)
+        return isLaterRun(said, known, heardAt);
+    return said.pulse_.heartbeat_ > known.pulse_.heartbeat_;
 }
 
 bool wasHeardOfLately(const Member &member, Model::SteadyTime now)
@@ -25,7 +35,7 @@
     const auto [place, isNew] = members.try_emplace(said.instance_.id_);
     Member &known = place->second;
     const bool isFirstWord = known.isHearsay_ && !said.isHearsay_;
-    if (!isNew && !isFirstWord && !isLaterThan(said.pulse_, known.pulse_))
+    if (!isNew && !isFirstWord && !isNews(said, known, heardAt))
         return false;
     known = said;
     known.heardAt_ = heardAt;
--- a/Libraries/LibPolicy/Liveness.h
+++ b/Libraries/LibPolicy/Liveness.h
@@ -74,7 +74,9 @@
 /// was news.
 ///
 /// What goes wrong without the incarnation: a restarted instance counts its heartbeats from one and
-/// is taken for dead until it has passed the old run's count.
+/// is taken for dead until it has passed the old run's count. Incarnations come from the machine's
+/// clock; where that went back before the restart, the later run counts once the earlier one has
+/// been silent for longer than a living one is.
 /// Thread safety: \a members belongs to the calling thread.
 bool hearOf(Members &members, const Member &said, Model::SteadyTime heardAt);
 
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -69,7 +69,7 @@
     , storePool_(context_)
     , log_(STDOUT_FILENO)
 {
-    store_.address_ = settings_.platform_;
+    store_.address_ = Observe::dialAddress(settings_, settings_.platform_);
     store_.timeout_ = settings_.platformTimeout_;
     store_.pool_ = &storePool_;
 }
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -167,6 +167,11 @@
         });
 }
 
+Model::Address PeerExchange::dialled(const Model::Address &address) const
+{
+    return Observe::dialAddress(settings_, address);
+}
+
 std::string PeerExchange::ownRecord() const
 {
     return toText(members_.at(settings_.instance_));
@@ -303,7 +308,7 @@
             = Policy::pulsesToAskWith(members_, ownInstance(), peer.region_, now, random_());
     }
     const Model::Address &address = peer.addresses_.control_;
-    const Http::ExchangeOptions options = optionsTo(address, askTimeout);
+    const Http::ExchangeOptions options = optionsTo(dialled(address), askTimeout);
     const Http::Request request = requestTo(
         address, http::verb::post, isAnnouncement ? announcePath : gossipPath, toBytes(message));
     const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
@@ -371,7 +376,7 @@
     isFetching_ = true;
     const std::string name = peer->instance_.id_.value();
     const Model::Address address = peer->instance_.addresses_.control_;
-    const Http::ExchangeOptions options = optionsTo(address, fetchTimeout);
+    const Http::ExchangeOptions options = optionsTo(dialled(address), fetchTimeout);
     const Http::Request request
         = requestTo(address, http::verb::get, knowledgeTarget(knowledge_.held()), "");
     const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -63,6 +63,7 @@
     Http::Response answerKnowledge(const Http::Request &request);
     std::vector<Model::Instance> choosePeers();
     void refreshOwn();
+    Model::Address dialled(const Model::Address &address) const;
     void take(const PeerMessage &message, Model::SteadyTime now);
     void hear(Policy::Member member);
     void noteChanges(Model::SteadyTime now);
--- a/Tests/LibPolicy/TestTargetChoice.cpp
+++ b/Tests/LibPolicy/TestTargetChoice.cpp
@@ -174,6 +174,7 @@
     CPPUNIT_TEST_SUITE(TestLiveness);
     CPPUNIT_TEST(silentInstancesAreNotNamed);
     CPPUNIT_TEST(restartedInstanceCountsAtOnce);
+    CPPUNIT_TEST(runThatBeganBeforeTheClockWentBackIsReplaced);
     CPPUNIT_TEST(oldWordOfAnEarlierRunIsIgnored);
     CPPUNIT_TEST(limitsStayDividedByThoseWhoMayStillRun);
     CPPUNIT_TEST(onlyTheNearestGroupIsNamed);
@@ -218,6 +219,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), members.begin()->second.pulse_.heartbeat_);
     }
 
+    // Symptom: a restarted instance gets no callers for ten minutes.
+    // Sequence: its machine's clock steps back by two seconds, then its process is restarted.
+    // Cause: taking the lower incarnation for an earlier run for ever.
+    void runThatBeganBeforeTheClockWentBackIsReplaced()
+    {
+        Policy::Members members;
+        Policy::hearOf(members, member("a", "r", 9, 700), start);
+        const auto soon = start + Milliseconds(500);
+        CPPUNIT_ASSERT(!Policy::hearOf(members, member("a", "r", 7, 1), soon));
+        const auto later = start + Policy::aliveFor + Milliseconds(1);
+        CPPUNIT_ASSERT(Policy::hearOf(members, member("a", "r", 7, 8), later));
+        // What others still say of the run before is old by then.
+        CPPUNIT_ASSERT(!Policy::hearOf(members, member("a", "r", 8, 701), start));
+    }
+
     void oldWordOfAnEarlierRunIsIgnored()
     {
         Policy::Members members;
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -39,7 +39,7 @@
 public:
     void changesInAnyOrderLeadToTheSameRows()
     {
-        rc::check("rows are those of the last change of each key", [] {
+        Support::assertProperty("rows are those of the last change of each key", [] {
             std::vector<StoredRow> history;
             std::map<std::string, StoredRow> truth;
             const int changes = *rc::gen::inRange(1, 30);
@@ -181,7 +181,7 @@
     void anyBytesAreReadOrRefused()
     {
         const std::string sound = Steering::toBytes({someMember("front-koper-a-1"), {}});
-        rc::check("damaged messages never throw", [&] {
+        Support::assertProperty("damaged messages never throw", [&] {
             std::string bytes = sound;
             const int damages = *rc::gen::inRange(1, 4);
             for (int i = 0; i < damages; ++i) {
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -82,7 +82,8 @@
     return waitUntilServing();
 }
 
-FleetInstance &Fleet::startOne(const std::optional<Model::Address> &store)
+FleetInstance &Fleet::startOne(const std::optional<Model::Address> &store,
+                               const std::string &moreSettings)
 {
     auto instance = std::make_unique<FleetInstance>();
     const std::size_t number = instances_.size();
@@ -104,7 +105,8 @@
                             << toText(store.value_or(store_.address()))
                             << "\nterms = graceS=6,budgetRatio=0.2,budgetExtra=64,maxShift=0.15"
                             << "\n[peers]\nseeds = " << seeds
-                            << "\n[site]\ndomains = r-a:r,r-b:r,s-a:s,s-b:s\n";
+                            << "\n[site]\ndomains = r-a:r,r-b:r,s-a:s,s-b:s\n"
+                            << moreSettings;
     instance->process_ = std::make_unique<Harness::Process>(
         instance->name_,
         std::vector<std::string>{ownDirectory() + "/instanced", "--settings=" + settings},
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -35,8 +35,10 @@
     void configure(int version, const std::string &extra = "");
     /// Starts \a count instances, in the domains by turns, and waits until all are ready.
     void start(std::size_t count);
-    /// Starts one more instance, which reaches the store at \a store if that is given.
-    FleetInstance &startOne(const std::optional<Model::Address> &store = std::nullopt);
+    /// Starts one more instance, which reaches the store at \a store if that is given; \a
+    /// moreSettings are further sections of its settings.
+    FleetInstance &startOne(const std::optional<Model::Address> &store = std::nullopt,
+                            const std::string &moreSettings = "");
     /// Configures the routes, adds targets of the given ids in r-a and starts instances; returns
     /// whether all of them serve.
     bool serve(std::size_t instances, const std::vector<std::string> &targets);
@@ -55,13 +57,16 @@
     /// Waits until every instance serves a request to a target.
     bool waitUntilServing();
 
+    /// The loopback number of one of the fleet's instances, counted from 2, or of anything else of
+    /// its net.
+    std::string host(int number) const;
+    const std::string &directory() const { return directory_; }
+
     Store store_;
     std::vector<std::unique_ptr<Target>> targets_;
     std::vector<std::unique_ptr<FleetInstance>> instances_;
 
 private:
-    std::string host(int number) const;
-
     std::string net_;
     std::string directory_;
     int lastHost_ = 1;
--- /dev/null
+++ b/Tests/Soak/Run.cpp
@@ -0,0 +1,95 @@
+#include "Run.h"
+
+#include "Promises.h"
+
+#include <algorithm>
+
+namespace Soak {
+
+using Model::Milliseconds;
+
+namespace {
+
+constexpr std::size_t callerCount = 24;
+constexpr Milliseconds tick{100};
+/// The last part of a run, in which everything has recovered and is served again.
+constexpr Milliseconds servedTime{4000};
+constexpr double leastServed = 0.9;
+
+/// Applies what is due of a plan: starts and ends in the order of their times.
+class Player
+{
+public:
+    Player(const std::vector<Fault> &plan, SoakSite &site)
+        : site_(site)
+    {
+        for (const auto &fault : plan) {
+            steps_.push_back({fault.start_, true, fault});
+            steps_.push_back({fault.end_, false, fault});
+        }
+        std::stable_sort(steps_.begin(), steps_.end(), [](const Step &a, const Step &b) {
+            return a.at_ < b.at_;
+        });
+    }
+
+    void playUntil(Milliseconds time)
+    {
+        for (; next_ < steps_.size() && steps_[next_].at_ <= time; ++next_) {
+            const Step &step = steps_[next_];
+            if (step.isStart_) {
+                site_.begin(step.fault_);
+            } else {
+                site_.end(step.fault_);
+            }
+        }
+    }
+
+private:
+    struct Step
+    {
+        Milliseconds at_{0};
+        bool isStart_ = true;
+        Fault fault_;
+    };
+
+    SoakSite &site_;
+    std::vector<Step> steps_;
+    std::size_t next_ = 0;
+};
+
+} // namespace
+
+RunResult run(std::uint64_t seed, const PlanSize &size)
+{
+    RunResult result;
+    SoakSite site(size);
+    result.directory_ = site.fleet().directory();
+    if (!site.start()) {
+        result.broken_.push_back("the instances do not begin to serve");
+        return result;
+    }
+    Callers callers(callerCount, site.lookups(), seed);
+    Promises promises(site, callers);
+    Player player(planOf(seed, size), site);
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto endAt = startedAt + size.length_;
+    while (std::chrono::steady_clock::now() < endAt && result.broken_.empty()) {
+        const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+        player.playUntil(std::chrono::duration_cast<Milliseconds>(elapsed));
+        Harness::pause(tick);
+        result.broken_ = promises.check();
+        for (auto &mistake : site.takeMistakes())
+            result.broken_.push_back(std::move(mistake));
+    }
+    callers.stop();
+    for (auto &found : promises.check())
+        result.broken_.push_back(std::move(found));
+    result.requests_ = promises.requests();
+    result.servedAtEnd_ = promises.servedSince(endAt - servedTime);
+    if (result.broken_.empty() && result.servedAtEnd_ < leastServed)
+        result.broken_.push_back("what was disturbed recovers: served "
+                                 + std::to_string(result.servedAtEnd_));
+    return result;
+}
+
+} // namespace Soak
--- /dev/null
+++ b/Tests/Soak/Run.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Plan.h"
+
+namespace Soak {
+
+/// What became of one seed.
+struct RunResult
+{
+    std::vector<std::string> broken_;
+    std::size_t requests_ = 0;
+    double servedAtEnd_ = 0;
+    /// Where the processes' logs are.
+    std::string directory_;
+};
+
+/// Plays the faults of \a seed against real processes and checks the promises meanwhile; stops at
+/// the first that is broken. Takes size.length_ and a few seconds.
+RunResult run(std::uint64_t seed, const PlanSize &size);
+
+} // namespace Soak
--- /dev/null
+++ b/Tests/Soak/SoakSite.cpp
@@ -0,0 +1,335 @@
+#include "SoakSite.h"
+
+#include <array>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace Soak {
+
+using Model::Milliseconds;
+using Model::SteadyTime;
+using nlohmann::json;
+using PlatformStandIns::StoreFaults;
+using PlatformStandIns::TargetFaults;
+
+namespace {
+
+constexpr std::array<const char *, 4> wayModes = {"freeze", "black-hole", "cut", "lose-answers"};
+constexpr std::array<const char *, 4> domains = {"r-a", "s-a", "r-b", "s-b"};
+/// Numbers in the fleet's net that no instance has.
+constexpr int proxyHost = 250;
+constexpr int waysHost = 240;
+constexpr int storePort = 9000;
+constexpr int targetPort = 9200;
+constexpr int peerPort = 10000;
+/// One way between instances, so that answers can overtake each other.
+constexpr int peerDelayUs = 2000;
+constexpr int targetDelayUs = 1000;
+/// The platform's patience with a stopped process, and a little for this program.
+constexpr Milliseconds stopPatience{6500};
+
+std::uint16_t port(int base, std::size_t number)
+{
+    return static_cast<std::uint16_t>(base + static_cast<int>(number));
+}
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+std::optional<SteadyTime> SoakSite::Disturbance::calmSince() const
+{
+    if (count_ > 0)
+        return std::nullopt;
+    return endedAt_;
+}
+
+SoakSite::SoakSite(const PlanSize &size)
+    : size_(size)
+    , proxyControl_{fleet_.host(proxyHost), 7900}
+{
+}
+
+Model::Address SoakSite::storeWay(std::size_t instance) const
+{
+    return {fleet_.host(waysHost), port(storePort, instance)};
+}
+
+Model::Address SoakSite::targetWay(std::size_t target) const
+{
+    return {fleet_.host(waysHost), port(targetPort, target)};
+}
+
+/// The ways of one instance to its peers: it dials ports of its own for each of them.
+std::string SoakSite::peerSettings(std::size_t instance) const
+{
+    std::string text = "[dial]\n";
+    for (std::size_t other = 0; other < size_.instances_; ++other) {
+        const Model::Address way{fleet_.host(waysHost),
+                                 port(peerPort, instance * size_.instances_ + other)};
+        text += fleet_.host(static_cast<int>(other) + 2) + ":8146 = " + toText(way) + "\n";
+    }
+    return text;
+}
+
+void SoakSite::writeWays()
+{
+    std::ofstream file(fleet_.directory() + "/ways");
+    for (std::size_t i = 0; i < size_.instances_; ++i) {
+        file << toText(storeWay(i)) << " " << toText(fleet_.store_.address()) << " 0 store-" << i
+             << "\n";
+        for (std::size_t other = 0; other < size_.instances_; ++other) {
+            const Model::Address way{fleet_.host(waysHost),
+                                     port(peerPort, i * size_.instances_ + other)};
+            file << toText(way) << " " << fleet_.host(static_cast<int>(other) + 2) << ":8146 "
+                 << peerDelayUs << " peers-" << i << "\n";
+        }
+    }
+    for (std::size_t i = 0; i < size_.targets_; ++i) {
+        file << toText(targetWay(i)) << " " << toText(fleet_.targets_[i]->address()) << " "
+             << targetDelayUs << " target-" << i << "\n";
+    }
+}
+
+bool SoakSite::start()
+{
+    fleet_.configure(version_);
+    for (std::size_t i = 0; i < size_.targets_; ++i) {
+        fleet_.targets_.push_back(std::make_unique<PlatformStandIns::Target>(
+            "127.0.0.1", "t" + std::to_string(++lastRun_)));
+        registerTarget(i, "ready");
+    }
+    writeWays();
+    const std::string bin = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+    proxy_ = std::make_unique<Harness::Process>(
+        "proxy",
+        std::vector<std::string>{bin + "/FaultProxy", "--address=" + toText(proxyControl_),
+                                 "--ways=" + fleet_.directory() + "/ways"},
+        fleet_.directory() + "/proxy.log");
+    proxy_->start();
+    for (std::size_t i = 0; i < size_.instances_; ++i)
+        fleet_.startOne(storeWay(i), peerSettings(i));
+    return fleet_.waitUntilServing();
+}
+
+std::vector<Model::Address> SoakSite::lookups() const
+{
+    std::vector<Model::Address> addresses;
+    for (const auto &instance : fleet_.instances_)
+        addresses.push_back(instance->lookup());
+    return addresses;
+}
+
+void SoakSite::switchWays(const std::string &group, const std::string &mode)
+{
+    Http::SimpleRequest request;
+    request.address_ = proxyControl_;
+    request.method_ = Http::http::verb::post;
+    request.target_ = "/standin/switch";
+    request.body_ = json{{"group", group}, {"mode", mode}}.dump();
+    if (!Http::sendAndWait(request))
+        mistakes_.push_back("the proxy does not answer");
+}
+
+void SoakSite::registerTarget(std::size_t number, const std::string &state)
+{
+    const auto &target = *fleet_.targets_[number];
+    json entry = json::parse(target.registration("s", domains[number % domains.size()], state));
+    entry["address"] = toText(targetWay(number));
+    fleet_.store_.put("servers", target.id(), entry.dump());
+}
+
+void SoakSite::setStoreFaults(const StoreFaults &faults, int change)
+{
+    fleet_.store_.setFaults(faults);
+    store_.count_ += change;
+    store_.endedAt_ = steadyNow();
+}
+
+void SoakSite::disturb(std::size_t instance, int change)
+{
+    instances_[instance].count_ += change;
+    instances_[instance].endedAt_ = steadyNow();
+}
+
+std::optional<SteadyTime> SoakSite::calmSince(const Model::Address &entry) const
+{
+    for (std::size_t i = 0; i < fleet_.instances_.size(); ++i) {
+        if (fleet_.instances_[i]->entry() != entry)
+            continue;
+        const auto found = instances_.find(i);
+        return found == instances_.end() ? Model::longAgo : found->second.calmSince();
+    }
+    return std::nullopt;
+}
+
+std::optional<SteadyTime> SoakSite::storeCalmSince() const
+{
+    return store_.calmSince();
+}
+
+std::optional<SteadyTime> SoakSite::goneSince(const std::string &entry) const
+{
+    const auto found = gone_.find(entry);
+    if (found == gone_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+/// A planned stop: the process must end by itself in time, and well.
+void SoakSite::stopInstance(std::size_t number)
+{
+    auto &instance = *fleet_.instances_[number];
+    if (!instance.process_->isRunning())
+        return;
+    instance.process_->signal(SIGTERM);
+    const bool isPaused = pauseCount_[number] > 0;
+    const auto code = instance.process_->wait(isPaused ? Milliseconds(0) : stopPatience);
+    if (!isPaused && code.value_or(-1) != 0)
+        mistakes_.push_back(instance.name_
+                            + " did not end well: " + std::to_string(code.value_or(-1)));
+    instance.process_->kill();
+}
+
+void SoakSite::startInstance(std::size_t number)
+{
+    auto &instance = *fleet_.instances_[number];
+    if (--downCount_[number] > 0)
+        return;
+    gone_.erase(toText(instance.entry()));
+    pauseCount_[number] = 0;
+    instance.process_->start();
+}
+
+void SoakSite::replaceTarget(std::size_t number)
+{
+    auto &target = *fleet_.targets_[number];
+    const std::string before = target.id();
+    target.become("t" + std::to_string(++lastRun_));
+    registerTarget(number, "ready");
+    fleet_.store_.remove("servers", before);
+}
+
+void SoakSite::leaveTarget(std::size_t number)
+{
+    registerTarget(number, "draining");
+    leftAt_[fleet_.targets_[number]->id()] = steadyNow();
+}
+
+void SoakSite::begin(const Fault &fault)
+{
+    const auto subject = fault.subject_;
+    const std::string number = std::to_string(subject);
+    const char *mode = wayModes[fault.variant_ % wayModes.size()];
+    using enum FaultKind;
+    switch (fault.kind_) {
+    case InstanceKilled:
+    case InstanceStopped: {
+        disturb(subject, 1);
+        auto &instance = *fleet_.instances_[subject];
+        if (downCount_[subject]++ > 0)
+            return;
+        if (fault.kind_ == InstanceKilled)
+            instance.process_->kill();
+        stopInstance(subject);
+        gone_[toText(instance.entry())] = steadyNow();
+        return;
+    }
+    case InstancePaused:
+        disturb(subject, 1);
+        ++pauseCount_[subject];
+        fleet_.instances_[subject]->process_->signal(SIGSTOP);
+        return;
+    case StoreRefuses:
+        return setStoreFaults({.isRefusing_ = true}, 1);
+    case StoreLosesAnswers:
+        return setStoreFaults({.losesAnswers_ = true}, 1);
+    case StoreForgets:
+        return setStoreFaults({.hasForgotten_ = true}, 1);
+    case StoreWay:
+        disturb(subject, 1);
+        return switchWays("store-" + number, mode);
+    case PeerWays:
+        disturb(subject, 1);
+        return switchWays("peers-" + number, mode);
+    case TargetWay:
+        return switchWays("target-" + number, mode);
+    case TargetMisbehaves: {
+        TargetFaults faults;
+        faults.isShedding_ = fault.variant_ == 0;
+        faults.losesAnswers_ = fault.variant_ == 1;
+        faults.isTruncating_ = fault.variant_ == 2;
+        faults.isForeign_ = fault.variant_ == 3;
+        return fleet_.targets_[subject]->setFaults(faults);
+    }
+    case TargetReplaced:
+        if (!leavingTargets_.contains(subject))
+            replaceTarget(subject);
+        return;
+    case TargetLeaves:
+        if (leavingTargets_.insert(subject).second)
+            leaveTarget(subject);
+        return;
+    case TableEdited:
+        newestRoute_ = "added" + std::to_string(++version_);
+        fleet_.configure(version_, newestRoute_);
+        editedAt_ = steadyNow();
+        return;
+    case DomainDrained: {
+        const std::string domain = domains[subject % domains.size()];
+        if (++drains_[domain] == 1)
+            fleet_.store_.put("op", "evacuate/" + domain, "{}");
+        return;
+    }
+    }
+}
+
+void SoakSite::end(const Fault &fault)
+{
+    const auto subject = fault.subject_;
+    const std::string number = std::to_string(subject);
+    using enum FaultKind;
+    switch (fault.kind_) {
+    case InstanceKilled:
+    case InstanceStopped:
+        startInstance(subject);
+        return disturb(subject, -1);
+    case InstancePaused:
+        if (--pauseCount_[subject] <= 0)
+            fleet_.instances_[subject]->process_->signal(SIGCONT);
+        return disturb(subject, -1);
+    case StoreRefuses:
+    case StoreLosesAnswers:
+    case StoreForgets:
+        return setStoreFaults({}, -1);
+    case StoreWay:
+        switchWays("store-" + number, "pass");
+        return disturb(subject, -1);
+    case PeerWays:
+        switchWays("peers-" + number, "pass");
+        return disturb(subject, -1);
+    case TargetWay:
+        return switchWays("target-" + number, "pass");
+    case TargetMisbehaves:
+        return fleet_.targets_[subject]->setFaults({});
+    case TargetLeaves:
+        if (leavingTargets_.erase(subject) > 0)
+            replaceTarget(subject);
+        return;
+    case DomainDrained: {
+        const std::string domain = domains[subject % domains.size()];
+        if (--drains_[domain] == 0)
+            fleet_.store_.remove("op", "evacuate/" + domain);
+        return;
+    }
+    case TargetReplaced:
+    case TableEdited:
+        return;
+    }
+}
+
+} // namespace Soak
--- /dev/null
+++ b/Tests/Soak/SoakSite.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Plan.h"
+
+#include <Platform/Fleet.h>
+
+#include <map>
+#include <set>
+
+namespace Soak {
+
+/// Real instances, with the store and the targets behind a proxy, and what disturbs them.
+class SoakSite
+{
+public:
+    explicit SoakSite(const PlanSize &size);
+
+    /// Returns whether every instance serves.
+    bool start();
+    void begin(const Fault &fault);
+    void end(const Fault &fault);
+
+    PlatformStandIns::Fleet &fleet() { return fleet_; }
+    std::vector<Model::Address> lookups() const;
+
+    /// Since when nothing was done to an instance, to the store, or to either; nothing while
+    /// something is.
+    std::optional<Model::SteadyTime> calmSince(const Model::Address &entry) const;
+    std::optional<Model::SteadyTime> storeCalmSince() const;
+    /// Since when an instance was killed or stopped; nothing while it runs.
+    std::optional<Model::SteadyTime> goneSince(const std::string &entry) const;
+
+    /// When the store took it that a run of a target leaves, by the run's id.
+    const std::map<std::string, Model::SteadyTime> &leftAt() const { return leftAt_; }
+    /// The newest route that was added, and when the store took it.
+    const std::string &newestRoute() const { return newestRoute_; }
+    Model::SteadyTime editedAt() const { return editedAt_; }
+    /// What went wrong while faults were applied: a planned stop that did not end well.
+    std::vector<std::string> takeMistakes() { return std::exchange(mistakes_, {}); }
+
+private:
+    /// How many disturbances there are, and when the last one ended.
+    struct Disturbance
+    {
+        int count_ = 0;
+        Model::SteadyTime endedAt_ = Model::longAgo;
+        std::optional<Model::SteadyTime> calmSince() const;
+    };
+
+    void writeWays();
+    std::string peerSettings(std::size_t instance) const;
+    Model::Address storeWay(std::size_t instance) const;
+    Model::Address targetWay(std::size_t target) const;
+    void switchWays(const std::string &group, const std::string &mode);
+    void registerTarget(std::size_t target, const std::string &state);
+    void setStoreFaults(const PlatformStandIns::StoreFaults &faults, int change);
+    void disturb(std::size_t instance, int change);
+    void stopInstance(std::size_t instance);
+    void startInstance(std::size_t instance);
+    void replaceTarget(std::size_t target);
+    void leaveTarget(std::size_t target);
+
+    PlanSize size_;
+    PlatformStandIns::Fleet fleet_;
+    std::unique_ptr<Harness::Process> proxy_;
+    Model::Address proxyControl_;
+    std::map<std::size_t, Disturbance> instances_;
+    Disturbance store_;
+    /// Instances that are down, by entry.
+    std::map<std::string, Model::SteadyTime> gone_;
+    /// Faults of one instance that overlap: it comes back with the last of them.
+    std::map<std::size_t, int> downCount_;
+    std::map<std::size_t, int> pauseCount_;
+    std::map<std::string, Model::SteadyTime> leftAt_;
+    std::set<std::size_t> leavingTargets_;
+    std::map<std::string, int> drains_;
+    std::string newestRoute_;
+    Model::SteadyTime editedAt_ = Model::longAgo;
+    int version_ = 1;
+    int lastRun_ = 0;
+    std::vector<std::string> mistakes_;
+};
+
+} // namespace Soak
