LibSteering: Say "not run" only where no attempt may have run; ask peers only for what is lacking

Cause 1, found by the soak's seed 1: a request that may be repeated ran at a target whose answer was cut short, the second target refused, and the caller was told that it has not run (the last attempt's outcome). Cause 2, found while reading: instances compared the revisions of what they last read, so of two that know the same the one that read earlier asked the other for nothing at every message. Cause 3: rows read anew counted as new whole, so that peers fetched everything. Change: what any attempt left open stays open; whoever knows everything up to a peer's last change asks for nothing; rows read anew are taken as the changes that they are. Measured: refusalAfterALostAnswerDoesNotSayNotRun red before, green after; the soak's seed 1 stays as a test.

--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -151,28 +151,27 @@
 
 Task<Http::Response> Dispatcher::carry(Job &job)
 {
-    std::optional<Attempt> last;
+    // An attempt after which the request may have run. What it left open stays open, whatever the
+    // attempts after it come to.
+    std::optional<Attempt> open;
     while (true) {
         const auto placed = placer_.place(job, steadyNow());
-        if (const auto *refusal = std::get_if<Refusal>(&placed)) {
-            // What an earlier attempt left open stays open.
-            if (last && last->outcome_ != Outcome::NotRun)
-                co_return giveUp(job, *last);
-            co_return refuse(job, *refusal);
-        }
+        if (const auto *refusal = std::get_if<Refusal>(&placed))
+            co_return open ? giveUp(job, *open) : refuse(job, *refusal);
         const Placement placement = std::get<Placement>(placed);
         Attempt attempted = co_await attempt(job, placement);
         if (attempted.answer_)
             co_return deliver(job, placement, std::move(attempted));
-        const auto now = steadyNow();
-        if (!mayTryAgain(job, attempted, now))
-            co_return giveUp(job, attempted);
-        ++counters_.retried_;
+        const bool mayTry = mayTryAgain(job, attempted, steadyNow());
+        if (!open && attempted.outcome_ != Outcome::NotRun)
+            open = attempted;
+        if (!mayTry)
+            co_return giveUp(job, open ? *open : attempted);
         log_.line(Event::RequestRetried)
             .add("id", job.id_)
             .add("after", Model::describe(attempted.code_))
             .add("target", placement.target_->record_.id_.value());
-        last = std::move(attempted);
+        ++counters_.retried_;
     }
 }
 
--- a/Libraries/LibSteering/Knowledge.cpp
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -159,6 +159,12 @@
     return {operators_.position(), targets_.position()};
 }
 
+bool Knowledge::lacks(const HeldPositions &lastChanges) const
+{
+    return lastChanges.operators_ > operators_.position()
+           || lastChanges.targets_ > targets_.position();
+}
+
 std::string Knowledge::forPeer(const HeldPositions &held) const
 {
     json text = json::object();
--- a/Libraries/LibSteering/Knowledge.h
+++ b/Libraries/LibSteering/Knowledge.h
@@ -43,6 +43,12 @@
 
     /// Returns up to where the tables are known here.
     HeldPositions held() const;
+    /// Tells whether somebody whose last changes are these knows something that is not known here.
+    ///
+    /// What goes wrong with comparing last changes: two instances that read the store at different
+    /// moments of a calm hour have different ones and know the same; the one with the lower goes on
+    /// asking the other, ten times a second, for nothing. Everything up to a position is known.
+    bool lacks(const HeldPositions &lastChanges) const;
     /// Returns what a peer that holds so much lacks: a text that takeFromPeer() reads. It has the
     /// changes alone where those are known, else all rows.
     std::string forPeer(const HeldPositions &held) const;
--- a/Libraries/LibSteering/Mirror.cpp
+++ b/Libraries/LibSteering/Mirror.cpp
@@ -1,6 +1,8 @@
 #include "Mirror.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace Steering {
 
@@ -20,19 +22,44 @@
 {
     if (isKnown_ && rows.revision_ < position_)
         return false;
-    rows_.clear();
-    removedAt_.clear();
+    if (!isKnown_)
+        removalsKnownSince_ = rows.revision_;
+    std::set<std::string_view> present;
     for (const auto &row : rows.rows_) {
-        if (row.value_)
-            rows_[row.key_] = row;
+        if (!row.value_)
+            continue;
+        present.insert(row.key_);
+        const auto held = rows_.find(row.key_);
+        if (held == rows_.end() || held->second.revision_ != row.revision_)
+            put(row);
     }
+    // What is missing went at some time before; nobody who asks later may miss it.
+    std::vector<std::string> gone;
+    for (const auto &[key, row] : rows_) {
+        if (!present.contains(key))
+            gone.push_back(key);
+    }
+    for (const auto &key : gone)
+        remove(key, rows.revision_);
     position_ = rows.revision_;
-    lastChange_ = rows.revision_;
-    removalsKnownSince_ = rows.revision_;
     isKnown_ = true;
     return true;
 }
 
+void Mirror::put(const StoredRow &row)
+{
+    lastChange_ = std::max(lastChange_, row.revision_);
+    rows_[row.key_] = row;
+    removedAt_.erase(row.key_);
+}
+
+void Mirror::remove(const std::string &key, Revision at)
+{
+    lastChange_ = std::max(lastChange_, at);
+    rows_.erase(key);
+    removedAt_[key] = at;
+}
+
 void Mirror::applyRow(const StoredRow &row)
 {
     const auto held = rows_.find(row.key_);
@@ -41,13 +68,10 @@
     const auto removed = removedAt_.find(row.key_);
     if (removed != removedAt_.end() && removed->second >= row.revision_)
         return;
-    lastChange_ = std::max(lastChange_, row.revision_);
     if (row.value_) {
-        rows_[row.key_] = row;
-        removedAt_.erase(row.key_);
+        put(row);
     } else {
-        rows_.erase(row.key_);
-        removedAt_[row.key_] = row.revision_;
+        remove(row.key_, row.revision_);
     }
 }
 
--- a/Libraries/LibSteering/Mirror.h
+++ b/Libraries/LibSteering/Mirror.h
@@ -36,6 +36,8 @@
 
 private:
     void applyRow(const Platform::StoredRow &row);
+    void put(const Platform::StoredRow &row);
+    void remove(const std::string &key, Platform::Revision at);
     void forgetOldRemovals();
 
     std::map<std::string, Platform::StoredRow> rows_;
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -328,13 +328,12 @@
 /// Draws one of the peers that know newer rows, a near one if there is any, or returns nullptr.
 const Policy::Member *PeerExchange::betterInformed(SteadyTime now)
 {
-    const auto operators = knowledge_.mirror(StoreTable::Operators).lastChange().value();
-    const auto targets = knowledge_.mirror(StoreTable::Targets).lastChange().value();
     std::vector<const Policy::Member *> near;
     std::vector<const Policy::Member *> far;
     for (const auto &[id, member] : members_) {
         const auto &pulse = member.pulse_;
-        const bool knowsMore = pulse.operatorsSeen_ > operators || pulse.targetsSeen_ > targets;
+        const bool knowsMore = knowledge_.lacks(
+            {Platform::Revision(pulse.operatorsSeen_), Platform::Revision(pulse.targetsSeen_)});
         if (id != settings_.instance_ && knowsMore && Policy::isAlive(member, now))
             (member.isFar_ ? far : near).push_back(&member);
     }
--- a/Tests/LibSteering/TestKnowledge.cpp
+++ b/Tests/LibSteering/TestKnowledge.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(lowerVersionIsNeverApplied);
     CPPUNIT_TEST(unreadableTableLeavesTheOldOneInForce);
     CPPUNIT_TEST(peersTellWhatIsNewer);
+    CPPUNIT_TEST(whoeverKnowsTheSameLacksNothing);
     CPPUNIT_TEST(feedThatOvertakesAPeerIsIgnored);
     CPPUNIT_TEST(leavingTargetGetsNothingEvenIfAnOldRowComesBack);
     CPPUNIT_TEST(unregisteredTargetGoesAtOnceOnACalmDay);
@@ -82,6 +83,32 @@
         CPPUNIT_ASSERT(!cutOff.knowledge_.takeFromPeer(R"({"operators":{"rows":3}})", "peer"));
     }
 
+    // Symptom: instances ask each other for rows ten times a second on a calm day.
+    // Sequence: two read the store at different moments; nothing changes.
+    // Cause: comparing the revisions at which they read.
+    void whoeverKnowsTheSameLacksNothing()
+    {
+        const auto lastChanges = [](const Brain &brain) {
+            return Steering::HeldPositions{
+                brain.knowledge_.mirror(StoreTable::Operators).lastChange(),
+                brain.knowledge_.mirror(StoreTable::Targets).lastChange()};
+        };
+        Brain early("r-a");
+        early.tellOperators(7, 20);
+        early.tellTargets(21, fourTargets());
+        Brain late("r-b");
+        late.tellOperators(7, 20);
+        late.tellTargets(40, fourTargets());
+        CPPUNIT_ASSERT(!early.knowledge_.lacks(lastChanges(late)));
+        CPPUNIT_ASSERT(!late.knowledge_.lacks(lastChanges(early)));
+        late.knowledge_.apply(StoreTable::Targets,
+                              Fakes::rows(45, {Fakes::target("e", "gauging", "r-a", 45)}), "test");
+        CPPUNIT_ASSERT(early.knowledge_.lacks(lastChanges(late)));
+        CPPUNIT_ASSERT(early.knowledge_.takeFromPeer(
+            late.knowledge_.forPeer(early.knowledge_.held()), "peer"));
+        CPPUNIT_ASSERT(!early.knowledge_.lacks(lastChanges(late)));
+    }
+
     // Symptom: a target that left is used again.
     // Sequence: a call waits at the store; a peer tells of its leaving; the call's late answer
     // holds the older row.
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(changesInAnyOrderLeadToTheSameRows);
     CPPUNIT_TEST(peersGetChangesAloneWhereTheyAreKnown);
     CPPUNIT_TEST(removalIsNotUndoneByAnOlderRow);
+    CPPUNIT_TEST(rowsReadAnewAreTheSameAsChanges);
     CPPUNIT_TEST(positionMovesWithoutAChange);
     CPPUNIT_TEST(removalsAreForgottenInTheEnd);
     CPPUNIT_TEST_SUITE_END();
@@ -101,13 +102,37 @@
         CPPUNIT_ASSERT(mirror.rows().contains("a"));
     }
 
+    // Symptom: when the store forgets its history, a hundred peers fetch all rows from the few that
+    //   read it: a megabyte each.
+    // Sequence: a reader reads everything anew; its peers ask what changed.
+    // Cause: taking all that was read for new, and what was removed before for unknown.
+    void rowsReadAnewAreTheSameAsChanges()
+    {
+        Mirror mirror;
+        mirror.replace(rows(10, {present("a", 4), present("b", 9)}));
+        mirror.replace(rows(20, {present("b", 9), present("c", 15)}));
+        CPPUNIT_ASSERT(!mirror.rows().contains("a"));
+        const auto changes = mirror.changesSince(Revision(10));
+        CPPUNIT_ASSERT(changes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes->rows_.size());
+        Mirror peer;
+        peer.replace(rows(10, {present("a", 4), present("b", 9)}));
+        peer.apply(*changes);
+        CPPUNIT_ASSERT(!peer.rows().contains("a"));
+        CPPUNIT_ASSERT(peer.rows().contains("c"));
+        // Nothing new: nobody is told to ask.
+        const auto before = mirror.lastChange();
+        mirror.replace(rows(30, {present("b", 9), present("c", 15)}));
+        CPPUNIT_ASSERT(mirror.lastChange() == before);
+    }
+
     void positionMovesWithoutAChange()
     {
         Mirror mirror;
         mirror.replace(rows(10, {present("a", 4)}));
         mirror.apply(rows(30, {}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(30), mirror.position().value());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), mirror.lastChange().value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), mirror.lastChange().value());
     }
 
     void removalsAreForgottenInTheEnd()
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(lostAnswerIsNotSentAgainWhereItMayHaveRun);
     CPPUNIT_TEST(lostAnswerIsAskedAgainWhereItMay);
     CPPUNIT_TEST(shedRequestGoesToAnotherTargetOrIsRefusedAsNotRun);
+    CPPUNIT_TEST(refusalAfterALostAnswerDoesNotSayNotRun);
     CPPUNIT_TEST(requestForAnEarlierRunIsNotRunByTheNext);
     CPPUNIT_TEST(foreignAnswerNeverReachesACaller);
     CPPUNIT_TEST(leavingTargetGetsNoNewWork);
@@ -123,6 +124,34 @@
             CPPUNIT_ASSERT_EQUAL(0, target->runs()["o2"]);
     }
 
+    // Symptom: a caller is told that its request has not run, and it has.
+    // Sequence: a target runs a request that may be repeated and its answer is cut short; the
+    //   second target is full and refuses.
+    // Cause: telling the outcome of the last attempt for that of all.
+    void refusalAfterALostAnswerDoesNotSayNotRun()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(1, {"t1", "t2"}));
+        for (int i = 0; i < 60; ++i) {
+            fleet.send(*fleet.instances_[0], "read", "e" + std::to_string(i), 2000,
+                       std::to_string(i));
+        }
+        fleet.targets_[0]->setFaults({.isTruncating_ = true});
+        fleet.targets_[1]->setFaults({.isShedding_ = true});
+        int ranAndAnswered = 0;
+        for (int i = 0; i < 12; ++i) {
+            const std::string id = "r" + std::to_string(i);
+            const auto answer
+                = fleet.send(*fleet.instances_[0], "read", id, 2000, std::to_string(i));
+            if (fleet.targets_[0]->runs()[id] == 0)
+                continue;
+            ++ranAndAnswered;
+            CPPUNIT_ASSERT(statusOf(answer) != status::service_unavailable);
+            CPPUNIT_ASSERT(statusOf(answer) != status::too_many_requests);
+        }
+        CPPUNIT_ASSERT(ranAndAnswered > 0);
+    }
+
     // Symptom: a request is run by a target of another service.
     // Sequence: a target ends and its address goes to another one before the store tells of it.
     // Cause: sending to an address without saying who is meant.
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(TestSoak);
     CPPUNIT_TEST(planIsTheSameForASeed);
     CPPUNIT_TEST(promisesAreKeptUnderASeriesOfFaults);
+    CPPUNIT_TEST(refusalAfterALostAnswerIsTrue);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -24,7 +25,12 @@
         }
     }
 
-    void promisesAreKeptUnderASeriesOfFaults() { assertKept(1); }
+    void promisesAreKeptUnderASeriesOfFaults() { assertKept(3); }
+
+    // Symptom: c19-58 was told that it has not run, and it has.
+    // Sequence: one target cuts its answer short, the second one refuses.
+    // Cause: telling the outcome of the last attempt for that of all.
+    void refusalAfterALostAnswerIsTrue() { assertKept(1); }
 
     static void assertKept(std::uint64_t seed)
     {
