--- /dev/null
+++ b/Libraries/LibHttp/ServerReading.cpp
@@ -0,0 +1,164 @@
+#include "Refusal.h"
+#include "ServerSession.h"
+
+#include <boost/beast/http/parser.hpp>
+
+namespace Http {
+
+using Model::ResultCode;
+
+namespace {
+
+using Parser = http::request_parser<http::string_body>;
+
+ResultCode codeOf(const ErrorCode &error)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return ResultCode::HeadTooLarge;
+    if (error == http::error::body_limit)
+        return ResultCode::BodyTooLarge;
+    // Two lengths, or a length beside chunks: what one reader takes for the end of the body another
+    // takes for its middle, so a second request could be smuggled inside the first.
+    if (error == http::error::bad_content_length || error == http::error::bad_transfer_encoding)
+        return ResultCode::AmbiguousLength;
+    return ResultCode::MalformedRequest;
+}
+
+bool hasEnded(tcp::socket &socket)
+{
+    char byte = 0;
+    const auto received = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/// Checks what the parser lets pass but two readers could understand in two ways.
+ResultCode checkHead(const Parser &parser)
+{
+    const auto &head = parser.get();
+    const bool hasEncoding = head.count(http::field::transfer_encoding) > 0;
+    if (hasEncoding
+        && (head.count(http::field::transfer_encoding) > 1
+            || !beast::iequals(head[http::field::transfer_encoding], "chunked")))
+        return ResultCode::AmbiguousLength;
+    if (hasEncoding && head.version() < 11)
+        return ResultCode::AmbiguousLength;
+    const auto hosts = head.count(http::field::host);
+    if (hosts > 1 || (head.version() >= 11 && hosts == 0))
+        return ResultCode::BadHost;
+    const bool expects = head.count(http::field::expect) > 0;
+    if (expects && !beast::iequals(head[http::field::expect], "100-continue"))
+        return ResultCode::UnsupportedExpectation;
+    return ResultCode::Ok;
+}
+
+} // namespace
+
+Task<bool> Server::awaitFirstByte(std::shared_ptr<Session> kept)
+{
+    Session &session = *kept;
+    session.isBetweenRequests_ = true;
+    limitIdle(kept);
+    session.stream_.expires_never();
+    ErrorCode error;
+    const auto space = session.buffer_.prepare(1024);
+    const std::size_t received = co_await session.stream_.async_read_some(
+        space, asio::redirect_error(asio::use_awaitable, error));
+    session.readTimer_.cancel();
+    session.isBetweenRequests_ = false;
+    if (error) {
+        session.hasEnded_ = error != asio::error::operation_aborted;
+        co_return false;
+    }
+    session.buffer_.commit(received);
+    co_return true;
+}
+
+void Server::limitIdle(const std::shared_ptr<Session> &session)
+{
+    if (!session->isBetweenRequests_ || !session->pending_.empty())
+        return;
+    session->readTimer_.expires_after(limits_.idle_);
+    session->readTimer_.async_wait([weak = std::weak_ptr(session)](const ErrorCode &error) {
+        const auto idle = weak.lock();
+        if (error || !idle || !idle->isBetweenRequests_ || !idle->pending_.empty())
+            return;
+        ErrorCode ignored;
+        idle->stream_.socket().cancel(ignored);
+    });
+}
+
+Task<bool> Server::readOne(std::shared_ptr<Session> kept)
+{
+    Session &session = *kept;
+    if (session.buffer_.size() == 0) {
+        const bool hasByte = co_await awaitFirstByte(kept);
+        if (!hasByte)
+            co_return false;
+    }
+    IncomingRequest incoming;
+    ResultCode code = ResultCode::Ok;
+    {
+        const ReadLimit limit(kept, limits_.request_);
+        code = co_await readRequest(session, incoming.message_);
+    }
+    if (code != ResultCode::Ok && session.isTooSlow_)
+        code = ResultCode::RequestTooSlow;
+    // An answer that closes the connection went out meanwhile; what was half read is not answered.
+    if (session.isClosing_ || session.isBroken_)
+        co_return false;
+
+    auto pending = std::make_shared<Pending>();
+    session.pending_.push_back(pending);
+    ++inProgress_;
+    if (code != ResultCode::Ok) {
+        pending->answer_ = refusal(Model::Reason{code, ""}, 11);
+        pending->wantsMore_ = false;
+        co_await deliver(kept);
+        co_return false;
+    }
+    incoming.remoteHost_ = session.remoteHost_;
+    incoming.arrivedAt_ = std::chrono::steady_clock::now();
+    incoming.isGone_ = [weak = std::weak_ptr(kept)] {
+        const auto session = weak.lock();
+        return !session || session->hasEnded_ || session->isBroken_
+               || (!session->isBetweenRequests_ && !session->isReading_
+                   && hasEnded(session->stream_.socket()));
+    };
+    pending->wantsMore_ = incoming.message_.keep_alive();
+    pending->isHead_ = incoming.message_.method() == http::verb::head;
+    const bool goesOn = pending->wantsMore_;
+    asio::co_spawn(context_, answerOne(kept, std::move(pending), std::move(incoming)),
+                   asio::detached);
+    co_return goesOn;
+}
+
+Task<ResultCode> Server::readRequest(Session &session, Request &request)
+{
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits_.headBytes_));
+    parser.body_limit(limits_.bodyBytes_);
+    ErrorCode error;
+    co_await http::async_read_header(session.stream_, session.buffer_, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return codeOf(error);
+    const ResultCode headCode = checkHead(parser);
+    if (headCode != ResultCode::Ok)
+        co_return headCode;
+
+    if (parser.get().count(http::field::expect) > 0 && !parser.is_done()) {
+        http::response<http::empty_body> goAhead(http::status::continue_, 11);
+        co_await http::async_write(session.stream_, goAhead,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return codeOf(error);
+    }
+    co_await http::async_read(session.stream_, session.buffer_, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return codeOf(error);
+    request = parser.release();
+    co_return ResultCode::Ok;
+}
+
+} // namespace Http
--- /dev/null
+++ b/Libraries/LibHttp/ServerSession.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Server.h"
+
+#include <deque>
+#include <optional>
+
+namespace Http {
+
+/// A request that was read, and its answer once there is one.
+struct Server::Pending
+{
+    std::optional<Response> answer_;
+    bool wantsMore_ = true;
+    bool isHead_ = false;
+};
+
+/// One connection of a caller.
+struct Server::Session
+{
+    Session(tcp::socket socket, std::size_t bufferBytes)
+        : stream_(std::move(socket))
+        , buffer_(bufferBytes)
+        , readTimer_(stream_.get_executor())
+        , changed_(stream_.get_executor())
+    {
+        changed_.expires_at(Model::SteadyTime::max());
+    }
+
+    /// Wakes whoever waits for pending_ to change.
+    void notify() { changed_.cancel(); }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    std::string remoteHost_;
+    asio::steady_timer readTimer_;
+    asio::steady_timer changed_;
+    /// Requests that were read and not answered yet, in the order in which they came.
+    std::deque<std::shared_ptr<Pending>> pending_;
+    /// Waits for the first byte of a request.
+    bool isBetweenRequests_ = true;
+    bool isReading_ = false;
+    bool isTooSlow_ = false;
+    bool isWriting_ = false;
+    /// The other end has closed or reset the connection.
+    bool hasEnded_ = false;
+    /// Nothing more is read; the answers that are due are still written.
+    bool isClosing_ = false;
+    /// Nothing can be written any more.
+    bool isBroken_ = false;
+};
+
+/// Ends the reads of a request after a while, and leaves the connection open for the refusal.
+///
+/// The stream's own timeout closes the socket, so that a slow caller would never learn why.
+class Server::ReadLimit
+{
+public:
+    ReadLimit(std::shared_ptr<Session> session, Model::Milliseconds limit)
+        : session_(std::move(session))
+    {
+        session_->isTooSlow_ = false;
+        session_->isReading_ = true;
+        session_->stream_.expires_never();
+        session_->readTimer_.expires_after(limit);
+        session_->readTimer_.async_wait([weak = std::weak_ptr(session_)](const ErrorCode &error) {
+            const auto session = weak.lock();
+            // The timer may have run out in the moment in which the request became whole.
+            if (error || !session || !session->isReading_)
+                return;
+            session->isTooSlow_ = true;
+            ErrorCode ignored;
+            session->stream_.socket().cancel(ignored);
+        });
+    }
+    ~ReadLimit()
+    {
+        session_->isReading_ = false;
+        session_->readTimer_.cancel();
+    }
+    ReadLimit(const ReadLimit &) = delete;
+    ReadLimit &operator=(const ReadLimit &) = delete;
+
+private:
+    std::shared_ptr<Session> session_;
+};
+
+} // namespace Http
--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -56,6 +56,8 @@
          "A peer knew newer rows of the store and told them."},
         {HistoryLost, Warning, "HistoryLost", "The store forgot its history; all rows are read."},
         {ClockGap, Warning, "ClockGap", "The process stood still; what it knew is old."},
+        {StoreReading, Info, "StoreReading",
+         "The instance follows a table of the store itself, or leaves that to others."},
         {SettingsReloaded, Info, "SettingsReloaded", "The settings file was read anew."},
         {SettingsReloadRefused, Error, "SettingsReloadRefused",
          "The new settings have mistakes; the old ones stay in force."},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -50,6 +50,7 @@
     KnowledgeFromPeer = 5201,
     HistoryLost = 5202,
     ClockGap = 5203,
+    StoreReading = 5204,
     SettingsReloaded = 5301,
     SettingsReloadRefused = 5302,
     LinesLeftOut = 5401,
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -51,8 +51,11 @@
     text.add("cassiacrank_store_reached", "Whether the store answers, where it is asked.", "gauge",
              contact == Policy::StoreContact::Refused ? 0 : 1);
     for (const auto table : {StoreTable::Operators, StoreTable::Targets}) {
-        text.add("cassiacrank_knowledge_age_seconds", "Since the store confirmed a table.", "gauge",
-                 Model::inSeconds(now - parts_->follower_.confirmedAt(table)),
+        const auto confirmedAt
+            = std::max(parts_->follower_.confirmedAt(table), parts_->peers_.informedAt());
+        text.add("cassiacrank_knowledge_age_seconds",
+                 "Since the store or the peers confirmed a table.", "gauge",
+                 Model::inSeconds(now - confirmedAt),
                  table == StoreTable::Operators ? "table=\"operators\"" : "table=\"targets\"");
     }
     for (const auto &[route, summary] : counters.latency_) {
--- a/Libraries/LibSteering/Knowledge.cpp
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -92,9 +92,9 @@
     }
 }
 
-std::vector<Model::Row> Knowledge::allRows(const OperatorRows &operators) const
+std::vector<Model::Row> Knowledge::allRows(OperatorRows operators) const
 {
-    std::vector<Model::Row> rows = operators.rows_;
+    std::vector<Model::Row> rows = std::move(operators.rows_);
     const std::string cap = std::to_string(port_.terms_.regionShiftCap_.value() * 100);
     for (auto &row : rows) {
         if (row.key_.kind_ == Model::RowKind::Service)
@@ -119,7 +119,7 @@
     std::vector<Platform::StoredRow> rows;
     for (const auto &[key, row] : operators_.rows())
         rows.push_back(row);
-    const auto decoded = port_.decodeOperators_(rows);
+    auto decoded = port_.decodeOperators_(rows);
     if (!decoded) {
         log_.line(Event::TableRefused)
             .add("source", source)
@@ -133,7 +133,10 @@
             .add("offered", static_cast<std::int64_t>(decoded->version_.value()));
         return;
     }
-    auto built = Model::Table::build(decoded->version_, allRows(*decoded), {});
+    // A table of 1,500 routes has two megabytes of rows, so they are handed on and not copied.
+    auto drainedNow = decoded->drained_;
+    const Model::TableVersion version = decoded->version_;
+    auto built = Model::Table::build(version, allRows(std::move(*decoded)), {});
     if (!built) {
         log_.line(Event::TableRefused)
             .add("source", source)
@@ -141,7 +144,7 @@
         return;
     }
     table_ = std::make_shared<const Model::Table>(std::move(*built));
-    drained_ = decoded->drained_;
+    drained_ = std::move(drainedNow);
     ++tableChanges_;
     std::string drained;
     for (const auto &domain : drained_)
--- a/Libraries/LibSteering/Knowledge.h
+++ b/Libraries/LibSteering/Knowledge.h
@@ -57,7 +57,7 @@
 
 private:
     void operatorsChanged(std::string_view source);
-    std::vector<Model::Row> allRows(const OperatorRows &operators) const;
+    std::vector<Model::Row> allRows(OperatorRows operators) const;
 
     const PlatformPort &port_;
     const Observe::Settings &settings_;
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -220,7 +220,8 @@
         const auto now = std::chrono::steady_clock::now();
         Policy::forgetSilent(members_, settings_.instance_, now);
         noteChanges(now);
-        catchUp(now);
+        if (behindSince_)
+            catchUp(now);
         co_await Http::sleepFor(roundPeriod);
         ++rounds_;
     }
@@ -346,6 +347,7 @@
 {
     if (!betterInformed(now)) {
         behindSince_.reset();
+        informedAt_ = now;
         return;
     }
     if (!behindSince_)
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -48,6 +48,8 @@
     bool knowsAnyone() const;
     /// Tells whether a running instance of every region of the settings is known.
     bool knowsEveryRegion() const;
+    /// When a peer last spoke and nobody was known to know newer rows.
+    Model::SteadyTime informedAt() const { return informedAt_; }
     /// Tells whether this instance is to read the store.
     Policy::ReaderRank readerRank() const;
 
@@ -89,6 +91,7 @@
     Model::SteadyTime fetchAgainAt_ = Model::longAgo;
     /// Since when a peer is known to know newer rows.
     std::optional<Model::SteadyTime> behindSince_;
+    Model::SteadyTime informedAt_ = Model::longAgo;
 };
 
 } // namespace Steering
--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -217,12 +217,16 @@
     // Where nobody is left in the home region, going elsewhere is the only way to be served.
     if (inHomeRegion == 0 || !service || Policy::maySpill(spill_, service->regionShiftCap_, now))
         return;
-    for (std::size_t i = candidates_.size(); i-- > 0;) {
-        if (!candidates_[i].leavesHomeRegion_)
+    std::size_t kept = 0;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+        if (candidates_[i].leavesHomeRegion_)
             continue;
-        candidates_.erase(candidates_.begin() + static_cast<std::ptrdiff_t>(i));
-        candidateTargets_.erase(candidateTargets_.begin() + static_cast<std::ptrdiff_t>(i));
+        candidates_[kept] = candidates_[i];
+        candidateTargets_[kept] = candidateTargets_[i];
+        ++kept;
     }
+    candidates_.resize(kept);
+    candidateTargets_.resize(kept);
 }
 
 std::variant<Placement, Refusal> Placer::place(const Job &job, SteadyTime now)
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -88,7 +88,7 @@
 {
     Progress &progress = table == StoreTable::Operators ? operators_ : targets_;
     while (!isStopping_) {
-        progress.isAsking_ = shouldAsk(table, progress);
+        noteAsking(table, progress, shouldAsk(table, progress));
         if (!progress.isAsking_) {
             co_await Http::sleepFor(idlePause);
             continue;
@@ -112,6 +112,18 @@
     return table == StoreTable::Targets ? gatherTargets : gatherOperators;
 }
 
+void StoreFollower::noteAsking(StoreTable table, Progress &progress, bool isAsking)
+{
+    if (progress.isAsking_ != isAsking) {
+        log_.line(Event::StoreReading)
+            .add("table", nameOf(table))
+            .add("reads", isAsking ? "yes" : "no")
+            .add("position",
+                 static_cast<std::int64_t>(knowledge_.mirror(table).position().value()));
+    }
+    progress.isAsking_ = isAsking;
+}
+
 Task<bool> StoreFollower::readAll(StoreTable table, Progress &progress)
 {
     const auto rows = co_await port_.readAll_(table);
