Utilities: Tell a request's story from the output of several instances

Cause: from a request's id to its cause an engineer had to search twelve outputs by hand, with clocks that do not agree.

--- a/Libraries/LibObserve/LibObserve.h
+++ b/Libraries/LibObserve/LibObserve.h
@@ -7,5 +7,6 @@
 #include "Daemon.h"
 #include "DecisionLog.h"
 #include "Event.h"
+#include "LogStory.h"
 #include "Metrics.h"
 #include "Settings.h"
