LibSteering: Ask shortly whether the store is back; one reader of a region lets no call wait for long

Calls that were sent in the silence wait eight seconds and are never answered; a change before had made all instances ask at the same moment. Change: after a failure a call waits for nothing; pauses end at 0.5 s; the first reader of each region waits two seconds at most for the operators' rows.

--- a/Libraries/LibPolicy/StoreReaders.cpp
+++ b/Libraries/LibPolicy/StoreReaders.cpp
@@ -65,15 +65,16 @@
 
 ReaderRank readerRank(const Members &members, const Model::Instance &own, Model::SteadyTime now)
 {
-    if (fleetSize(members, now) <= smallFleet)
-        return ReaderRank::First;
+    const bool isSmall = fleetSize(members, now) <= smallFleet;
     const auto order = readersInOrder(members, own, now);
     // Where the store turns everybody away, everybody goes on trying.
-    if (order.empty())
+    if (order.empty() || order.front()->instance_.id_ == own.id_)
         return ReaderRank::First;
-    for (std::size_t i = 0; i < std::min(readersInRegion, order.size()); ++i) {
+    if (isSmall)
+        return ReaderRank::Each;
+    for (std::size_t i = 1; i < std::min(readersInRegion, order.size()); ++i) {
         if (order[i]->instance_.id_ == own.id_)
-            return i == 0 ? ReaderRank::First : ReaderRank::Reserve;
+            return ReaderRank::Reserve;
     }
     return ReaderRank::None;
 }
--- a/Libraries/LibPolicy/StoreReaders.h
+++ b/Libraries/LibPolicy/StoreReaders.h
@@ -19,8 +19,10 @@
 enum class ReaderRank {
     /// Others read the store and tell it.
     None,
-    /// It asks again as soon as it has taken in what it was told.
+    /// It asks again as soon as it has taken in what it was told, and lets no call wait for long.
     First,
+    /// One of a small fleet, in which everybody reads.
+    Each,
     /// It steps in where the first one is not served: it asks less often, and has most news from
     /// the first one before it does.
     Reserve,
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -15,6 +15,14 @@
 /// this; a shorter time costs calls of which each is paid for.
 constexpr Milliseconds longestWait{8000};
 
+/// The same for the operators' table at the first reader of a region.
+///
+/// What goes wrong without it: the store falls silent for four seconds. Calls that wait there are
+/// never answered, so a configuration that is accepted just after its return is not known before
+/// they end, up to eight seconds after the silence began; where a change had made all instances
+/// ask at the same moment, at none of them. The others learn it from this one.
+constexpr Milliseconds firstReadersWait{2000};
+
 /// After news, further news of the targets are gathered for this long: a release brings a change
 /// every few hundred milliseconds, and each call is paid for. It is a fifth of the two and a half
 /// seconds in which a change must be known.
@@ -29,7 +37,8 @@
 constexpr Milliseconds idlePause{200};
 
 constexpr Milliseconds firstPause{150};
-constexpr Milliseconds longestPause{1000};
+/// With the time of a call that is not answered (0.8 s) the store is found back within 1.3 s.
+constexpr Milliseconds longestPause{500};
 
 Milliseconds pauseAfter(int failures)
 {
@@ -105,6 +114,16 @@
     }
 }
 
+/// How long the next call may wait for news. After a failure it only asks whether the store is
+/// back: a call that is sent a moment before that is never answered, however long it waits.
+Milliseconds StoreFollower::waitFor(StoreTable table, const Progress &progress) const
+{
+    if (!progress.isReached_)
+        return Milliseconds(0);
+    const bool isFirst = rank_() == Policy::ReaderRank::First;
+    return isFirst && table == StoreTable::Operators ? firstReadersWait : longestWait;
+}
+
 Milliseconds StoreFollower::gatherTime(StoreTable table) const
 {
     if (rank_() == Policy::ReaderRank::Reserve)
@@ -141,7 +160,7 @@
 Task<bool> StoreFollower::readChanges(StoreTable table, Progress &progress)
 {
     const auto position = knowledge_.mirror(table).position();
-    const auto changes = co_await port_.awaitChanges_(table, position, longestWait);
+    const auto changes = co_await port_.awaitChanges_(table, position, waitFor(table, progress));
     if (!changes) {
         if (Model::lastReason().code_ == ResultCode::PlatformHistoryGone) {
             log_.line(Event::HistoryLost)
--- a/Tests/LibPolicy/TestPeerNews.cpp
+++ b/Tests/LibPolicy/TestPeerNews.cpp
@@ -210,8 +210,20 @@
     {
         Fleet fleet(2);
         fleet.playRounds(5);
-        for (const char *region : {"r", "s", "t"})
+        for (const char *region : {"r", "s", "t"}) {
             CPPUNIT_ASSERT_EQUAL(std::size_t(4), readers(fleet, region).size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), firstReaders(fleet, region));
+        }
+    }
+
+    static std::size_t firstReaders(const Fleet &fleet, const std::string &region)
+    {
+        std::size_t first = 0;
+        for (const Node *node : readers(fleet, region)) {
+            const auto rank = Policy::readerRank(node->members_, node->instance_, fleet.now_);
+            first += rank == Policy::ReaderRank::First ? 1 : 0;
+        }
+        return first;
     }
 
     void eachRegionHasAFewReadersInAllItsDomains()
@@ -222,15 +234,11 @@
             const auto chosen = readers(fleet, region);
             CPPUNIT_ASSERT_EQUAL(Policy::readersInRegion, chosen.size());
             std::map<std::string, std::size_t> byDomain;
-            std::size_t first = 0;
-            for (const Node *node : chosen) {
+            for (const Node *node : chosen)
                 ++byDomain[node->instance_.domain_.value()];
-                const auto rank = Policy::readerRank(node->members_, node->instance_, fleet.now_);
-                first += rank == Policy::ReaderRank::First ? 1 : 0;
-            }
             CPPUNIT_ASSERT_EQUAL(std::size_t(2), byDomain.size());
             CPPUNIT_ASSERT_EQUAL(std::size_t(2), byDomain.begin()->second);
-            CPPUNIT_ASSERT_EQUAL(std::size_t(1), first);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), firstReaders(fleet, region));
         }
     }
 
--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -109,15 +109,22 @@
     faults_ = faults;
     if (faults.hasForgotten_)
         forgottenBefore_ = ++revision_;
+    if (faults.isSilent_)
+        ++silences_;
 }
 
 Task<Http::Response> Store::answer(Http::IncomingRequest request)
 {
     ++calls_;
     StoreFaults faults;
+    std::uint64_t silences = 0;
     {
         const std::lock_guard lock(mutex_);
         faults = faults_;
+        silences = silences_;
+    }
+    if (faults.isSilent_) {
+        co_await Http::sleepFor(never);
     }
     if (faults.isRefusing_)
         co_return jsonAnswer(json::object(), http::status::service_unavailable);
@@ -130,12 +137,18 @@
     } else {
         response = transact(request.message_.body());
     }
-    if (faults.losesAnswers_) {
+    if (faults.losesAnswers_ || hasBeenSilentSince(silences)) {
         co_await Http::sleepFor(never);
     }
     co_return response;
 }
 
+bool Store::hasBeenSilentSince(std::uint64_t silences)
+{
+    const std::lock_guard lock(mutex_);
+    return silences_ != silences;
+}
+
 json Store::rowsSince(const std::string &table, std::uint64_t after)
 {
     json rows = json::array();
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -41,6 +41,8 @@
 
     /// Calls are performed and never answered.
     bool losesAnswers_ = false;
+    /// Calls that come now, or that wait now, are never answered; nothing is done.
+    bool isSilent_ = false;
     /// Calls that ask for changes since before now are answered 410.
     bool hasForgotten_ = false;
 };
@@ -71,6 +73,7 @@
     using Table = std::map<std::string, Row>;
 
     Http::Task<Http::Response> answer(Http::IncomingRequest request);
+    bool hasBeenSilentSince(std::uint64_t silences);
     Http::Task<Http::Response> feed(std::string target);
     Http::Response get(const std::string &target);
     Http::Response transact(const std::string &body);
@@ -82,6 +85,8 @@
     std::map<std::string, Table> tables_;
     std::uint64_t revision_ = 0;
     std::uint64_t forgottenBefore_ = 0;
+    /// Counts the silences; a call that waited through one stays unanswered.
+    std::uint64_t silences_ = 0;
     StoreFaults faults_;
     std::atomic<int> calls_{0};
     Served served_;
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(instanceThatTheStoreRefusesLearnsFromPeers);
     CPPUNIT_TEST(fewReadTheStoreOfALargeFleetAndAllKnow);
     CPPUNIT_TEST(newsOfAnOutageIsInForceAfterIt);
+    CPPUNIT_TEST(editAfterASilenceOfTheStoreIsInForceInTime);
     CPPUNIT_TEST(freshInstanceStartsFromPeersWhileTheStoreIsDown);
     CPPUNIT_TEST(forgottenHistoryIsReadAnew);
     CPPUNIT_TEST(plannedStopFinishesWhatIsInProgress);
@@ -312,6 +313,31 @@
         }
     }
 
+    // Symptom: a configuration that was accepted after an outage is not in force six seconds later,
+    //   anywhere.
+    // Sequence: a change makes all instances ask at the same moment; soon after it the store falls
+    //   silent for four and a half seconds; just after its return a configuration is accepted.
+    // Cause: calls that wait eight seconds at a store that will never answer them, begun before the
+    //   silence or, as a first try after it, in it.
+    void editAfterASilenceOfTheStoreIsInForceInTime()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(3, {"t1"}));
+        Harness::pause(Milliseconds(2500));
+        fleet.configure(2, "before");
+        Harness::pause(Milliseconds(1000));
+        StoreFaults silent;
+        silent.isSilent_ = true;
+        fleet.store_.setFaults(silent);
+        Harness::pause(Milliseconds(4500));
+        fleet.store_.setFaults({});
+        Harness::pause(Milliseconds(1000));
+        fleet.configure(4, "added");
+        Harness::pause(applyBound);
+        for (const auto &instance : fleet.instances_)
+            CPPUNIT_ASSERT(statusOf(fleet.send(*instance, "added", "x")) == status::ok);
+    }
+
     void freshInstanceStartsFromPeersWhileTheStoreIsDown()
     {
         Fleet fleet;
