--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -112,7 +112,9 @@
 void Promises::checkLeaving()
 {
     const auto now = steadyNow();
-    for (const auto &[id, at] : site_.leftAt()) {
+    for (const auto &left : site_.leftAt()) {
+        const auto &id = left.first;
+        const auto at = left.second;
         if (now < at + knownWithin)
             continue;
         for (const auto &target : site_.fleet().targets_) {
--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -86,9 +86,10 @@
         result.broken_.push_back(std::move(found));
     result.requests_ = promises.requests();
     result.servedAtEnd_ = promises.servedSince(endAt - servedTime);
-    if (result.broken_.empty() && result.servedAtEnd_ < leastServed)
+    if (result.broken_.empty() && result.servedAtEnd_ < leastServed) {
         result.broken_.push_back("what was disturbed recovers: served "
                                  + std::to_string(result.servedAtEnd_));
+    }
     return result;
 }
 
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -189,9 +189,10 @@
     instance.process_->signal(SIGTERM);
     const bool isPaused = pauseCount_[number] > 0;
     const auto code = instance.process_->wait(isPaused ? Milliseconds(0) : stopPatience);
-    if (!isPaused && code.value_or(-1) != 0)
+    if (!isPaused && code.value_or(-1) != 0) {
         mistakes_.push_back(instance.name_
                             + " did not end well: " + std::to_string(code.value_or(-1)));
+    }
     instance.process_->kill();
 }
 
