Tests: Let reads and publications overlap whatever the scheduler does

Change: publishing starts once every reader has read and goes on until each has read 100 times more. Ruled out: a fault of RcuCell. The other tests that use threads run a server in them and wait for its address; none races threads without a signal.

--- a/Tests/LibConcurrency/TestRcuCell.cpp
+++ b/Tests/LibConcurrency/TestRcuCell.cpp
@@ -1,5 +1,8 @@
 #include <LibConcurrency/LibConcurrency.h>
 #include <Support/Property.h>
+#include <algorithm>
+#include <array>
+#include <latch>
 #include <thread>
 #include <vector>
 
@@ -23,36 +26,54 @@
     // Symptom: a request reads half of an old and half of a new snapshot, or freed memory.
     // Sequence: several threads read while one publishes again and again.
     // Cause: a publisher that frees the old value before every reader has left it.
+    //
+    // The publisher begins once every reader has read, and goes on until each of them has read a
+    // hundred times more, so that reads and publications overlap however the threads are scheduled.
     void readersSeeWholeValuesWhileOneThreadPublishes()
     {
+        constexpr long leastPublications = 300;
+        constexpr long leastReads = 100;
         Concurrency::RcuCell<Pair> cell;
         cell.publish(std::make_unique<Pair>());
         std::atomic<bool> isOver{false};
         std::atomic<long> broken{0};
-        std::atomic<long> reads{0};
+        std::array<std::atomic<long>, 3> reads{};
+        std::latch started(static_cast<std::ptrdiff_t>(reads.size()));
         std::vector<std::thread> readers;
-        for (int i = 0; i < 3; ++i) {
+        for (auto &own : reads) {
             readers.emplace_back([&] {
                 const Concurrency::RcuReader reader;
-                while (!isOver) {
+                const auto readOnce = [&] {
                     const bool isWhole = cell.read([](const Pair *pair) {
                         return pair && pair->first_ == pair->second_;
                     });
                     broken += isWhole ? 0 : 1;
-                    ++reads;
+                };
+                readOnce();
+                started.count_down();
+                while (!isOver) {
+                    readOnce();
+                    ++own;
                 }
             });
         }
-        for (long i = 1; i <= 300; ++i) {
+        started.wait();
+        const auto hasReadEnough = [](const std::atomic<long> &own) {
+            return own >= leastReads;
+        };
+        long published = 0;
+        while (published < leastPublications || !std::ranges::all_of(reads, hasReadEnough)) {
             auto next = std::make_unique<Pair>();
-            next->first_ = i;
-            next->second_ = i;
+            next->first_ = ++published;
+            next->second_ = published;
             cell.publish(std::move(next));
         }
         isOver = true;
         for (auto &reader : readers)
             reader.join();
-        CPPUNIT_ASSERT(reads > 0);
+        for (const auto &own : reads)
+            CPPUNIT_ASSERT(own >= leastReads);
+        CPPUNIT_ASSERT(published >= leastPublications);
         CPPUNIT_ASSERT_EQUAL(0L, broken.load());
     }
 };
