LibSteering: Tell the runs of a target apart; read registrations strictly

The book took the id for the run (a run that was leaving kept its id out of use for ever, warmth and load of the earlier run counted for the later one), and a registration that could not be read left the target in use and was logged with every update. Found by reading: a row that is no UTF-8 text ended the process when a peer asked for rows, as JSON cannot hold it. Change: the incarnation and the count of reports tell runs apart; a later run gets a fresh state and its address's idle connections are closed; an earlier one never replaces it. Rows travel between peers as MessagePack.

--- a/Libraries/LibModel/TargetRecord.h
+++ b/Libraries/LibModel/TargetRecord.h
@@ -8,8 +8,8 @@
 
 /// What a target that registers itself says of one of its runs.
 ///
-/// The id belongs to that run alone: another run, or another target at the same address, has
-/// another id.
+/// Another target at the same address has another id; another run of the same one may have this id
+/// too, and then a later incarnation.
 struct TargetRecord
 {
     TargetId id_;
@@ -19,6 +19,11 @@
     Slots slots_;
     /// It takes work for a short while only, and gets no new work.
     bool isLeaving_ = false;
+    /// When this run of the target started; a later run of the same id has a higher one. Zero where
+    /// the target does not say.
+    Incarnation incarnation_;
+    /// How many reports this run had made by then.
+    std::uint64_t reports_ = 0;
     /// How much longer it works slowly and bears only a limited rate, from when this was learned.
     Milliseconds coldFor_{0};
 
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -335,7 +335,13 @@
     }
 }
 
-void Dispatcher::dropIdleConnections(const TargetBook &book)
+void Dispatcher::dropIdleConnections(const std::vector<Model::Address> &addresses)
+{
+    for (const auto &address : addresses)
+        pool_.dropIdle(address);
+}
+
+void Dispatcher::dropAllIdleConnections(const TargetBook &book)
 {
     for (const auto &[id, target] : book.all())
         pool_.dropIdle(target->record_.address_);
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -45,8 +45,13 @@
     /// Sets how many instances share the budget of second attempts.
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
+    /// Closes idle connections to \a addresses, at which other runs of targets listen by now.
+    ///
+    /// What goes wrong without it: a request that must not repeat is sent on a connection to a run
+    /// that is gone, nothing comes back, and the caller is told that it may have run.
+    void dropIdleConnections(const std::vector<Model::Address> &addresses);
     /// Closes idle connections to every target: after a standstill they may be long dead.
-    void dropIdleConnections(const TargetBook &book);
+    void dropAllIdleConnections(const TargetBook &book);
 
     std::size_t inProgress() const { return jobs_.size(); }
     const DispatchCounters &counters() const { return counters_; }
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -203,7 +203,7 @@
     if (gap - clockGap_ > standstill) {
         log_.line(Event::ClockGap).add("stood_still_ms", gap - clockGap_);
         parts_->peers_.forgetAges();
-        parts_->dispatcher_.dropIdleConnections(parts_->book_);
+        parts_->dispatcher_.dropAllIdleConnections(parts_->book_);
         storePool_.dropIdle(store_.address_);
     }
     clockGap_ = gap;
@@ -235,6 +235,7 @@
         parts_->entry_.setLimits(entryLimits(knowledge.table()->callerLimits()));
     }
     parts_->book_.update(steadyNow(), parts_->follower_.failedAt());
+    parts_->dispatcher_.dropIdleConnections(parts_->book_.takeRestarted());
     countEntries();
     updateReadiness();
     parts_->peers_.announce();
--- a/Libraries/LibSteering/Knowledge.cpp
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -175,14 +175,17 @@
         text["operators"] = jsonFor(operators_, held.operators_);
     if (targets_.isKnown())
         text["targets"] = jsonFor(targets_, held.targets_);
-    return text.dump();
+    // Unlike JSON, MessagePack carries any bytes: a row may hold some that are no text.
+    std::string bytes;
+    json::to_msgpack(text, bytes);
+    return bytes;
 }
 
 bool Knowledge::takeFromPeer(const std::string &text, const std::string &peer)
 {
-    const json parsed = json::parse(text, nullptr, false);
+    const json parsed = json::from_msgpack(text, true, false);
     if (!parsed.is_object()) {
-        log_.line(Event::TableRefused).add("source", peer).add("reason", "not a JSON object");
+        log_.line(Event::TableRefused).add("source", peer).add("reason", "no MessagePack object");
         return false;
     }
     bool isNews = false;
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -427,7 +427,7 @@
     const auto held = positionsIn(std::string(request.target()));
     if (!held)
         return Http::textAnswer(http::status::not_found, "text/plain", "", request.version());
-    return Http::textAnswer(http::status::ok, "application/json", knowledge_.forPeer(*held),
+    return Http::textAnswer(http::status::ok, messageType, knowledge_.forPeer(*held),
                             request.version());
 }
 
--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -17,39 +17,93 @@
 {
     for (const auto &[key, row] : knowledge_.mirror(StoreTable::Targets).rows())
         take(row, now);
+    std::erase_if(unreadable_, [&](const auto &entry) {
+        return !knowledge_.mirror(StoreTable::Targets).rows().contains(entry.first);
+    });
     noteMissing(now, storeFailedAt);
     for (auto &[id, target] : targets_)
         findPlace(*target);
     arrange();
 }
 
+namespace {
+
+/// Tells whether \a record is of a later run than the one that said \a held. Where targets do not
+/// say when they started, a count of reports that begins anew shows it.
+bool isLaterRun(const Model::TargetRecord &record, const Model::TargetRecord &held)
+{
+    if (record.incarnation_ != held.incarnation_)
+        return record.incarnation_ > held.incarnation_;
+    const bool isUntold = record.incarnation_ == Model::Incarnation();
+    return isUntold && record.reports_ < held.reports_;
+}
+
+} // namespace
+
+void TargetBook::noteUnreadable(const Platform::StoredRow &row)
+{
+    const auto known = targets_.find(Model::TargetId(row.key_));
+    if (known != targets_.end())
+        known->second->isNamed_ = false;
+    const auto [place, isNew] = unreadable_.insert_or_assign(row.key_, row.revision_);
+    log_.line(Event::TargetUnreadable)
+        .add("target", row.key_)
+        .add("reason", toText(Model::lastReason()))
+        .add("first", isNew ? "yes" : "no")
+        .add("revision", static_cast<std::int64_t>(row.revision_.value()));
+}
+
+std::shared_ptr<TargetState> TargetBook::stateFor(const Model::TargetRecord &record)
+{
+    auto &target = targets_[record.id_];
+    const bool isRestarted = target && isLaterRun(record, target->record_);
+    if (isRestarted) {
+        restarted_.push_back(target->record_.address_);
+        log_.line(Event::TargetRestarted)
+            .add("target", record.id_.value())
+            .add("in_progress", target->ownInFlight_);
+    }
+    // Requests that are still at the earlier run keep its state, so that nothing that they learn
+    // counts for the new one.
+    if (!target || isRestarted) {
+        target = std::make_shared<TargetState>();
+        target->seed_ = Policy::seedOf(record.id_.value());
+    }
+    return target;
+}
+
 void TargetBook::take(const Platform::StoredRow &row, SteadyTime now)
 {
     const Model::TargetId id(row.key_);
     const auto known = targets_.find(id);
-    if (known != targets_.end() && known->second->revision_ == row.revision_) {
+    const bool isNew = known == targets_.end();
+    if (!isNew && row.revision_ <= known->second->revision_) {
         known->second->missingUntil_.reset();
         return;
     }
-    auto record = port_.decodeTarget_(row);
+    const auto refused = unreadable_.find(row.key_);
+    if (refused != unreadable_.end() && refused->second == row.revision_)
+        return;
+    const auto record = port_.decodeTarget_(row);
     if (!record) {
-        log_.line(Event::TargetChanged)
-            .add("target", row.key_)
-            .add("refused", toText(Model::lastReason()));
+        noteUnreadable(row);
         return;
     }
-    const bool isNew = known == targets_.end();
-    auto &target = targets_[id];
-    if (isNew) {
-        target = std::make_shared<TargetState>();
-        target->seed_ = Policy::seedOf(id.value());
+    unreadable_.erase(row.key_);
+    if (!isNew && isLaterRun(known->second->record_, *record)) {
+        known->second->revision_ = row.revision_;
+        known->second->missingUntil_.reset();
+        log_.line(Event::TargetOutdated).add("target", row.key_);
+        return;
     }
+    const auto target = stateFor(*record);
     const bool wasLeaving = target->record_.isLeaving_;
     const bool wasCold = target->isCold(now);
     target->record_ = *record;
     // One run that was leaving does not come back, whatever an older row says.
     target->record_.isLeaving_ = record->isLeaving_ || wasLeaving;
     target->revision_ = row.revision_;
+    target->isNamed_ = true;
     target->missingUntil_.reset();
     if (record->coldFor_.count() > 0) {
         target->coldUntil_ = now + record->coldFor_;
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Steering {
@@ -47,6 +48,8 @@
     Model::SteadyTime answeredAt_ = Model::longAgo;
     /// A spare connection is being opened.
     bool isPreparing_ = false;
+    /// Its registration can be read; one that somebody else wrote over names no target.
+    bool isNamed_ = true;
     /// It said itself that it is another run than the one that was asked for.
     bool isReplaced_ = false;
     /// Its registration is gone though it may only have lapsed; from then on it gets nothing.
@@ -56,7 +59,7 @@
 
     bool isCold(Model::SteadyTime now) const { return now < coldUntil_; }
     /// It may get new work, as far as its registration and its own word say.
-    bool takesWork() const { return hasPlace_ && !record_.isLeaving_ && !isReplaced_; }
+    bool takesWork() const { return hasPlace_ && isNamed_ && !record_.isLeaving_ && !isReplaced_; }
 };
 
 /// The targets of one service, and where the objects of its callers have their homes.
@@ -98,6 +101,10 @@
     /// Drops targets whose registration has been missing for too long. Returns whether any went.
     bool dropMissing(Model::SteadyTime now);
 
+    /// Returns the addresses of targets that started again under their ids since the last call:
+    /// what was connected to the earlier runs leads nowhere.
+    std::vector<Model::Address> takeRestarted() { return std::exchange(restarted_, {}); }
+
     /// Returns the targets of \a service, or nullptr.
     const ServiceTargets *service(const Model::ServiceId &service) const;
 
@@ -107,6 +114,8 @@
 
 private:
     void take(const Platform::StoredRow &row, Model::SteadyTime now);
+    void noteUnreadable(const Platform::StoredRow &row);
+    std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
     void noteMissing(Model::SteadyTime now, Model::SteadyTime storeFailedAt);
     void findPlace(TargetState &target) const;
     void arrange();
@@ -116,6 +125,9 @@
     const Knowledge &knowledge_;
     Observe::DecisionLog &log_;
     std::map<Model::TargetId, std::shared_ptr<TargetState>> targets_;
+    /// Rows that cannot be read, by key, so that each is logged once.
+    std::map<std::string, Platform::Revision> unreadable_;
+    std::vector<Model::Address> restarted_;
     std::unordered_map<Model::ServiceId, ServiceTargets> services_;
     std::vector<std::uint64_t> domainSeeds_;
 };
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -53,6 +53,9 @@
     record.slots_ = Model::Slots(slots);
     record.isLeaving_ = state == "draining";
     record.coldFor_ = Model::Milliseconds(coldMs);
+    std::uint64_t startedAt = 0;
+    if (text >> startedAt >> record.reports_)
+        record.incarnation_ = Model::Incarnation(startedAt);
     return record;
 }
 
--- a/Tests/LibSteering/FakePlatform.h
+++ b/Tests/LibSteering/FakePlatform.h
@@ -12,7 +12,7 @@
 ///
 /// An operators' row holds the table's text form, "version NUMBER" on its first line; a row whose
 /// key begins with "drain " drains a failure domain. A target's row holds
-/// "service domain address slots state cold_ms".
+/// "service domain address slots state cold_ms" and, where it matters, " incarnation reports".
 Steering::PlatformPort port();
 
 /// Settings of an instance in \a domain of a site of three regions r, s, t with two domains each.
--- a/Tests/LibSteering/TestKnowledge.cpp
+++ b/Tests/LibSteering/TestKnowledge.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(lowerVersionIsNeverApplied);
     CPPUNIT_TEST(unreadableTableLeavesTheOldOneInForce);
     CPPUNIT_TEST(peersTellWhatIsNewer);
+    CPPUNIT_TEST(rowsThatAreNoTextReachPeers);
     CPPUNIT_TEST(whoeverKnowsTheSameLacksNothing);
     CPPUNIT_TEST(feedThatOvertakesAPeerIsIgnored);
     CPPUNIT_TEST(leavingTargetGetsNothingEvenIfAnOldRowComesBack);
@@ -83,6 +84,24 @@
         CPPUNIT_ASSERT(!cutOff.knowledge_.takeFromPeer(R"({"operators":{"rows":3}})", "peer"));
     }
 
+    // Symptom: instances crash one after the other, each when a peer asks it for rows.
+    // Sequence: another program writes a registration that is no text; an instance reads it.
+    // Cause: rows told as JSON, which cannot hold such bytes.
+    void rowsThatAreNoTextReachPeers()
+    {
+        Brain informed("r-a");
+        informed.tellOperators(7, 20);
+        auto list = fourTargets();
+        list.push_back(Fakes::row("e", std::string("\xff\x00\xc3", 3), 21));
+        informed.tellTargets(21, list);
+        Brain other("r-b");
+        CPPUNIT_ASSERT(other.knowledge_.takeFromPeer(
+            informed.knowledge_.forPeer(other.knowledge_.held()), "peer"));
+        const auto &rows = other.knowledge_.mirror(StoreTable::Targets).rows();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("\xff\x00\xc3", 3), *rows.at("e").value_);
+    }
+
     // Symptom: instances ask each other for rows ten times a second on a calm day.
     // Sequence: two read the store at different moments; nothing changes.
     // Cause: comparing the revisions at which they read.
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -1,4 +1,5 @@
 #include <Support/Property.h>
+#include <nlohmann/json.hpp>
 #include <platform/Adapter.h>
 #include <platform/Callers.h>
 #include <platform/Operators.h>
@@ -9,6 +10,7 @@
 
 using Model::Milliseconds;
 using Model::ResultCode;
+using nlohmann::json;
 
 const std::string config = R"({"version":"0000001a","services":[
     {"name":"s1","healthPath":"/health","maxConns":390,"coldStartS":3.0,"coldPerS":11.5},
@@ -33,6 +35,9 @@
     CPPUNIT_TEST(evacuationsBecomeDrains);
     CPPUNIT_TEST(unreadableConfigurationsAreRefused);
     CPPUNIT_TEST(registrationsBecomeTargets);
+    CPPUNIT_TEST(startsOfTargetsAreRead);
+    CPPUNIT_TEST(registrationsOfOtherWritersNameNoTarget);
+    CPPUNIT_TEST(mutatedRegistrationsAreReadWholeOrRefused);
     CPPUNIT_TEST(loadReportsAreRead);
     CPPUNIT_TEST(lookupsAreReadAndAnswered);
     CPPUNIT_TEST(termsAreReadAndUnknownOnesIgnored);
@@ -100,6 +105,80 @@
         CPPUNIT_ASSERT(!Adapter::decodeTarget(row("i-1", "nonsense")));
     }
 
+    static json registration()
+    {
+        return {{"address", "10.1.2.3:80"},
+                {"born", 1764730000123},
+                {"info", {{"service", "s1"}, {"version", "v1"}, {"zone", "z-a"}, {"slots", 6}}},
+                {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftMs", 0}}}};
+    }
+
+    void startsOfTargetsAreRead()
+    {
+        auto entry = registration();
+        const auto target = Adapter::decodeTarget(row("i-1", entry.dump()));
+        CPPUNIT_ASSERT(target);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1764730000123), target->incarnation_.value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), target->reports_);
+        entry.erase("born");
+        CPPUNIT_ASSERT(Adapter::decodeTarget(row("i-1", entry.dump())));
+    }
+
+    // Symptom: requests go to a target with a made-up number of slots, or an exception that nobody
+    // expects ends the process.
+    // Sequence: another program writes a registration that looks like one.
+    // Cause: a parser that turns true, 3.7 or a missing field into some number.
+    void registrationsOfOtherWritersNameNoTarget()
+    {
+        const std::vector<std::pair<const char *, std::vector<json>>> damages = {
+            {"/address", {7, nullptr, "", "host:80", "10.1.2.3", "10.1.2.3:0"}},
+            {"/born", {"soon", 1.5, true, nullptr, -1, 0, 18446744073709551615ULL}},
+            {"/info", {nullptr, "x", json::array()}},
+            {"/info/service", {7, nullptr}},
+            {"/info/version", {7, nullptr}},
+            {"/info/zone", {json::array(), nullptr}},
+            {"/info/slots", {"6", 6.5, true, nullptr, 0, -3, 9000000000000000000LL}},
+            {"/status", {nullptr, 3}},
+            {"/status/state", {"READY", "", "gone", 1, nullptr}},
+            {"/status/sequence", {"4", 4.5, false, nullptr, -1}},
+            {"/status/coldLeftMs", {"0", 0.5, true, nullptr, -1, 9000000000000000000LL}},
+        };
+        for (const auto &[path, values] : damages) {
+            const json::json_pointer place(path);
+            for (const auto &value : values) {
+                json entry = registration();
+                entry[place] = value;
+                const auto text = entry.dump();
+                CPPUNIT_ASSERT_MESSAGE(text, !Adapter::decodeTarget(row("i-1", text)));
+                CPPUNIT_ASSERT(Model::lastReason().code_ == ResultCode::PlatformBadAnswer
+                               || Model::lastReason().code_ == ResultCode::BadValue);
+            }
+            if (std::string(path) == "/born")
+                continue;
+            json entry = registration();
+            entry[place.parent_pointer()].erase(place.back());
+            CPPUNIT_ASSERT_MESSAGE(path, !Adapter::decodeTarget(row("i-1", entry.dump())));
+        }
+    }
+
+    void mutatedRegistrationsAreReadWholeOrRefused()
+    {
+        Support::assertProperty("a damaged registration is refused or sensible", [] {
+            std::string text = registration().dump();
+            const auto changes = *rc::gen::inRange(1, 4);
+            for (int i = 0; i < changes; ++i) {
+                const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+                text[place] = *rc::gen::arbitrary<char>();
+            }
+            const auto target = Adapter::decodeTarget(row("i-1", text));
+            if (!target)
+                return;
+            RC_ASSERT(target->slots_.value() >= 1);
+            RC_ASSERT(target->coldFor_ >= Milliseconds(0));
+            RC_ASSERT(target->address_.port_ != 0);
+        });
+    }
+
     void loadReportsAreRead()
     {
         Http::Response answer;
