--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -90,7 +90,7 @@
         return;
     }
     unreadable_.erase(row.key_);
-    if (!isNew && isLaterRun(known->second->record_, *record)) {
+    if (!isNew && record->incarnation_ < known->second->record_.incarnation_) {
         known->second->revision_ = row.revision_;
         known->second->missingUntil_.reset();
         log_.line(Event::TargetOutdated).add("target", row.key_);
--- a/Tests/LibSteering/TestTargetBook.cpp
+++ b/Tests/LibSteering/TestTargetBook.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(answersOfTheEarlierRunTeachNothingOfTheLater);
     CPPUNIT_TEST(earlierRunNeverReplacesALaterOne);
     CPPUNIT_TEST(reportsCountedAnewShowALaterRun);
+    CPPUNIT_TEST(laterReportsOfOneRunAreTakenIn);
     CPPUNIT_TEST(unreadableRegistrationNamesNoTarget);
     CPPUNIT_TEST(unreadableRegistrationIsLoggedOnce);
     CPPUNIT_TEST(anyOrderOfRegistrationsEndsAtTheLatestRun);
@@ -113,6 +114,20 @@
         CPPUNIT_ASSERT(stateIn(brain)->takesWork());
     }
 
+    // Symptom: requests reach a target 2.5 s after it said that it leaves.
+    // Sequence: a target that does not tell when it started reports again and again, at last that
+    // it leaves.
+    // Cause: a held report with a lower count taken for that of a later run.
+    void laterReportsOfOneRunAreTakenIn()
+    {
+        for (const std::uint64_t startedAt : {0, 1000}) {
+            auto brain = informed(registration(5, startedAt, 40));
+            brain.tellTargets(6, {registration(6, startedAt, 41, "draining")});
+            CPPUNIT_ASSERT(!stateIn(brain)->takesWork());
+            CPPUNIT_ASSERT(brain.book_.takeRestarted().empty());
+        }
+    }
+
     // Symptom: requests go to an address that nobody vouches for; or all targets are lost because
     // one row is damaged.
     // Sequence: somebody else writes over a target's registration; the target writes it again.
