--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -40,6 +40,8 @@
         .add("route", job.route_ ? job.route_->id_.value() : "")
         .add("service", job.service_.value())
         .add("expected_ms", refusal.expected_)
+        .add("goal_ms",
+             job.route_ ? static_cast<std::int64_t>(job.route_->latencyGoal_.count()) : 0)
         .add("held_ms", std::chrono::duration_cast<Microseconds>(now - job.arrivedAt_))
         .add("attempts", static_cast<std::int64_t>(job.attempts_))
         .add("come_back_ms", static_cast<std::int64_t>(refusal.comeBack_.count()))
@@ -93,6 +95,7 @@
         .add("warm", placement.isKnownWarm_ ? "yes" : "no")
         .add("load", static_cast<std::int64_t>(placement.load_))
         .add("expected_ms", placement.expected_)
+        .add("goal_ms", static_cast<std::int64_t>(job.route_->latencyGoal_.count()))
         .add("took_ms", took)
         .add("attempts", static_cast<std::int64_t>(job.attempts_))
         .add("version", static_cast<std::int64_t>(job.table_->version().value()));
