--- a/Meta/what-binds.py
+++ b/Meta/what-binds.py
@@ -78,7 +78,8 @@
         print('| lost credit by | largest parts |\n|---|---|')
         print(f'| second of sending | {shares(by_second)} |')
         print(f'| kind | {shares(lost_by(text, "class ")[0])} |')
-        print(f"| callers' failure domain | {shares(lost_by(text, "clients' zone")[0])} |")
+        by_domain, _ = lost_by(text, "clients' zone")
+        print(f"| callers' failure domain | {shares(by_domain)} |")
         prices = re.findall(r'^  -(0\.\d+)\s+\S+ (.+)$', text, re.M)
         largest = sorted(prices, key=lambda price: -float(price[0]))[:4]
         print(f'| prices | {", ".join(f"{what} {price}" for price, what in largest)} |\n')
