--- a/Libraries/LibPolicy/WorkTimes.h
+++ b/Libraries/LibPolicy/WorkTimes.h
@@ -42,8 +42,8 @@
     /// At the object's home, where other entries of the region send it too.
     double atHome_ = firstOthersWarmth;
     /// Where the object has its home for callers of another region. Objects may be those of one
-    /// region's callers alone: taken for warm, such a target is chosen for a tenth of the requests
-    /// and takes four times as long as was expected.
+    /// region's callers alone: taken for warm, such a target is chosen where the home is busy
+    /// and takes several times as long as was expected.
     double elsewhere_ = firstOthersWarmth;
 };
 
@@ -65,7 +65,7 @@
 ///
 /// What goes wrong with the belief that it is kept for ever: targets keep some dozens of objects;
 /// under load each one that strays pushes out another, both are loaded again and again while they
-/// are believed to be warm, and the service stays at four times its usual times long after the
+/// are believed to be warm, and the service stays at three times its usual times long after the
 /// cause has gone. Thread safety: \a memory belongs to the calling thread.
 void learnKept(ObjectMemory &memory, Model::Milliseconds age, bool wasWarm);
 
--- a/Tests/LibPolicy/TestLearning.cpp
+++ b/Tests/LibPolicy/TestLearning.cpp
@@ -42,8 +42,8 @@
         CPPUNIT_ASSERT(Policy::latestUsualTime(home, work) == work.warm_);
     }
 
-    // Symptom: a tenth of the requests goes to other regions' targets, said to be warm, and takes
-    // four times as long as was expected. Sequence: each region's callers ask for objects of their
+    // Symptom: requests go to other regions' targets, said to be warm, and take several times
+    // as long as was expected. Sequence: each region's callers ask for objects of their
     // own. Cause: taking the home of an object for other callers for a place that has it.
     void othersObjectsAreBelievedAsAnswersShow()
     {
@@ -81,7 +81,7 @@
         CPPUNIT_ASSERT(memory.kept_ >= Policy::longestKept * 8 / 10);
     }
 
-    // Symptom: a service stays at four times its usual times after a burst.
+    // Symptom: a service stays at three times its usual times after a burst.
     // Sequence: requests stray, each loads its object anew, which fills the slots of others.
     // Cause: a load that costs the same in an idle service and in a full one.
     void loadsCostMoreInAFullService()
