LibSteering: End a registration where a later one names its address

Cause: targets of a failure domain came back at their addresses under new ids; each of 195 instances went on sending to the old ids until it was turned away itself (5,453 times in three seconds), which used up everybody's retries. Change: of several targets registered at one address the last one is used, by when they started where they tell that, else by when their rows were first seen; idle connections to the address are dropped. Where the last one turns out not to be there, the one before it is used again. Tests: laterRegistrationAtAnAddressEndsTheOneBefore (red before), and one for foreign registrations; fake targets have addresses of their own now. Ruled out: that the registrations come too late (they were known by 22.1 s, refusals went on to 24.4 s).

--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -1,5 +1,7 @@
 #include "TargetBook.h"
 
+#include <algorithm>
+
 namespace Steering {
 
 using Model::SteadyTime;
@@ -21,6 +23,7 @@
         return !knowledge_.mirror(StoreTable::Targets).rows().contains(entry.first);
     });
     noteMissing(now, storeFailedAt);
+    findSuccessors();
     for (auto &[id, target] : targets_)
         findPlace(*target);
     arrange();
@@ -38,6 +41,17 @@
     return isUntold && record.reports_ < held.reports_;
 }
 
+/// Tells whether \a target registered itself after \a other, another one at the same address.
+bool isAfter(const TargetState &target, const TargetState &other)
+{
+    const auto began = target.record_.incarnation_;
+    const auto otherBegan = other.record_.incarnation_;
+    const bool areTold = began != Model::Incarnation() && otherBegan != Model::Incarnation();
+    if (areTold && began != otherBegan)
+        return began > otherBegan;
+    return target.firstRevision_ > other.firstRevision_;
+}
+
 } // namespace
 
 void TargetBook::noteUnreadable(const Platform::StoredRow &row)
@@ -97,6 +111,8 @@
         return;
     }
     const auto target = stateFor(*record);
+    if (target->firstRevision_ == Platform::Revision())
+        target->firstRevision_ = row.revision_;
     const bool wasLeaving = target->record_.isLeaving_;
     const bool wasCold = target->isCold(now);
     target->record_ = *record;
@@ -122,6 +138,38 @@
         .add("revision", static_cast<std::int64_t>(row.revision_.value()));
 }
 
+/// Of several targets that are registered at one address, the last one is there.
+///
+/// What goes wrong without it: targets crash and come back at their addresses under other ids; the
+/// old registrations last for seconds more, and each instance learns only by a refusal of its own
+/// that nobody of that id is there. The refusals use up the retries of all, and callers are refused
+/// beside free slots.
+void TargetBook::findSuccessors()
+{
+    std::map<Model::Address, std::shared_ptr<const TargetState>> latest;
+    for (const auto &[id, target] : targets_) {
+        if (!target->isNamed_ || target->isReplaced_)
+            continue;
+        auto &known = latest[target->record_.address_];
+        if (!known || isAfter(*target, *known))
+            known = target;
+    }
+    for (auto &[id, target] : targets_) {
+        const auto found = latest.find(target->record_.address_);
+        const bool isLatest = found == latest.end() || found->second == target;
+        const auto successor = isLatest ? nullptr : found->second;
+        const bool isNews = successor && successor != target->successor_;
+        target->successor_ = successor;
+        if (!isNews)
+            continue;
+        restarted_.push_back(target->record_.address_);
+        log_.line(Event::TargetGone)
+            .add("target", id.value())
+            .add("by", "a later registration at its address")
+            .add("successor", successor->record_.id_.value());
+    }
+}
+
 void TargetBook::noteMissing(SteadyTime now, SteadyTime storeFailedAt)
 {
     const auto &rows = knowledge_.mirror(StoreTable::Targets).rows();
@@ -162,6 +210,11 @@
         return true;
     });
     if (dropped > 0)
+        findSuccessors();
+    const auto replaced = std::count_if(targets_.begin(), targets_.end(), [](const auto &entry) {
+        return entry.second->isReplaced_;
+    });
+    if (dropped > 0 || static_cast<std::size_t>(replaced) != replaced_)
         arrange();
     return dropped > 0;
 }
@@ -190,12 +243,14 @@
 {
     services_.clear();
     domainSeeds_.clear();
+    replaced_ = 0;
     const auto &table = knowledge_.table();
     if (!table)
         return;
     for (const auto &domain : table->domains())
         domainSeeds_.push_back(Policy::seedOf(domain.id_.value()));
     for (const auto &[id, target] : targets_) {
+        replaced_ += target->isReplaced_ ? 1 : 0;
         const bool isDrained = knowledge_.drained().contains(target->record_.domain_);
         if (!target->takesWork() || isDrained)
             continue;
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -26,6 +26,8 @@
 {
     Model::TargetRecord record_;
     Platform::Revision revision_;
+    /// The revision of its registration when it was first seen here.
+    Platform::Revision firstRevision_;
     /// Indexes into the table's domains and regions; where the table has none, the target is not
     /// used.
     std::size_t domain_ = 0;
@@ -52,14 +54,21 @@
     bool isNamed_ = true;
     /// It said itself that it is another run than the one that was asked for.
     bool isReplaced_ = false;
+    /// The one that registered itself at the same address later, if there is one.
+    std::shared_ptr<const TargetState> successor_;
     /// Its registration is gone though it may only have lapsed; from then on it gets nothing.
     std::optional<Model::SteadyTime> missingUntil_;
     /// When each object was sent here last.
     std::unordered_map<std::uint64_t, Model::SteadyTime> objects_;
 
     bool isCold(Model::SteadyTime now) const { return now < coldUntil_; }
-    /// It may get new work, as far as its registration and its own word say.
-    bool takesWork() const { return hasPlace_ && isNamed_ && !record_.isLeaving_ && !isReplaced_; }
+    /// Another one registered itself at its address, and none said there that it is not that one.
+    bool isSucceeded() const { return successor_ && !successor_->isReplaced_; }
+    /// It may get new work, as far as registrations and its own word say.
+    bool takesWork() const
+    {
+        return hasPlace_ && isNamed_ && !record_.isLeaving_ && !isReplaced_ && !isSucceeded();
+    }
 };
 
 /// The targets of one service, and where the objects of its callers have their homes.
@@ -98,11 +107,12 @@
     /// last failed.
     void update(Model::SteadyTime now, Model::SteadyTime storeFailedAt);
 
-    /// Drops targets whose registration has been missing for too long. Returns whether any went.
+    /// Drops targets whose registration has been missing for too long, and takes in which ones said
+    /// that they are replaced. Returns whether any was dropped.
     bool dropMissing(Model::SteadyTime now);
 
-    /// Returns the addresses of targets that started again under their ids since the last call:
-    /// what was connected to the earlier runs leads nowhere.
+    /// Returns the addresses at which another run listens since the last call: what was connected
+    /// to the earlier runs leads nowhere.
     std::vector<Model::Address> takeRestarted() { return std::exchange(restarted_, {}); }
 
     /// Returns the targets of \a service, or nullptr.
@@ -116,6 +126,7 @@
     void take(const Platform::StoredRow &row, Model::SteadyTime now);
     void noteUnreadable(const Platform::StoredRow &row);
     std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
+    void findSuccessors();
     void noteMissing(Model::SteadyTime now, Model::SteadyTime storeFailedAt);
     void findPlace(TargetState &target) const;
     void arrange();
@@ -128,6 +139,8 @@
     /// Rows that cannot be read, by key, so that each is logged once.
     std::map<std::string, Platform::Revision> unreadable_;
     std::vector<Model::Address> restarted_;
+    /// How many targets had said that they are replaced when services were arranged.
+    std::size_t replaced_ = 0;
     std::unordered_map<Model::ServiceId, ServiceTargets> services_;
     std::vector<std::uint64_t> domainSeeds_;
 };
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -111,13 +111,22 @@
     return {Platform::Revision(revision), std::move(list)};
 }
 
+std::string addressOf(const std::string &id)
+{
+    const auto seed = Policy::seedOf(id);
+    const auto byteAt = [&](unsigned shift) {
+        return std::to_string((seed >> shift) & 0xffU);
+    };
+    return "127." + byteAt(0) + "." + byteAt(8) + "." + byteAt(16) + ":9";
+}
+
 Platform::StoredRow target(const std::string &id, const std::string &service,
                            const std::string &domain, std::uint64_t revision,
                            const std::string &state, int coldMs, int slots)
 {
     return row(id,
-               service + " " + domain + " 127.0.0.1:9 " + std::to_string(slots) + " " + state + " "
-                   + std::to_string(coldMs),
+               service + " " + domain + " " + addressOf(id) + " " + std::to_string(slots) + " "
+                   + state + " " + std::to_string(coldMs),
                revision);
 }
 
--- a/Tests/LibSteering/FakePlatform.h
+++ b/Tests/LibSteering/FakePlatform.h
@@ -24,6 +24,9 @@
 Platform::StoredRow row(const std::string &key, const std::string &value, std::uint64_t revision);
 Platform::StoredRows rows(std::uint64_t revision, std::vector<Platform::StoredRow> list);
 
+/// The address of a target; each id has its own.
+std::string addressOf(const std::string &id);
+
 /// A target of \a service, "ready" and warm.
 Platform::StoredRow target(const std::string &id, const std::string &service,
                            const std::string &domain, std::uint64_t revision,
--- a/Tests/LibSteering/TestTargetBook.cpp
+++ b/Tests/LibSteering/TestTargetBook.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(unreadableRegistrationNamesNoTarget);
     CPPUNIT_TEST(unreadableRegistrationIsLoggedOnce);
     CPPUNIT_TEST(anyOrderOfRegistrationsEndsAtTheLatestRun);
+    CPPUNIT_TEST(laterRegistrationAtAnAddressEndsTheOneBefore);
+    CPPUNIT_TEST(registrationAtAForeignAddressHarmsNobodyForLong);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +168,58 @@
         CPPUNIT_ASSERT_EQUAL(1, decoded);
     }
 
+    /// Registers target \a newer at the address of target "a".
+    static Platform::StoredRow atTheAddressOfA(const std::string &newer, std::uint64_t revision,
+                                               std::uint64_t startedAt)
+    {
+        auto row = registration(revision, startedAt, 1);
+        row.key_ = newer;
+        return row;
+    }
+
+    static bool takesWork(const Brain &brain, const std::string &target)
+    {
+        return brain.book_.all().at(TargetId(target))->takesWork();
+    }
+
+    // Symptom: a third of all callers is refused for four seconds beside free slots.
+    // Sequence: the targets of a failure domain crash and come back at their addresses under new
+    //   ids; the old registrations stay until they lapse, and requests meant for the old ids are
+    //   turned away one by one at each of two hundred instances.
+    // Cause: believing an old registration though a later one names its address.
+    void laterRegistrationAtAnAddressEndsTheOneBefore()
+    {
+        for (const std::uint64_t startedAt : {0, 1000}) {
+            auto brain = informed(registration(5, startedAt, 40));
+            const std::uint64_t later = startedAt == 0 ? 0 : startedAt + 1;
+            const std::vector<Platform::StoredRow> both
+                = {registration(5, startedAt, 40), atTheAddressOfA("z", 6, later)};
+            brain.tellTargets(6, both);
+            CPPUNIT_ASSERT(!takesWork(brain, "a"));
+            CPPUNIT_ASSERT(takesWork(brain, "z"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), brain.book_.takeRestarted().size());
+            // A late write of the first one changes nothing of that.
+            brain.tellTargets(7, {registration(7, startedAt, 41), both[1]});
+            CPPUNIT_ASSERT(!takesWork(brain, "a"));
+            CPPUNIT_ASSERT(brain.book_.takeRestarted().empty());
+        }
+    }
+
+    // Symptom: a sound target gets no work any more.
+    // Sequence: somebody registers a target that does not exist at its address; the first request
+    //   for that one is turned away there.
+    // Cause: keeping to a registration that has shown to be wrong.
+    void registrationAtAForeignAddressHarmsNobodyForLong()
+    {
+        auto brain = informed(registration(5, 1000, 40));
+        brain.tellTargets(6, {registration(5, 1000, 40), atTheAddressOfA("z", 6, 2000)});
+        brain.book_.all().at(TargetId("z"))->isReplaced_ = true;
+        brain.book_.dropMissing(brain.now_);
+        CPPUNIT_ASSERT(takesWork(brain, "a"));
+        const auto placed = brain.placer_.place(Fakes::job(brain, "read", 7), brain.now_);
+        CPPUNIT_ASSERT(std::get<Placement>(placed).target_ == stateIn(brain));
+    }
+
     void anyOrderOfRegistrationsEndsAtTheLatestRun()
     {
         Support::assertProperty("the latest run is in force, unless it is leaving", [] {
