LibSteering: Say in a refusal which target turned the request away, and how

A request that was refused after an attempt (code 209) had no line that named the target and its answer, so nobody could get from its id to the cause. The line carries target and target_status.

--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -321,6 +321,7 @@
     const bool isMisdirected = status == http::status::misdirected_request;
     if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
         ++counters_.refusedByTargets_;
+        job.turnedAwayWith_ = result.answer_->result_int();
         attempted.outcome_ = Policy::outcomeOf(Policy::AttemptStage::RefusedByTarget);
         attempted.code_ = ResultCode::TargetRefused;
         if (isMisdirected) {
--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -44,6 +44,8 @@
              job.route_ ? static_cast<std::int64_t>(job.route_->latencyGoal_.count()) : 0)
         .add("held_ms", std::chrono::duration_cast<Microseconds>(now - job.arrivedAt_))
         .add("attempts", static_cast<std::int64_t>(job.attempts_))
+        .add("target", job.tried_.empty() ? "" : job.tried_.back().value())
+        .add("target_status", static_cast<std::int64_t>(job.turnedAwayWith_))
         .add("come_back_ms", static_cast<std::int64_t>(refusal.comeBack_.count()))
         .add("version", job.table_ ? static_cast<std::int64_t>(job.table_->version().value()) : 0);
     auto response = Http::refusal({refusal.code_, ""}, job.incoming_.message_.version());
--- a/Libraries/LibSteering/Job.h
+++ b/Libraries/LibSteering/Job.h
@@ -26,6 +26,8 @@
     /// Targets to which it was sent; how many of them may have worked on it.
     std::vector<Model::TargetId> tried_;
     int attempts_ = 0;
+    /// With what status a target last turned it away; zero if none did.
+    unsigned turnedAwayWith_ = 0;
     Http::ExchangeControl control_;
     bool isAbandoned_ = false;
 };
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -165,6 +165,11 @@
         const auto answer = fleet.send(*fleet.instances_[0], "order", "o1");
         CPPUNIT_ASSERT(statusOf(answer) == status::service_unavailable);
         CPPUNIT_ASSERT_EQUAL(0, target.runs()["o1"]);
+        // Whoever asks why it was refused finds who turned it away.
+        const auto &process = *fleet.instances_[0]->process_;
+        CPPUNIT_ASSERT(Harness::waitUntil(patience, [&] {
+            return process.log().find("target=t1 target_status=421") != std::string::npos;
+        }));
     }
 
     // Symptom: a pilot gets a customs officer's figure.
