LibSteering: Count what instances tell each other, and give calls a file of their own

cassiacrank_peer_bytes_total by call (gossip, announcement, knowledge) and by the smallest place that holds both ends; each call is counted by who makes it. No change in what is sent.

--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -32,6 +32,12 @@
                  static_cast<double>(number),
                  "code=\"" + std::to_string(Model::number(code)) + "\"");
     }
+    for (const auto &[what, bytes] : parts_->peers_.traffic().bytes_) {
+        text.add("cassiacrank_peer_bytes_total", "Bytes of calls to other instances, both ways.",
+                 "counter", static_cast<double>(bytes),
+                 std::string("call=\"") + nameOf(what.first) + "\",reach=\"" + nameOf(what.second)
+                     + "\"");
+    }
     const auto &table = parts_->knowledge_.table();
     text.add("cassiacrank_table_version", "Version of the table in force.", "gauge",
              table ? static_cast<double>(table->version().value()) : 0);
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -1,7 +1,6 @@
 #include "PeerExchange.h"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace Steering {
 
@@ -9,22 +8,16 @@
 using Model::Milliseconds;
 using Model::SteadyTime;
 using Observe::Event;
-namespace http = Http::http;
 
 namespace {
 
 constexpr Milliseconds roundPeriod{400};
-/// A peer on the other side of a continent answers within a few round trips.
-constexpr Milliseconds askTimeout{500};
-constexpr Milliseconds fetchTimeout{1500};
 /// Peers that hear of news at once; with as many from each of them it is everywhere in a region of
 /// two dozen after three steps.
 constexpr std::size_t peersInAnnouncement = 3;
 /// An instance that reads the store waits this long for its own answer before it asks a peer that
 /// knows more. A call that hangs on a silent connection would else hide all news for eight seconds.
 constexpr Milliseconds readerPatience{700};
-/// After a peer did not tell what it knows, until another one is asked.
-constexpr Milliseconds fetchPause{150};
 /// An instance that knows of newer rows and does not get them from its peers for so long reads the
 /// store itself.
 constexpr Milliseconds peerPatience{1000};
@@ -32,52 +25,6 @@
 /// sixty that take each other for the only one would make ten calls each. It is 1.6 s, in which a
 /// change can wait.
 constexpr std::uint64_t roundsToSettle = 4;
-constexpr std::size_t connectionsToPeer = 2;
-constexpr Milliseconds longestRest{5000};
-constexpr const char *gossipPath = "/v1/gossip";
-constexpr const char *announcePath = "/v1/announcement";
-constexpr std::string_view knowledgePath = "/v1/knowledge";
-constexpr const char *messageType = "application/msgpack";
-
-std::string knowledgeTarget(const HeldPositions &held)
-{
-    return std::string(knowledgePath) + "/" + std::to_string(held.operators_.value()) + "/"
-           + std::to_string(held.targets_.value());
-}
-
-/// Reads what knowledgeTarget() wrote.
-std::optional<HeldPositions> positionsIn(const std::string &target)
-{
-    if (!target.starts_with(knowledgePath))
-        return std::nullopt;
-    unsigned long long operators = 0;
-    unsigned long long targets = 0;
-    if (std::sscanf(target.c_str() + knowledgePath.size(), "/%llu/%llu", &operators, &targets) != 2)
-        return std::nullopt;
-    return HeldPositions{Platform::Revision(operators), Platform::Revision(targets)};
-}
-
-Http::Request requestTo(const Model::Address &address, http::verb method, const std::string &path,
-                        std::string body)
-{
-    Http::Request request(method, path, 11);
-    request.set(http::field::host, toText(address));
-    request.body() = std::move(body);
-    request.prepare_payload();
-    return request;
-}
-
-Http::ExchangeOptions optionsTo(const Model::Address &address, Milliseconds patience)
-{
-    Http::ExchangeOptions options;
-    options.address_ = address;
-    options.connectTimeout_ = askTimeout;
-    options.deadline_ = std::chrono::steady_clock::now() + patience;
-    options.longestIdle_ = longestRest;
-    options.connectionLimit_ = connectionsToPeer;
-    return options;
-}
-
 Http::ServerLimits peerLimits()
 {
     Http::ServerLimits limits;
@@ -301,32 +248,6 @@
     });
 }
 
-Task<void> PeerExchange::askPeer(Model::Instance peer, bool isAnnouncement)
-{
-    const auto now = std::chrono::steady_clock::now();
-    PeerMessage message{members_.at(settings_.instance_), {}};
-    if (!isAnnouncement) {
-        message.news_.pulses_
-            = Policy::pulsesToAskWith(members_, ownInstance(), peer.region_, now, random_());
-    }
-    const Model::Address &address = peer.addresses_.control_;
-    const Http::ExchangeOptions options = optionsTo(dialled(address), askTimeout);
-    const Http::Request request = requestTo(
-        address, http::verb::post, isAnnouncement ? announcePath : gossipPath, toBytes(message));
-    const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
-    if (isAnnouncement || !result.answer_ || result.answer_->result() != http::status::ok)
-        co_return;
-    const auto heardAt = std::chrono::steady_clock::now();
-    const auto answered = peerMessageFromBytes(result.answer_->body(), heardAt);
-    if (answered) {
-        take(*answered, heardAt);
-    } else {
-        log_.line(Event::SnapshotRefused)
-            .add("source", "peer")
-            .add("reason", toText(Model::lastReason()));
-    }
-}
-
 /// Draws one of the peers that know newer rows, a near one if there is any, or returns nullptr.
 const Policy::Member *PeerExchange::betterInformed(SteadyTime now)
 {
@@ -370,66 +291,4 @@
     return Policy::readerRank(members_, ownInstance(), now);
 }
 
-Task<void> PeerExchange::fetchKnowledge()
-{
-    const Policy::Member *peer = betterInformed(std::chrono::steady_clock::now());
-    if (!peer)
-        co_return;
-    isFetching_ = true;
-    const std::string name = peer->instance_.id_.value();
-    const Model::Address address = peer->instance_.addresses_.control_;
-    const Http::ExchangeOptions options = optionsTo(dialled(address), fetchTimeout);
-    const Http::Request request
-        = requestTo(address, http::verb::get, knowledgeTarget(knowledge_.held()), "");
-    const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
-    isFetching_ = false;
-    const bool isOk = result.answer_ && result.answer_->result() == http::status::ok;
-    if (!isOk) {
-        fetchAgainAt_ = std::chrono::steady_clock::now() + fetchPause;
-        co_return;
-    }
-    if (knowledge_.takeFromPeer(result.answer_->body(), name) && changed_)
-        changed_();
-    behindSince_.reset();
-}
-
-Task<Http::Response> PeerExchange::answer(Http::IncomingRequest request)
-{
-    const std::string path(request.message_.target());
-    if (path == gossipPath || path == announcePath)
-        co_return answerGossip(request.message_);
-    if (path.starts_with(knowledgePath))
-        co_return answerKnowledge(request.message_);
-    co_return Http::textAnswer(http::status::not_found, "text/plain", "",
-                               request.message_.version());
-}
-
-Http::Response PeerExchange::answerGossip(const Http::Request &request)
-{
-    const auto now = std::chrono::steady_clock::now();
-    const auto asked = peerMessageFromBytes(request.body(), now);
-    if (!asked) {
-        log_.line(Event::SnapshotRefused)
-            .add("source", "peer")
-            .add("reason", toText(Model::lastReason()));
-        return Http::refusal(Model::lastReason(), request.version());
-    }
-    take(*asked, now);
-    if (request.target() == announcePath)
-        return Http::textAnswer(http::status::no_content, "text/plain", "", request.version());
-    PeerMessage news{members_.at(settings_.instance_), {}};
-    news.news_ = Policy::newsFor(members_, ownInstance(), asked->sender_.instance_,
-                                 asked->news_.pulses_, now, random_());
-    return Http::textAnswer(http::status::ok, messageType, toBytes(news), request.version());
-}
-
-Http::Response PeerExchange::answerKnowledge(const Http::Request &request)
-{
-    const auto held = positionsIn(std::string(request.target()));
-    if (!held)
-        return Http::textAnswer(http::status::not_found, "text/plain", "", request.version());
-    return Http::textAnswer(http::status::ok, messageType, knowledge_.forPeer(*held),
-                            request.version());
-}
-
 } // namespace Steering
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -2,6 +2,7 @@
 
 #include "Knowledge.h"
 #include "PeerMessage.h"
+#include "PeerTraffic.h"
 
 #include <functional>
 #include <random>
@@ -53,6 +54,9 @@
     /// Tells whether this instance is to read the store.
     Policy::ReaderRank readerRank() const;
 
+    /// What this instance's calls to peers have moved so far.
+    const PeerTraffic &traffic() const { return traffic_; }
+
     /// Takes it that everything heard is old: the process stood still.
     void forgetAges();
 
@@ -60,6 +64,8 @@
     Http::Task<void> roundLoop();
     Http::Task<void> askPeer(Model::Instance peer, bool isAnnouncement);
     Http::Task<void> fetchKnowledge();
+    void countCall(PeerCall call, const Model::Instance &peer, const Http::Request &request,
+                   const Http::ExchangeResult &result);
     Http::Task<Http::Response> answer(Http::IncomingRequest request);
     Http::Response answerGossip(const Http::Request &request);
     Http::Response answerKnowledge(const Http::Request &request);
@@ -78,6 +84,7 @@
     Observe::DecisionLog &log_;
     Http::Server server_;
     Http::ConnectionPool pool_;
+    PeerTraffic traffic_;
     Policy::Members members_;
     std::map<Model::InstanceId, bool> knownAlive_;
     std::function<void()> changed_;
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -234,7 +234,40 @@
     }
 };
 
+class TestPeerTraffic : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestPeerTraffic);
+    CPPUNIT_TEST(bytesAreCountedByHowFarTheyGo);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static Model::Instance in(const char *region, const char *domain)
+    {
+        Model::Instance instance;
+        instance.region_ = Model::RegionId(region);
+        instance.domain_ = Model::FailureDomainId(domain);
+        return instance;
+    }
+
+    void bytesAreCountedByHowFarTheyGo()
+    {
+        using enum Steering::Reach;
+        const auto own = in("r", "r-a");
+        CPPUNIT_ASSERT(Steering::reachOf(own, in("r", "r-a")) == Domain);
+        CPPUNIT_ASSERT(Steering::reachOf(own, in("r", "r-b")) == Region);
+        CPPUNIT_ASSERT(Steering::reachOf(own, in("s", "s-a")) == Fleet);
+        Steering::PeerTraffic traffic;
+        const auto gossip = Steering::PeerCall::Gossip;
+        Steering::countBytes(traffic, gossip, Region, 100);
+        Steering::countBytes(traffic, gossip, Region, 50);
+        Steering::countBytes(traffic, gossip, Domain, 7);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(150), traffic.bytes_.at({gossip, Region}));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), traffic.bytes_.at({gossip, Domain}));
+    }
+};
+
 } // namespace
 
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPeerTraffic);
 CPPUNIT_TEST_SUITE_REGISTRATION(TestMirror);
 CPPUNIT_TEST_SUITE_REGISTRATION(TestPeerMessage);
