LibPolicy: Let news of targets cross once to each failure domain

A reader of the store now tells one of each other domain, the others pass news on inside their own, and rows are fetched from the nearest that has them. Tests without a network: newsCrossesBetweenDomainsOnce, newsIsFetchedAsNearAsItIsKnown.

--- a/Libraries/LibPolicy/PeerNews.cpp
+++ b/Libraries/LibPolicy/PeerNews.cpp
@@ -103,6 +103,15 @@
     to.insert(to.end(), more.begin(), more.end());
 }
 
+std::vector<Model::Instance> instancesOf(const Chosen &members)
+{
+    std::vector<Model::Instance> instances;
+    instances.reserve(members.size());
+    for (const Member *member : members)
+        instances.push_back(member->instance_);
+    return instances;
+}
+
 /// Collects what the asker does not know, or not so well.
 class NewsWriter
 {
@@ -203,10 +212,58 @@
         append(chosen, sampled(far, 1, generator));
     if (random % roundsBetweenLost == 0)
         append(chosen, sampled(lost, 1, generator));
-    std::vector<Model::Instance> peers;
-    for (const Member *member : chosen)
-        peers.push_back(member->instance_);
-    return peers;
+    return instancesOf(chosen);
+}
+
+std::vector<Model::Instance> peersToTellAtOnce(const Members &members, const Model::Instance &own,
+                                               Model::SteadyTime now, std::uint64_t random)
+{
+    Random generator = randomFrom(random);
+    std::map<Model::FailureDomainId, Chosen> byDomain;
+    for (const Member *member : aliveIn(members, own, own.region_, now)) {
+        if (member->pulse_.store_ == StoreContact::NotAsked)
+            byDomain[member->instance_.domain_].push_back(member);
+    }
+    Chosen sameDomain;
+    const auto ownPlace = byDomain.find(own.domain_);
+    if (ownPlace != byDomain.end()) {
+        sameDomain = std::move(ownPlace->second);
+        byDomain.erase(ownPlace);
+    }
+    const auto self = members.find(own.id_);
+    const bool isReader
+        = self != members.end() && self->second.pulse_.store_ != StoreContact::NotAsked;
+    Chosen chosen;
+    Chosen beyond;
+    for (const auto &[domain, others] : byDomain) {
+        if (isReader)
+            append(chosen, sampled(others, 1, generator));
+        append(beyond, others);
+    }
+    const std::size_t wanted = std::max(peersToldAtOnce, chosen.size() + 1);
+    append(chosen, sampled(sameDomain, wanted - chosen.size(), generator));
+    if (chosen.size() < wanted && !isReader)
+        append(chosen, sampled(beyond, wanted - chosen.size(), generator));
+    return instancesOf(chosen);
+}
+
+const Member *nearestThat(const Members &members, const Model::Instance &own,
+                          const std::function<bool(const Member &)> &knowsMore,
+                          Model::SteadyTime now, std::uint64_t random)
+{
+    Chosen sameDomain;
+    Chosen near;
+    Chosen far;
+    for (const Member *member : aliveWhere(members, own, now, knowsMore)) {
+        const bool isInDomain = member->instance_.domain_ == own.domain_;
+        Chosen &place = isInDomain ? sameDomain : (member->isFar_ ? far : near);
+        place.push_back(member);
+    }
+    for (const Chosen *from : std::initializer_list<const Chosen *>{&sameDomain, &near, &far}) {
+        if (!from->empty())
+            return (*from)[random % from->size()];
+    }
+    return nullptr;
 }
 
 std::vector<MemberPulse> pulsesToAskWith(const Members &members, const Model::Instance &own,
--- a/Libraries/LibPolicy/PeerNews.h
+++ b/Libraries/LibPolicy/PeerNews.h
@@ -2,6 +2,8 @@
 
 #include "Liveness.h"
 
+#include <functional>
+
 namespace Policy {
 
 /// Peers of the own region that an instance asks in a round; news reaches a region of n instances
@@ -62,6 +64,26 @@
 std::vector<Model::Instance> peersOfRound(const Members &members, const Model::Instance &own,
                                           Model::SteadyTime now, std::uint64_t random);
 
+/// Peers that an instance tells at once when it has taken in news of the store.
+constexpr std::size_t peersToldAtOnce = 3;
+
+/// Returns whom \a own tells at once of news: live ones of its region that do not read the store.
+/// Whoever reads it tells one of each other failure domain and the rest of the own one; whoever was
+/// told passes it on inside its domain, and beyond only if there are too few.
+///
+/// What goes wrong with peers drawn from the whole region: each fetches the news from who told it,
+/// so two thirds of all fetches cross between failure domains, and in a fleet of three hundred with
+/// three thousand targets their bytes are most of what crosses. Thread safety: any thread.
+std::vector<Model::Instance> peersToTellAtOnce(const Members &members, const Model::Instance &own,
+                                               Model::SteadyTime now, std::uint64_t random);
+
+/// Returns one of the live peers for which \a knowsMore holds, of the own failure domain if there
+/// is any there, else of the own region, else of another one; nullptr if there is none.
+/// Thread safety: any thread.
+const Member *nearestThat(const Members &members, const Model::Instance &own,
+                          const std::function<bool(const Member &)> &knowsMore,
+                          Model::SteadyTime now, std::uint64_t random);
+
 /// Returns what \a own says that it knows when it asks a peer in \a peerRegion: the peer answers
 /// with what is newer. The asker itself is left out. Thread safety: any thread.
 std::vector<MemberPulse> pulsesToAskWith(const Members &members, const Model::Instance &own,
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr Milliseconds roundPeriod{400};
-/// Peers that hear of news at once; with as many from each of them it is everywhere in a region of
-/// two dozen after three steps.
-constexpr std::size_t peersInAnnouncement = 3;
 /// An instance that reads the store waits this long for its own answer before it asks a peer that
 /// knows more. A call that hangs on a silent connection would else hide all news for eight seconds.
 constexpr Milliseconds readerPatience{700};
@@ -204,15 +201,7 @@
     if (pulse.operatorsSeen_ == operators && pulse.targetsSeen_ == targets)
         return;
     const auto now = std::chrono::steady_clock::now();
-    std::vector<Model::Instance> near;
-    for (const auto &[id, member] : members_) {
-        const bool readsItself = member.pulse_.store_ != Policy::StoreContact::NotAsked;
-        if (id != settings_.instance_ && !member.isFar_ && !readsItself
-            && Policy::isAlive(member, now))
-            near.push_back(member.instance_);
-    }
-    std::vector<Model::Instance> chosen;
-    std::sample(near.begin(), near.end(), std::back_inserter(chosen), peersInAnnouncement, random_);
+    auto chosen = Policy::peersToTellAtOnce(members_, ownInstance(), now, random_());
     for (auto &peer : chosen)
         Http::asio::co_spawn(context_, askPeer(std::move(peer), true), Http::asio::detached);
 }
@@ -248,20 +237,15 @@
     });
 }
 
-/// Draws one of the peers that know newer rows, a near one if there is any, or returns nullptr.
+/// Returns a peer that knows newer rows, as near as there is one, or nullptr.
 const Policy::Member *PeerExchange::betterInformed(SteadyTime now)
 {
-    std::vector<const Policy::Member *> near;
-    std::vector<const Policy::Member *> far;
-    for (const auto &[id, member] : members_) {
+    const auto knowsMore = [this](const Policy::Member &member) {
         const auto &pulse = member.pulse_;
-        const bool knowsMore = knowledge_.lacks(
+        return knowledge_.lacks(
             {Platform::Revision(pulse.operatorsSeen_), Platform::Revision(pulse.targetsSeen_)});
-        if (id != settings_.instance_ && knowsMore && Policy::isAlive(member, now))
-            (member.isFar_ ? far : near).push_back(&member);
-    }
-    const auto &from = near.empty() ? far : near;
-    return from.empty() ? nullptr : from[random_() % from.size()];
+    };
+    return Policy::nearestThat(members_, ownInstance(), knowsMore, now, random_());
 }
 
 /// Asks for the rows that a peer knows and this instance does not, if there are any.
--- a/Tests/LibPolicy/TestPeerNews.cpp
+++ b/Tests/LibPolicy/TestPeerNews.cpp
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(lastWordOfADeadInstanceDoesNotKeepItAlive);
     CPPUNIT_TEST(halvesThatWereApartFindEachOther);
     CPPUNIT_TEST(countsOfOtherRegionsAreTheirOwn);
+    CPPUNIT_TEST(newsCrossesBetweenDomainsOnce);
+    CPPUNIT_TEST(newsIsFetchedAsNearAsItIsKnown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +192,70 @@
         }
     }
 
+    static std::map<std::string, std::size_t> byDomain(const std::vector<Model::Instance> &list)
+    {
+        std::map<std::string, std::size_t> counts;
+        for (const auto &instance : list)
+            ++counts[instance.domain_.value()];
+        return counts;
+    }
+
+    // Symptom: in a fleet of three hundred the rows of targets are most of what crosses between
+    //   failure domains.
+    // Sequence: targets register; each change is told at once to peers of the whole region, and
+    //   each fetches the rows from the one that told it.
+    // Cause: news that crosses with two fetches of three instead of once for each domain.
+    void newsCrossesBetweenDomainsOnce()
+    {
+        Fleet fleet(Simulated::FleetShape{3, 3, 22});
+        fleet.playRounds(10);
+        Node &reader = fleet.nodes_.front();
+        Node &relay = fleet.nodes_[30];
+        reader.members_[reader.instance_.id_].pulse_.store_ = StoreContact::Reached;
+        for (std::uint64_t random = 0; random < 50; ++random) {
+            const auto told = byDomain(
+                Policy::peersToTellAtOnce(reader.members_, reader.instance_, fleet.now_, random));
+            const std::map<std::string, std::size_t> once{{"r-a", 1}, {"r-b", 1}, {"r-c", 1}};
+            CPPUNIT_ASSERT(told == once);
+            const auto passedOn = byDomain(
+                Policy::peersToTellAtOnce(relay.members_, relay.instance_, fleet.now_, random));
+            const std::map<std::string, std::size_t> inside{{"r-b", Policy::peersToldAtOnce}};
+            CPPUNIT_ASSERT(passedOn == inside);
+        }
+        // One that is alone in its domain passes it on to the others.
+        for (auto &[id, member] : relay.members_) {
+            if (member.instance_.domain_ == relay.instance_.domain_)
+                member.isHearsay_ = id != relay.instance_.id_;
+        }
+        const auto beyond
+            = Policy::peersToTellAtOnce(relay.members_, relay.instance_, fleet.now_, 1);
+        CPPUNIT_ASSERT_EQUAL(Policy::peersToldAtOnce, beyond.size());
+    }
+
+    void newsIsFetchedAsNearAsItIsKnown()
+    {
+        Fleet fleet(Simulated::FleetShape{3, 3, 22});
+        fleet.playRounds(10);
+        const Node &node = fleet.nodes_.front();
+        std::vector<std::string> informed = {"s-a", "r-b", "r-a"};
+        for (; !informed.empty(); informed.pop_back()) {
+            const auto knowsMore = [&](const Policy::Member &member) {
+                return std::find(informed.begin(), informed.end(), member.instance_.domain_.value())
+                       != informed.end();
+            };
+            for (std::uint64_t random = 0; random < 20; ++random) {
+                const auto *chosen = Policy::nearestThat(node.members_, node.instance_, knowsMore,
+                                                         fleet.now_, random);
+                CPPUNIT_ASSERT(chosen);
+                CPPUNIT_ASSERT_EQUAL(informed.back(), chosen->instance_.domain_.value());
+            }
+        }
+        const auto nobody = [](const Policy::Member &) {
+            return false;
+        };
+        CPPUNIT_ASSERT(!Policy::nearestThat(node.members_, node.instance_, nobody, fleet.now_, 1));
+    }
+
     void countsOfOtherRegionsAreTheirOwn()
     {
         Fleet fleet(50);
