LibPolicy, LibSteering: Leave figures of plays out of comments

The code says what a constant or rule protects; how values were found stands in commits and in docs/what-binds.md. Comments and blank lines only.

--- a/Libraries/LibPolicy/HomePlacement.h
+++ b/Libraries/LibPolicy/HomePlacement.h
@@ -22,9 +22,8 @@
 /// The use of all slots together for which homes are planned.
 ///
 /// Near one, every region is as full as the others, whatever the demand. Below, poor regions keep
-/// more of their callers' objects and are overrun at each peak, at 0.6 a fifth of their callers
-/// more are served late or not at all; above one, what has no room is spread without regard to
-/// slots.
+/// more of their callers' objects and are overrun at each peak; above one, what has no room is
+/// spread without regard to slots.
 constexpr double plannedUse = 0.95;
 
 /// For the callers near each failure domain, the part of the objects that has its home in each
@@ -37,8 +36,8 @@
 /// What goes wrong without it: a region with a third of the callers and a fourteenth of the slots
 /// is overrun while the others idle; or, if objects are spread over all slots, two thirds of all
 /// answers cross between regions. With a home in each domain of a region, every object is loaded
-/// twice as often, and a fiftieth more of all requests are late. A pure function of slots and
-/// demand, so that all entries agree without a message. Thread safety: any thread.
+/// twice as often, and each load is a late answer. A pure function of slots and demand, so that
+/// all entries agree without a message. Thread safety: any thread.
 HomeShares homeShares(const std::vector<DomainCapacity> &domains, double use = plannedUse);
 
 /// Returns how far \a object is from each failure domain: one exponential draw of rate one for each
--- a/Libraries/LibPolicy/PeerNews.h
+++ b/Libraries/LibPolicy/PeerNews.h
@@ -18,9 +18,8 @@
 /// the part of the instances of a larger region that ask one. With fewer, a region of a hundred has
 /// news of the others that is three seconds old on average, and takes living ones for dead.
 ///
-/// What goes wrong with peers drawn from the whole fleet: two thirds of all exchanges cross between
-/// regions. With 61 instances that was 250 MB in forty seconds, five sixths of everything that
-/// crossed, answers to callers included.
+/// What goes wrong with peers drawn from the whole fleet: most exchanges cross between regions, and
+/// what instances tell each other outweighs the answers to callers there.
 constexpr double farPeersOfRegionInRound = 2;
 constexpr double farPartOfRegion = 0.12;
 
@@ -30,9 +29,8 @@
 constexpr std::size_t fewestContactsOfRegion = 3;
 constexpr std::size_t mostContacts = 42;
 
-/// Members of the own region named in one message: 5 KB. Played without a network, a region of a
-/// hundred is known to all within eight rounds. With 48, and fewer whole records, an instance did
-/// not know a fifth of its region after sixty rounds.
+/// Members of the own region named in one message. Where fewer are named than a region has, some
+/// of its instances stay unknown to others for long.
 constexpr std::size_t mostNearTold = 128;
 /// Members whose whole record goes into one answer.
 constexpr std::size_t mostWholeTold = 32;
@@ -72,8 +70,8 @@
 /// told passes it on inside its domain, and beyond only if there are too few.
 ///
 /// What goes wrong with peers drawn from the whole region: each fetches the news from who told it,
-/// so two thirds of all fetches cross between failure domains, and in a fleet of three hundred with
-/// three thousand targets their bytes are most of what crosses. Thread safety: any thread.
+/// so most fetches cross between failure domains, with the rows of every target for every instance.
+/// Thread safety: any thread.
 std::vector<Model::Instance> peersToTellAtOnce(const Members &members, const Model::Instance &own,
                                                Model::SteadyTime now, std::uint64_t random);
 
--- a/Libraries/LibPolicy/SpareConnections.h
+++ b/Libraries/LibPolicy/SpareConnections.h
@@ -26,10 +26,10 @@
 /// Tells whether a connection that may rest for \a life should be opened before it is needed.
 ///
 /// What goes wrong without spares: callers of a region with few targets are served by those of
-/// other regions, which each entry calls every few seconds; one in nine of their requests with a
-/// tight goal finds no connection that is fresh enough, waits a hundred milliseconds for a new one
-/// and is late. What goes wrong with spares to all: a large fleet opens one every few seconds from
-/// each entry to each target, and most are never used. Thread safety: any thread.
+/// other regions, which each entry calls every few seconds; now and then a request finds no
+/// connection that is fresh enough, waits a round trip for a new one and is late. What goes wrong
+/// with spares to all: a large fleet opens one every few seconds from each entry to each target,
+/// and most are never used. Thread safety: any thread.
 bool isSpareWorthwhile(const TargetUse &use, Model::Milliseconds life, Model::SteadyTime now);
 
 } // namespace Policy
--- a/Libraries/LibPolicy/SpillMeter.h
+++ b/Libraries/LibPolicy/SpillMeter.h
@@ -24,8 +24,8 @@
 constexpr Model::Milliseconds spillBucket{100};
 
 /// Part of the allowed shift that spilling may use; the rest is for the scatter of the homes
-/// themselves: of two hundred requests in a window, whose homes lie in three regions, the share of
-/// one region differs by up to 0.07 between windows where nothing moves (two standard deviations).
+/// themselves: a window holds few requests, so a region's share differs between windows even where
+/// nothing moves.
 constexpr double spillPart = 0.5;
 
 /// Counts one request. Thread safety: \a meter belongs to the calling thread.
--- a/Libraries/LibPolicy/StoreReaders.h
+++ b/Libraries/LibPolicy/StoreReaders.h
@@ -4,15 +4,13 @@
 
 namespace Policy {
 
-/// Up to this many instances each reads the store for itself: a dozen costs 0.015 of a day's worth
-/// and has nobody to wait for.
+/// Up to this many instances each reads the store for itself and has nobody to wait for.
 constexpr std::size_t smallFleet = 16;
 
 /// Instances of a region that read the store where the fleet is larger.
 ///
-/// Each call is paid for, and each change wakes every reader: 61 readers made 2,000 to 5,300 calls
-/// in a day. Four leave one that is reached where a third of all instances is turned away, in 98 of
-/// 100 cases, and the other regions' readers in the rest.
+/// Each call is paid for, and each change wakes every reader. Of four, one is all but surely served
+/// where the store turns a third of all instances away; else there are the other regions' readers.
 constexpr std::size_t readersInRegion = 4;
 
 /// Which of a region's readers an instance is.
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -22,7 +22,7 @@
 /// How long after the deadline a target's own word that it gave up may still arrive.
 constexpr Milliseconds deadlineSlack{150};
 /// A new connection that takes longer than this is worth having ready: callers of a region with few
-/// targets lose a round trip of forty to a hundred milliseconds on each, on one request in eleven.
+/// targets lose a round trip between regions on each.
 constexpr Microseconds dearConnection{10000};
 /// A connection that rested for longer is replaced before a request that must not run twice finds
 /// it too old.
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -46,9 +46,7 @@
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
     /// Opens a new connection to each far target that is in use and whose idle connections are
-    /// about to be too old. With one to every far target in use, the callers of the worst-served
-    /// failure domain earned 0.011 more of their credit, as the mean of 18 played days.
-    /// Policy::isSpareWorthwhile() tells what goes wrong without it.
+    /// about to be too old. Policy::isSpareWorthwhile() tells what goes wrong without it.
     void refreshSpares(const TargetBook &book);
     /// Closes idle connections to \a addresses, at which other runs of targets listen by now.
     ///
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -22,6 +22,7 @@
 /// sixty that take each other for the only one would make ten calls each. It is 1.6 s, in which a
 /// change can wait.
 constexpr std::uint64_t roundsToSettle = 4;
+
 Http::ServerLimits peerLimits()
 {
     Http::ServerLimits limits;
