LibSteering: Read messages of instances that tell of no loads; one function for an object's owners

While a fleet is replaced, instances of the version before run beside this one: their messages have no loads and were refused, so both would have taken each other for lost. Test: messagesOfAnEarlierVersionAreRead.

--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -69,7 +69,7 @@
     const auto now = std::chrono::steady_clock::now();
     PeerMessage message{members_.at(settings_.instance_), {}, {}};
     if (!isAnnouncement) {
-        message.loads_ = loadsTold_ ? loadsTold_() : std::vector<Policy::TargetLoad>();
+        message.loads_ = loadsTold_();
         message.news_.pulses_
             = Policy::pulsesToAskWith(members_, ownInstance(), peer.region_, now, random_());
     }
@@ -148,7 +148,7 @@
     if (request.target() == announcePath)
         return Http::textAnswer(http::status::no_content, "text/plain", "", request.version());
     PeerMessage news{members_.at(settings_.instance_), {}, {}};
-    news.loads_ = loadsTold_ ? loadsTold_() : std::vector<Policy::TargetLoad>();
+    news.loads_ = loadsTold_();
     news.news_ = Policy::newsFor(members_, ownInstance(), asked->sender_.instance_,
                                  asked->news_.pulses_, now, random_());
     return Http::textAnswer(http::status::ok, messageType, toBytes(news), request.version());
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -216,8 +216,7 @@
         if (pulse.id_ != settings_.instance_)
             Policy::hearPulse(members_, pulse, now);
     }
-    if (loadsHeard_)
-        loadsHeard_(message.loads_);
+    loadsHeard_(message.loads_);
     catchUp(now);
 }
 
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -92,8 +92,10 @@
     Policy::Members members_;
     std::map<Model::InstanceId, bool> knownAlive_;
     std::function<void()> changed_;
-    std::function<std::vector<Policy::TargetLoad>()> loadsTold_;
-    std::function<void(const std::vector<Policy::TargetLoad> &)> loadsHeard_;
+    std::function<std::vector<Policy::TargetLoad>()> loadsTold_ = [] {
+        return std::vector<Policy::TargetLoad>();
+    };
+    std::function<void(const std::vector<Policy::TargetLoad> &)> loadsHeard_ = [](const auto &) {};
     std::mt19937_64 random_{std::random_device()()};
     Model::Incarnation incarnation_;
     std::uint64_t rounds_ = 0;
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -141,7 +141,9 @@
             message.news_.whole_.push_back(memberFromJson(member, now));
         for (const auto &pulse : all.at("pulses"))
             message.news_.pulses_.push_back(pulseFromJson(pulse));
-        for (const auto &load : all.at("loads"))
+        // Instances of an earlier version, which run beside this one while a fleet is replaced,
+        // tell of no loads.
+        for (const auto &load : all.value("loads", json::array()))
             message.loads_.push_back(loadFromJson(load));
         return message;
     } catch (const std::exception &error) {
--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -189,35 +189,43 @@
     return candidate;
 }
 
-void Placer::addOwners(const Job &job, const std::vector<std::shared_ptr<TargetState>> &targets,
-                       bool isHome, bool isHomeOfOthers, SteadyTime now)
+Placer::Owners Placer::ownersAmong(const Job &job,
+                                   const std::vector<std::shared_ptr<TargetState>> &targets,
+                                   SteadyTime now) const
 {
-    const std::shared_ptr<TargetState> *first = nullptr;
-    const std::shared_ptr<TargetState> *second = nullptr;
+    Owners owners;
     std::uint64_t firstScore = 0;
     std::uint64_t secondScore = 0;
     for (const auto &target : targets) {
         if (!mayTake(job, *target, now))
             continue;
         const std::uint64_t score = Policy::ownerScore(job.object_, target->seed_);
-        if (!first || score > firstScore) {
-            second = first;
+        if (!owners.first_ || score > firstScore) {
+            owners.second_ = owners.first_;
             secondScore = firstScore;
-            first = &target;
+            owners.first_ = &target;
             firstScore = score;
-        } else if (!second || score > secondScore) {
-            second = &target;
+        } else if (!owners.second_ || score > secondScore) {
+            owners.second_ = &target;
             secondScore = score;
         }
     }
+    return owners;
+}
+
+void Placer::addOwners(const Job &job, const std::vector<std::shared_ptr<TargetState>> &targets,
+                       bool isHome, bool isHomeOfOthers, SteadyTime now)
+{
+    const Owners owners = ownersAmong(job, targets, now);
     const auto &others = workOf(*job.route_, job.service_).othersWarmth_;
-    bool isFull = false;
+    // What the first owner cannot take for long is the second one's.
+    const bool isFirstFull
+        = owners.first_ && Policy::isLastinglyFull((*owners.first_)->sharedLoad_, now);
     const auto add = [&](const std::shared_ptr<TargetState> &target, bool isOwner) {
         Policy::Candidate candidate = candidateFor(job, *target, now);
         candidate.isHome_ = isOwner && isHome;
         candidate.isHomeOfOthers_ = isOwner && isHomeOfOthers && !isHome;
-        candidate.isOverflow_ = !isOwner && isHome && isFull;
-        isFull = Policy::isLastinglyFull(target->sharedLoad_, now);
+        candidate.isOverflow_ = !isOwner && isHome && isFirstFull;
         if (candidate.isHome_)
             candidate.othersWarmth_ = others.atHome_;
         if (candidate.isHomeOfOthers_)
@@ -225,10 +233,10 @@
         candidates_.push_back(candidate);
         candidateTargets_.push_back(target);
     };
-    if (first)
-        add(*first, true);
-    if (second && isHome)
-        add(*second, false);
+    if (owners.first_)
+        add(*owners.first_, true);
+    if (owners.second_ && isHome)
+        add(*owners.second_, false);
 }
 
 void Placer::gather(const Job &job, const ServiceTargets &targets, SteadyTime now)
--- a/Libraries/LibSteering/Placer.h
+++ b/Libraries/LibSteering/Placer.h
@@ -79,9 +79,19 @@
         std::size_t home_ = 0;
     };
 
+    /// The two targets of a failure domain that rank highest for an object, of those that may take
+    /// it now. Null where there are none.
+    struct Owners
+    {
+        const std::shared_ptr<TargetState> *first_ = nullptr;
+        const std::shared_ptr<TargetState> *second_ = nullptr;
+    };
+
     ObjectView viewOf(const Job &job, const ServiceTargets &targets) const;
     void gather(const Job &job, const ServiceTargets &targets, Model::SteadyTime now);
     void limitSpill(const Job &job, std::size_t home, Model::SteadyTime now);
+    Owners ownersAmong(const Job &job, const std::vector<std::shared_ptr<TargetState>> &targets,
+                       Model::SteadyTime now) const;
     void addOwners(const Job &job, const std::vector<std::shared_ptr<TargetState>> &targets,
                    bool isHome, bool isHomeOfOthers, Model::SteadyTime now);
     Policy::Candidate candidateFor(const Job &job, const TargetState &target,
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -1,5 +1,6 @@
 #include <LibSteering/LibSteering.h>
 #include <Support/Property.h>
+#include <nlohmann/json.hpp>
 
 namespace {
 
@@ -176,6 +177,7 @@
     CPPUNIT_TEST(messagesComeBackAsTheyWere);
     CPPUNIT_TEST(anyBytesAreReadOrRefused);
     CPPUNIT_TEST(pulsesAreSmall);
+    CPPUNIT_TEST(messagesOfAnEarlierVersionAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,9 +185,10 @@
 
     void messagesComeBackAsTheyWere()
     {
-        PeerMessage message{someMember("front-koper-a-1"), {}};
+        PeerMessage message{someMember("front-koper-a-1"), {}, {}};
         message.news_.whole_.push_back(someMember("front-koper-a-2"));
         message.news_.pulses_.push_back(someMember("front-koper-a-3").pulse_);
+        message.loads_.push_back({0xfedcba98, 9, Milliseconds(120)});
         const auto read = Steering::peerMessageFromBytes(toBytes(message), now);
         CPPUNIT_ASSERT(read);
         CPPUNIT_ASSERT(read->sender_.instance_ == message.sender_.instance_);
@@ -197,6 +200,10 @@
         CPPUNIT_ASSERT(pulse.isReady_ && !pulse.isLeaving_);
         CPPUNIT_ASSERT(pulse.store_ == Policy::StoreContact::Reached);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(4567), pulse.targetsSeen_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), read->loads_.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(0xfedcba98), read->loads_[0].target_);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(9), read->loads_[0].inProgress_);
+        CPPUNIT_ASSERT(read->loads_[0].age_ == Milliseconds(120));
 
         const auto record = Steering::memberFromText(Steering::toText(someMember("x")), now);
         CPPUNIT_ASSERT(record);
@@ -205,7 +212,7 @@
 
     void anyBytesAreReadOrRefused()
     {
-        const std::string sound = Steering::toBytes({someMember("front-koper-a-1"), {}});
+        const std::string sound = Steering::toBytes({someMember("front-koper-a-1"), {}, {}});
         Support::assertProperty("damaged messages never throw", [&] {
             std::string bytes = sound;
             const int damages = *rc::gen::inRange(1, 4);
@@ -221,11 +228,25 @@
         CPPUNIT_ASSERT(Model::lastReason().code_ == Model::ResultCode::PeerMessageUnreadable);
     }
 
+    // Symptom: while a fleet is replaced, old and new instances take each other for lost.
+    // Sequence: an instance of the version before tells of itself; it knows nothing of loads.
+    // Cause: refusing a message that lacks what later versions added.
+    void messagesOfAnEarlierVersionAreRead()
+    {
+        auto text = nlohmann::json::from_msgpack(
+            Steering::toBytes({someMember("front-koper-a-1"), {}, {}}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), text.erase("loads"));
+        std::string bytes;
+        nlohmann::json::to_msgpack(text, bytes);
+        const auto read = Steering::peerMessageFromBytes(bytes, now);
+        CPPUNIT_ASSERT(read && read->loads_.empty());
+    }
+
     // Symptom: instances that tell of each other fill a link of 10 Mbit/s.
     // Sequence: none; the fleet grows. Cause: whole records in every message.
     void pulsesAreSmall()
     {
-        PeerMessage message{someMember("front-koper-a-1"), {}};
+        PeerMessage message{someMember("front-koper-a-1"), {}, {}};
         const auto bare = toBytes(message).size();
         constexpr std::size_t many = 100;
         for (std::size_t i = 0; i < many; ++i)
