--- a/Tests/LibSteering/LoadedTargets.cpp
+++ b/Tests/LibSteering/LoadedTargets.cpp
@@ -69,10 +69,11 @@
         }
         if (model_.newsPause_.count() > 0 && !requests_.empty()) {
             for (auto time = model_.newsPause_; time < requests_.back().at_;
-                 time += model_.newsPause_)
+                 time += model_.newsPause_) {
                 at(start_ + time, [this] {
                     exchangeNews();
                 });
+            }
         }
         while (!events_.empty()) {
             now_ = events_.begin()->first;
