Tests, deploy: Show a target used past the drain bound after the store's return

A target that leaves without a word just after the store answers an instance again is used by it for up to 2.7 s: its registration is taken for one that lapsed, and the two seconds of grace begin when the removal is noticed.

--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -156,8 +156,16 @@
     update();
 }
 
+void Brain::regainStore()
+{
+    isStoreLost_ = false;
+    storeFailedAt_ = now_;
+}
+
 void Brain::update()
 {
+    if (isStoreLost_)
+        storeFailedAt_ = now_;
     placer_.tableChanged();
     book_.update(now_, storeFailedAt_);
 }
--- a/Tests/LibSteering/FakePlatform.h
+++ b/Tests/LibSteering/FakePlatform.h
@@ -42,6 +42,11 @@
     void tellTargets(std::uint64_t revision, std::vector<Platform::StoredRow> list);
     void update();
 
+    /// From now on the store does not answer this instance.
+    void loseStore() { isStoreLost_ = true; }
+    /// From now on it does; the last call failed just before.
+    void regainStore();
+
     Observe::Settings settings_;
     Steering::PlatformPort port_;
     Observe::DecisionLog log_;
@@ -50,6 +55,7 @@
     Steering::Placer placer_;
     Model::SteadyTime now_{std::chrono::seconds(1000)};
     Model::SteadyTime storeFailedAt_ = Model::longAgo;
+    bool isStoreLost_ = false;
 };
 
 /// A request for \a object on a route ("read" or "order") that came in just now.
--- a/Tests/LibSteering/TestKnowledge.cpp
+++ b/Tests/LibSteering/TestKnowledge.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(lapsedTargetsThatStayAwayAreDropped);
     CPPUNIT_TEST(targetsThatLeaveTogetherOnACalmDayGetNothingInTime);
     CPPUNIT_TEST(outageOfLongAgoIsNoLapse);
+    CPPUNIT_TEST(targetThatLeavesAfterTheStoreReturnedGetsNothingInTime);
     CPPUNIT_TEST(drainedDomainGetsNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -241,6 +242,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable(brain, "gauging"));
     }
 
+    // Guards against a grace for lapsed registrations that starts with the news of a removal and not
+    // with the return of the store.
+    void targetThatLeavesAfterTheStoreReturnedGetsNothingInTime()
+    {
+        Brain brain("r-a");
+        brain.tellOperators(7, 20);
+        auto list = fourTargets();
+        brain.tellTargets(21, list);
+        brain.loseStore();
+        brain.now_ += Milliseconds(5000);
+        brain.regainStore();
+        const auto left = brain.now_ + Milliseconds(300);
+        const auto newsTakes = Milliseconds(700);
+        brain.now_ = left + newsTakes;
+        list.pop_back();
+        brain.tellTargets(22, list);
+        brain.now_ = left + Milliseconds(2500);
+        brain.book_.dropMissing(brain.now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable(brain, "gauging"));
+    }
+
     void drainedDomainGetsNothing()
     {
         Brain brain("r-a");
