LibPolicy, LibSteering: Judge a lapsed registration by whom the store served

What callers saw: requests went to a target 2.5 s and more after its registration had gone, though it might have ended by then.

Cause: an instance whose calls to the store had failed within the last 2.5 s took each removal for a registration that ran out while the store was away, and used its target for two seconds from when it noticed. Its failed calls said nothing of the store, which had served others all the while; and the two spans added up, though a lapsed registration is back two seconds after the return of the store.

Change: the grace ends two seconds after the store's return, as told by instances that the store answered and that read the removal from it themselves; pulses say so. Without such a witness an instance goes by its own calls. No instance waits longer than two seconds after it noticed, as before.

--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -20,6 +20,7 @@
 #include "Outcome.h"
 #include "PartTurns.h"
 #include "PeerNews.h"
+#include "RegistrationLapse.h"
 #include "RequestAdmission.h"
 #include "Shares.h"
 #include "SpareConnections.h"
--- a/Libraries/LibPolicy/Liveness.h
+++ b/Libraries/LibPolicy/Liveness.h
@@ -36,6 +36,11 @@
     std::uint32_t regionEntries_ = 0;
     /// How long ago the heartbeat rose, as the teller knows.
     Model::Milliseconds age_{0};
+    /// For how long, when the heartbeat rose, the store had answered each of its calls; zero unless
+    /// the store is reached.
+    Model::Milliseconds storeAnswered_{0};
+    /// The revision up to which it has itself read the targets' rows from the store.
+    std::uint64_t targetsRead_ = 0;
 };
 
 /// One instance as this instance knows it.
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -198,13 +198,13 @@
         co_await Http::sleepFor(tickPeriod);
         const auto now = steadyNow();
         checkClocks();
-        parts_->book_.dropMissing(now);
+        parts_->peers_.setStoreStanding(parts_->follower_.standing());
+        parts_->book_.dropMissing(now, parts_->peers_.storeEvidence());
         parts_->dispatcher_.sweepAbandoned();
         if (now - sparesSeenAt_ >= sparesPause) {
             sparesSeenAt_ = now;
             parts_->dispatcher_.refreshSpares(parts_->book_);
         }
-        parts_->peers_.setStoreContact(parts_->follower_.contact());
         countEntries();
         updateReadiness();
         log_.flush();
@@ -248,7 +248,8 @@
         parts_->placer_.tableChanged();
         parts_->entry_.setLimits(entryLimits(knowledge.table()->callerLimits()));
     }
-    parts_->book_.update(steadyNow(), parts_->follower_.failedAt());
+    parts_->peers_.setStoreStanding(parts_->follower_.standing());
+    parts_->book_.update(steadyNow(), parts_->peers_.storeEvidence());
     parts_->dispatcher_.dropIdleConnections(parts_->book_.takeRestarted());
     countEntries();
     updateReadiness();
--- a/Libraries/LibSteering/Mirror.cpp
+++ b/Libraries/LibSteering/Mirror.cpp
@@ -60,6 +60,14 @@
     removedAt_[key] = at;
 }
 
+std::optional<Revision> Mirror::removedAt(const std::string &key) const
+{
+    const auto found = removedAt_.find(key);
+    if (found == removedAt_.end())
+        return std::nullopt;
+    return found->second;
+}
+
 void Mirror::applyRow(const StoredRow &row)
 {
     const auto held = rows_.find(row.key_);
--- a/Libraries/LibSteering/Mirror.h
+++ b/Libraries/LibSteering/Mirror.h
@@ -20,6 +20,9 @@
     /// only other tables change, so it tells who knows more.
     Platform::Revision lastChange() const { return lastChange_; }
     bool isKnown() const { return isKnown_; }
+    /// Returns the revision in which a row was gone that is not there any more. Nothing if it never
+    /// was, or went so long ago that this is forgotten.
+    std::optional<Platform::Revision> removedAt(const std::string &key) const;
 
     /// Replaces everything, unless \a rows is older than what is known. Returns whether it did.
     bool replace(const Platform::StoredRows &rows);
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -80,13 +80,23 @@
     ++pulse.heartbeat_;
     pulse.isReady_ = isReady_;
     pulse.isLeaving_ = isLeaving_;
-    pulse.store_ = storeContact_;
+    const bool isStoreReached = store_.contact_ == Policy::StoreContact::Reached;
+    const auto answered = isStoreReached ? now - store_.answeredSince_ : SteadyTime::duration(0);
+    pulse.store_ = store_.contact_;
+    pulse.storeAnswered_ = std::chrono::duration_cast<Milliseconds>(answered);
+    pulse.targetsRead_ = isStoreReached ? store_.targetsRead_ : 0;
     pulse.operatorsSeen_ = knowledge_.mirror(StoreTable::Operators).lastChange().value();
     pulse.targetsSeen_ = knowledge_.mirror(StoreTable::Targets).lastChange().value();
     pulse.regionEntries_
         = static_cast<std::uint32_t>(Policy::entriesIn(members_, settings_.region_, now));
 }
 
+Policy::StoreEvidence PeerExchange::storeEvidence() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    return {store_, Policy::standingsOf(members_, settings_.instance_, now)};
+}
+
 const Model::Instance &PeerExchange::ownInstance() const
 {
     return members_.at(settings_.instance_).instance_;
@@ -267,7 +277,7 @@
     }
     if (!behindSince_)
         behindSince_ = now;
-    const bool isReader = storeContact_ == Policy::StoreContact::Reached;
+    const bool isReader = store_.contact_ == Policy::StoreContact::Reached;
     const bool isDue = !isReader || now - *behindSince_ >= readerPatience;
     if (isDue && !isFetching_ && now >= fetchAgainAt_)
         Http::asio::co_spawn(context_, fetchKnowledge(), Http::asio::detached);
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -29,7 +29,9 @@
     void setLeaving();
 
     /// Called whenever it may have changed how this instance stands with the store.
-    void setStoreContact(Policy::StoreContact contact) { storeContact_ = contact; }
+    void setStoreStanding(const Policy::StoreStanding &standing) { store_ = standing; }
+    /// Returns that, and how the living peers stand with it.
+    Policy::StoreEvidence storeEvidence() const;
     /// Called when a peer's knowledge was taken in.
     void setKnowledgeChanged(std::function<void()> changed) { changed_ = std::move(changed); }
 
@@ -101,7 +103,7 @@
     std::uint64_t rounds_ = 0;
     bool isReady_ = false;
     bool isLeaving_ = false;
-    Policy::StoreContact storeContact_ = Policy::StoreContact::NotAsked;
+    Policy::StoreStanding store_;
     bool isFetching_ = false;
     Model::SteadyTime fetchAgainAt_ = Model::longAgo;
     /// Since when a peer is known to know newer rows.
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -13,7 +13,19 @@
 namespace {
 
 // A pulse is an array; these are its places.
-enum PulsePlace { Id, Run, Beat, Flags, Store, Operators, Targets, Entries, Age, PulseSize };
+enum PulsePlace {
+    Id,
+    Run,
+    Beat,
+    Flags,
+    Store,
+    Operators,
+    Targets,
+    Entries,
+    Age,
+    StoreAnswered,
+    TargetsRead,
+};
 
 constexpr unsigned readyFlag = 1;
 constexpr unsigned leavingFlag = 2;
@@ -40,7 +52,9 @@
             pulse.operatorsSeen_,
             pulse.targetsSeen_,
             pulse.regionEntries_,
-            pulse.age_.count()};
+            pulse.age_.count(),
+            pulse.storeAnswered_.count(),
+            pulse.targetsRead_};
 }
 
 MemberPulse pulseFromJson(const json &text)
@@ -57,6 +71,12 @@
     pulse.targetsSeen_ = text.at(Targets).get<std::uint64_t>();
     pulse.regionEntries_ = text.at(Entries).get<std::uint32_t>();
     pulse.age_ = Model::Milliseconds(text.at(Age).get<long long>());
+    // Instances of an earlier version do not say for how long the store has answered them.
+    if (text.size() > TargetsRead) {
+        const Model::Milliseconds answered(text.at(StoreAnswered).get<long long>());
+        pulse.storeAnswered_ = std::max(Model::Milliseconds(0), answered);
+        pulse.targetsRead_ = text.at(TargetsRead).get<std::uint64_t>();
+    }
     return pulse;
 }
 
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -81,6 +81,16 @@
     return isAsking && isReached ? Policy::StoreContact::Reached : Policy::StoreContact::NotAsked;
 }
 
+Policy::StoreStanding StoreFollower::standing() const
+{
+    Policy::StoreStanding standing;
+    standing.contact_ = contact();
+    if (operators_.answeredSince_ && targets_.answeredSince_)
+        standing.answeredSince_ = std::max(*operators_.answeredSince_, *targets_.answeredSince_);
+    standing.targetsRead_ = targets_.readUpTo_.value();
+    return standing;
+}
+
 /// Whoever was turned away goes on asking until it is served, so that the others know.
 bool StoreFollower::shouldAsk(StoreTable table, const Progress &progress) const
 {
@@ -140,6 +150,8 @@
             .add("position",
                  static_cast<std::int64_t>(knowledge_.mirror(table).position().value()));
     }
+    if (!isAsking)
+        progress.answeredSince_.reset();
     progress.isAsking_ = isAsking;
 }
 
@@ -150,7 +162,7 @@
         noteFailed(table, progress);
         co_return false;
     }
-    noteReached(table, progress);
+    noteReached(table, progress, rows->revision_);
     progress.needsAll_ = false;
     knowledge_.replace(table, *rows, "store");
     changed_();
@@ -172,7 +184,7 @@
         noteFailed(table, progress);
         co_return false;
     }
-    noteReached(table, progress);
+    noteReached(table, progress, changes->revision_);
     const bool isNews = !changes->rows_.empty();
     knowledge_.apply(table, *changes, "store");
     if (isNews) {
@@ -182,18 +194,21 @@
     co_return true;
 }
 
-void StoreFollower::noteReached(StoreTable table, Progress &progress)
+void StoreFollower::noteReached(StoreTable table, Progress &progress, Platform::Revision readUpTo)
 {
     if (!progress.isReached_)
         log_.line(Event::StoreBack).add("table", nameOf(table));
     progress.isReached_ = true;
     progress.failures_ = 0;
     progress.confirmedAt_ = std::chrono::steady_clock::now();
+    progress.readUpTo_ = readUpTo;
+    if (!progress.answeredSince_)
+        progress.answeredSince_ = progress.confirmedAt_;
 }
 
 void StoreFollower::noteFailed(StoreTable table, Progress &progress)
 {
-    failedAt_ = std::chrono::steady_clock::now();
+    progress.answeredSince_.reset();
     ++progress.failures_;
     if (progress.isReached_ || progress.failures_ == 1) {
         log_.line(Event::StoreLost)
--- a/Libraries/LibSteering/StoreFollower.h
+++ b/Libraries/LibSteering/StoreFollower.h
@@ -23,8 +23,9 @@
 
     /// How this instance stands with the store, by its latest calls.
     Policy::StoreContact contact() const;
-    /// When a call last failed, and when one for a table last succeeded.
-    Model::SteadyTime failedAt() const { return failedAt_; }
+    /// The same, with since when and up to where the store has told this instance.
+    Policy::StoreStanding standing() const;
+    /// When a call for a table last succeeded.
     Model::SteadyTime confirmedAt(StoreTable table) const;
 
 private:
@@ -35,6 +36,11 @@
         bool isAsking_ = true;
         bool needsAll_ = true;
         Model::SteadyTime confirmedAt_ = Model::longAgo;
+        /// Since when each call was answered; nothing while none was since one failed, or since
+        /// this instance began to ask.
+        std::optional<Model::SteadyTime> answeredSince_;
+        /// Everything up to this revision was told by the store itself.
+        Platform::Revision readUpTo_;
         int failures_ = 0;
     };
 
@@ -45,7 +51,7 @@
     Model::Milliseconds gatherTime(StoreTable table) const;
     Http::Task<bool> readAll(StoreTable table, Progress &progress);
     Http::Task<bool> readChanges(StoreTable table, Progress &progress);
-    void noteReached(StoreTable table, Progress &progress);
+    void noteReached(StoreTable table, Progress &progress, Platform::Revision readUpTo);
     void noteFailed(StoreTable table, Progress &progress);
 
     Http::asio::io_context &context_;
@@ -56,7 +62,6 @@
     std::function<Policy::ReaderRank()> rank_;
     Progress operators_;
     Progress targets_;
-    Model::SteadyTime failedAt_ = Model::longAgo;
     bool isStopping_ = false;
 };
 
--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -15,14 +15,14 @@
 {
 }
 
-void TargetBook::update(SteadyTime now, SteadyTime storeFailedAt)
+void TargetBook::update(SteadyTime now, const Policy::StoreEvidence &evidence)
 {
     for (const auto &[key, row] : knowledge_.mirror(StoreTable::Targets).rows())
         take(row, now);
     std::erase_if(unreadable_, [&](const auto &entry) {
         return !knowledge_.mirror(StoreTable::Targets).rows().contains(entry.first);
     });
-    noteMissing(now, storeFailedAt);
+    noteMissing(now, evidence);
     findSuccessors();
     for (auto &[id, target] : targets_)
         findPlace(*target);
@@ -52,6 +52,19 @@
     return target.firstRevision_ > other.firstRevision_;
 }
 
+const char *nameOf(Policy::StoreContact contact)
+{
+    switch (contact) {
+    case Policy::StoreContact::Reached:
+        return "reached";
+    case Policy::StoreContact::Refused:
+        return "refused";
+    case Policy::StoreContact::NotAsked:
+        break;
+    }
+    return "not asked";
+}
+
 } // namespace
 
 void TargetBook::noteUnreadable(const Platform::StoredRow &row)
@@ -92,7 +105,7 @@
     const auto known = targets_.find(id);
     const bool isNew = known == targets_.end();
     if (!isNew && row.revision_ <= known->second->revision_) {
-        known->second->missingUntil_.reset();
+        known->second->removed_.reset();
         return;
     }
     const auto refused = unreadable_.find(row.key_);
@@ -106,7 +119,7 @@
     unreadable_.erase(row.key_);
     if (!isNew && record->incarnation_ < known->second->record_.incarnation_) {
         known->second->revision_ = row.revision_;
-        known->second->missingUntil_.reset();
+        known->second->removed_.reset();
         log_.line(Event::TargetOutdated).add("target", row.key_);
         return;
     }
@@ -120,7 +133,7 @@
     target->record_.isLeaving_ = record->isLeaving_ || wasLeaving;
     target->revision_ = row.revision_;
     target->isNamed_ = true;
-    target->missingUntil_.reset();
+    target->removed_.reset();
     if (record->coldFor_.count() > 0) {
         target->coldUntil_ = now + record->coldFor_;
         // A cold target has lost what it kept of its objects.
@@ -170,26 +183,31 @@
     }
 }
 
-void TargetBook::noteMissing(SteadyTime now, SteadyTime storeFailedAt)
+void TargetBook::noteMissing(SteadyTime now, const Policy::StoreEvidence &evidence)
 {
-    const auto &rows = knowledge_.mirror(StoreTable::Targets).rows();
-    std::size_t unannounced = 0;
-    for (const auto &[id, target] : targets_) {
-        const bool isMissing = !rows.contains(id.value());
-        unannounced += isMissing && !target->record_.isLeaving_ && !target->missingUntil_ ? 1 : 0;
-    }
-    const bool hasFailed = now - storeFailedAt < lapseWindow;
-    const bool isLapse = hasFailed || unannounced >= manyAtOnce;
+    const Mirror &mirror = knowledge_.mirror(StoreTable::Targets);
+    const auto unannounced
+        = std::count_if(targets_.begin(), targets_.end(), [&](const auto &entry) {
+              const auto &[id, target] = entry;
+              const bool isMissing = !mirror.rows().contains(id.value());
+              return isMissing && !target->record_.isLeaving_ && !target->removed_;
+          });
     std::erase_if(targets_, [&](const auto &entry) {
         const auto &[id, target] = entry;
-        if (rows.contains(id.value()) || target->missingUntil_)
+        if (mirror.rows().contains(id.value()) || target->removed_)
             return false;
-        if (isLapse && !target->record_.isLeaving_) {
-            target->missingUntil_ = now + (hasFailed ? lapseGrace : unseenLapseGrace);
+        Policy::RemovedRegistration removed;
+        removed.revision_ = mirror.removedAt(id.value()).value_or(mirror.position()).value();
+        removed.noticedAt_ = now;
+        removed.isOneOfMany_ = static_cast<std::size_t>(unannounced) >= Policy::manyAtOnce;
+        const auto until = Policy::usableUntil(removed, evidence);
+        if (until > now && !target->record_.isLeaving_) {
+            target->removed_ = removed;
             log_.line(Event::TargetMissing)
                 .add("target", id.value())
-                .add("store_failed_ms",
-                     std::chrono::duration_cast<Model::Microseconds>(now - storeFailedAt))
+                .add("revision", static_cast<std::int64_t>(removed.revision_))
+                .add("store", nameOf(evidence.own_.contact_))
+                .add("use_ms", std::chrono::duration_cast<Model::Microseconds>(until - now))
                 .add("at_once", static_cast<std::int64_t>(unannounced));
             return false;
         }
@@ -200,13 +218,17 @@
     });
 }
 
-bool TargetBook::dropMissing(SteadyTime now)
+bool TargetBook::dropMissing(SteadyTime now, const Policy::StoreEvidence &evidence)
 {
     const auto dropped = std::erase_if(targets_, [&](const auto &entry) {
         const auto &[id, target] = entry;
-        if (!target->missingUntil_ || now < *target->missingUntil_)
+        if (!target->removed_ || now < Policy::usableUntil(*target->removed_, evidence))
             return false;
-        log_.line(Event::TargetGone).add("target", id.value()).add("after", "lapse");
+        const auto missingFor = now - target->removed_->noticedAt_;
+        log_.line(Event::TargetGone)
+            .add("target", id.value())
+            .add("after", "lapse")
+            .add("missing_ms", std::chrono::duration_cast<Model::Microseconds>(missingFor));
         return true;
     });
     if (dropped > 0)
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -57,8 +57,8 @@
     bool isReplaced_ = false;
     /// The one that registered itself at the same address later, if there is one.
     std::shared_ptr<const TargetState> successor_;
-    /// Its registration is gone though it may only have lapsed; from then on it gets nothing.
-    std::optional<Model::SteadyTime> missingUntil_;
+    /// Its registration is gone, and may only have lapsed.
+    std::optional<Policy::RemovedRegistration> removed_;
     /// When each object was sent here last.
     std::unordered_map<std::uint64_t, Model::SteadyTime> objects_;
 
@@ -80,22 +80,6 @@
     Policy::HomeShares homes_;
 };
 
-/// Around an outage of the store registrations lapse though their targets live, and come back
-/// within two seconds of its return. A target whose registration is missing is used on for this
-/// long after the row went, which is inside the time for which a leaving target still serves.
-constexpr Model::Milliseconds lapseGrace{2000};
-
-/// How long after the store was last seen to fail its rows may still be missing: two seconds, and
-/// some for the first call that succeeds.
-constexpr Model::Milliseconds lapseWindow{2500};
-
-/// So many registrations that go at once, none announced, look like a lapse and not like leaving.
-constexpr std::size_t manyAtOnce = 3;
-
-/// Grace for those where the store was not seen to fail: they may have left all the same, and with
-/// the 0.7 s that news takes at the most a leaving target must get nothing after 2.5 s.
-constexpr Model::Milliseconds unseenLapseGrace{1200};
-
 /// All targets that are known, with what this instance has seen of them.
 ///
 /// Thread safety: none; belongs to one thread.
@@ -104,13 +88,12 @@
 public:
     TargetBook(const PlatformPort &port, const Knowledge &knowledge, Observe::DecisionLog &log);
 
-    /// Brings the book in line with what is known. \a storeFailedAt is when a call to the store
-    /// last failed.
-    void update(Model::SteadyTime now, Model::SteadyTime storeFailedAt);
+    /// Brings the book in line with what is known.
+    void update(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
 
-    /// Drops targets whose registration has been missing for too long, and takes in which ones said
-    /// that they are replaced. Returns whether any was dropped.
-    bool dropMissing(Model::SteadyTime now);
+    /// Drops targets whose registration is missing and not expected back any more, and takes in
+    /// which ones said that they are replaced. Returns whether any was dropped.
+    bool dropMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
 
     /// Returns the addresses at which another run listens since the last call: what was connected
     /// to the earlier runs leads nowhere.
@@ -133,7 +116,7 @@
     void noteUnreadable(const Platform::StoredRow &row);
     std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
     void findSuccessors();
-    void noteMissing(Model::SteadyTime now, Model::SteadyTime storeFailedAt);
+    void noteMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
     void findPlace(TargetState &target) const;
     void arrange();
     Policy::HomeShares homesOf(const ServiceTargets &targets) const;
--- /dev/null
+++ b/Tests/LibPolicy/TestRegistrationLapse.cpp
@@ -0,0 +1,137 @@
+#include <LibPolicy/LibPolicy.h>
+#include <Support/Property.h>
+
+namespace {
+
+using Model::Milliseconds;
+using Model::SteadyTime;
+using Policy::RemovedRegistration;
+using Policy::StoreContact;
+using Policy::StoreEvidence;
+using Policy::StoreStanding;
+
+constexpr std::uint64_t removedIn = 65;
+const SteadyTime noticed{std::chrono::hours(1)};
+const SteadyTime longBefore = noticed - std::chrono::minutes(10);
+
+class TestRegistrationLapse : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestRegistrationLapse);
+    CPPUNIT_TEST(refusedInstanceBelievesWhoeverTheStoreServed);
+    CPPUNIT_TEST(graceEndsTwoSecondsAfterTheReturn);
+    CPPUNIT_TEST(earliestReturnCounts);
+    CPPUNIT_TEST(hearsayOfARemovalIsNoWitness);
+    CPPUNIT_TEST(instanceThatIsNotAskingTakesARemovalForALeave);
+    CPPUNIT_TEST(manyAtOnceAreKeptForAWhileWhateverWitnessesSay);
+    CPPUNIT_TEST(graceIsNeverLongerThanALapseLasts);
+    CPPUNIT_TEST(silentPeersAreNoWitnesses);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static StoreStanding reached(SteadyTime answeredSince, std::uint64_t targetsRead)
+    {
+        return {StoreContact::Reached, answeredSince, targetsRead};
+    }
+
+    static StoreStanding refused() { return {StoreContact::Refused, Model::longAgo, 0}; }
+
+    static RemovedRegistration removal(bool isOneOfMany = false)
+    {
+        return {removedIn, noticed, isOneOfMany};
+    }
+
+    // Guards against taking an instance's own failed calls for an outage of the store.
+    void refusedInstanceBelievesWhoeverTheStoreServed()
+    {
+        const StoreEvidence alone{refused(), {}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), alone) == noticed + Policy::lapseGrace);
+        const StoreEvidence informed{refused(), {refused(), reached(longBefore, removedIn)}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), informed) < noticed);
+    }
+
+    // Guards against a grace that is counted from the news of a removal.
+    void graceEndsTwoSecondsAfterTheReturn()
+    {
+        const auto returned = noticed - Milliseconds(900);
+        const StoreEvidence evidence{reached(returned, removedIn), {}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), evidence) == returned + Policy::lapseGrace);
+    }
+
+    // Guards against waiting on where another instance found the store back before this one.
+    void earliestReturnCounts()
+    {
+        const auto first = noticed - Milliseconds(1500);
+        const auto own = noticed - Milliseconds(200);
+        const StoreEvidence evidence{reached(own, removedIn), {reached(first, removedIn)}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), evidence) == first + Policy::lapseGrace);
+    }
+
+    // Guards against dropping lapsed targets on the word of a peer whose own call still hangs.
+    void hearsayOfARemovalIsNoWitness()
+    {
+        const auto hanging = reached(longBefore, removedIn - 5);
+        const auto returned = noticed - Milliseconds(100);
+        const StoreEvidence reader{reached(returned, removedIn), {hanging}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), reader) == returned + Policy::lapseGrace);
+        // The hanging one itself goes by the reader's word.
+        const StoreEvidence hearer{hanging, {reached(returned, removedIn)}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), hearer) == returned + Policy::lapseGrace);
+    }
+
+    void instanceThatIsNotAskingTakesARemovalForALeave()
+    {
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), {}) < noticed);
+        const StoreEvidence evidence{{}, {reached(noticed, removedIn)}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), evidence) == noticed + Policy::lapseGrace);
+    }
+
+    // Guards against dropping all targets at once after an outage that waiting calls outlived.
+    void manyAtOnceAreKeptForAWhileWhateverWitnessesSay()
+    {
+        const StoreEvidence calm{reached(longBefore, removedIn), {}};
+        const auto until = Policy::usableUntil(removal(true), calm);
+        CPPUNIT_ASSERT(until == noticed + Policy::unseenLapseGrace);
+    }
+
+    void graceIsNeverLongerThanALapseLasts()
+    {
+        Support::assertProperty("a removed target is used for two seconds at the most", [] {
+            const auto standing = [] {
+                const auto contact = *rc::gen::element(
+                    StoreContact::NotAsked, StoreContact::Reached, StoreContact::Refused);
+                const Milliseconds since(*rc::gen::inRange(-5000, 5000));
+                const auto read = *rc::gen::inRange<std::uint64_t>(removedIn - 2, removedIn + 3);
+                return StoreStanding{contact, noticed + since, read};
+            };
+            StoreEvidence evidence{standing(), {}};
+            const int others = *rc::gen::inRange(0, 5);
+            for (int i = 0; i < others; ++i)
+                evidence.others_.push_back(standing());
+            const auto until = Policy::usableUntil(removal(*rc::gen::arbitrary<bool>()), evidence);
+            RC_ASSERT(until <= noticed + Policy::lapseGrace);
+        });
+    }
+
+    // Guards against the word of an instance that may have gone before the store did.
+    void silentPeersAreNoWitnesses()
+    {
+        Policy::Members members;
+        for (const char *name : {"own", "living", "silent"}) {
+            Policy::Member &member = members[Model::InstanceId(name)];
+            member.instance_.id_ = Model::InstanceId(name);
+            member.heardAt_ = noticed - Milliseconds(100);
+            member.pulse_.store_ = StoreContact::Reached;
+            member.pulse_.storeAnswered_ = Milliseconds(5000);
+            member.pulse_.targetsRead_ = removedIn;
+        }
+        members[Model::InstanceId("silent")].heardAt_ = longBefore;
+        const auto standings = Policy::standingsOf(members, Model::InstanceId("own"), noticed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), standings.size());
+        CPPUNIT_ASSERT(standings[0].answeredSince_ == noticed - Milliseconds(5100));
+        CPPUNIT_ASSERT_EQUAL(removedIn, standings[0].targetsRead_);
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestRegistrationLapse);
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -153,21 +153,21 @@
 void Brain::tellTargets(std::uint64_t revision, std::vector<Platform::StoredRow> list)
 {
     knowledge_.replace(Steering::StoreTable::Targets, rows(revision, std::move(list)), "test");
+    if (evidence_.own_.contact_ == Policy::StoreContact::Reached)
+        evidence_.own_.targetsRead_ = revision;
     update();
 }
 
 void Brain::regainStore()
 {
-    isStoreLost_ = false;
-    storeFailedAt_ = now_;
+    evidence_.own_.contact_ = Policy::StoreContact::Reached;
+    evidence_.own_.answeredSince_ = now_;
 }
 
 void Brain::update()
 {
-    if (isStoreLost_)
-        storeFailedAt_ = now_;
     placer_.tableChanged();
-    book_.update(now_, storeFailedAt_);
+    book_.update(now_, evidence_);
 }
 
 Steering::Job job(const Brain &brain, const std::string &route, std::uint64_t object)
--- a/Tests/LibSteering/FakePlatform.h
+++ b/Tests/LibSteering/FakePlatform.h
@@ -43,9 +43,11 @@
     void update();
 
     /// From now on the store does not answer this instance.
-    void loseStore() { isStoreLost_ = true; }
+    void loseStore() { evidence_.own_.contact_ = Policy::StoreContact::Refused; }
     /// From now on it does; the last call failed just before.
     void regainStore();
+    /// Drops targets that are not expected back any more.
+    bool dropMissing() { return book_.dropMissing(now_, evidence_); }
 
     Observe::Settings settings_;
     Steering::PlatformPort port_;
@@ -54,8 +56,7 @@
     Steering::TargetBook book_;
     Steering::Placer placer_;
     Model::SteadyTime now_{std::chrono::seconds(1000)};
-    Model::SteadyTime storeFailedAt_ = Model::longAgo;
-    bool isStoreLost_ = false;
+    Policy::StoreEvidence evidence_{{.contact_ = Policy::StoreContact::Reached}, {}};
 };
 
 /// A request for \a object on a route ("read" or "order") that came in just now.
--- a/Tests/LibSteering/TestKnowledge.cpp
+++ b/Tests/LibSteering/TestKnowledge.cpp
@@ -177,16 +177,17 @@
         Brain brain("r-a");
         brain.tellOperators(7, 20);
         brain.tellTargets(21, fourTargets());
+        brain.loseStore();
         brain.now_ += Milliseconds(5000);
-        brain.storeFailedAt_ = brain.now_ - Milliseconds(300);
+        brain.regainStore();
         brain.tellTargets(22, {});
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), usable(brain, "gauging"));
         brain.now_ += Milliseconds(1800);
-        brain.book_.dropMissing(brain.now_);
+        brain.dropMissing();
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), usable(brain, "gauging"));
         brain.tellTargets(30, fourTargets());
         brain.now_ += Milliseconds(5000);
-        brain.book_.dropMissing(brain.now_);
+        brain.dropMissing();
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), usable(brain, "gauging"));
     }
 
@@ -198,14 +199,15 @@
         Brain brain("r-a");
         brain.tellOperators(7, 20);
         brain.tellTargets(21, fourTargets());
-        brain.storeFailedAt_ = brain.now_;
+        brain.loseStore();
+        brain.regainStore();
         brain.tellTargets(22, {});
         brain.now_ += Milliseconds(1000);
         auto list = fourTargets();
         list.pop_back();
         brain.tellTargets(23, list);
-        brain.now_ += Steering::lapseGrace;
-        CPPUNIT_ASSERT(brain.book_.dropMissing(brain.now_));
+        brain.now_ += Policy::lapseGrace;
+        CPPUNIT_ASSERT(brain.dropMissing());
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable(brain, "gauging"));
     }
 
@@ -223,7 +225,7 @@
         brain.tellTargets(22, list);
         const auto newsTakes = Milliseconds(700);
         brain.now_ += Milliseconds(2500) - newsTakes - Milliseconds(300);
-        brain.book_.dropMissing(brain.now_);
+        brain.dropMissing();
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable(brain, "gauging"));
     }
 
@@ -235,15 +237,16 @@
         brain.tellOperators(7, 20);
         auto list = fourTargets();
         brain.tellTargets(21, list);
-        brain.storeFailedAt_ = brain.now_;
+        brain.loseStore();
+        brain.regainStore();
         brain.now_ += Milliseconds(3000);
         list.pop_back();
         brain.tellTargets(22, list);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable(brain, "gauging"));
     }
 
-    // Guards against a grace for lapsed registrations that starts with the news of a removal and not
-    // with the return of the store.
+    // Guards against a lapse's grace that starts with the news of a removal, not the store's
+    // return.
     void targetThatLeavesAfterTheStoreReturnedGetsNothingInTime()
     {
         Brain brain("r-a");
@@ -259,7 +262,7 @@
         list.pop_back();
         brain.tellTargets(22, list);
         brain.now_ = left + Milliseconds(2500);
-        brain.book_.dropMissing(brain.now_);
+        brain.dropMissing();
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), usable(brain, "gauging"));
     }
 
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -168,6 +168,8 @@
     pulse.targetsSeen_ = 4567;
     pulse.regionEntries_ = 20;
     pulse.age_ = Milliseconds(350);
+    pulse.storeAnswered_ = Milliseconds(3'600'000);
+    pulse.targetsRead_ = 4560;
     return member;
 }
 
@@ -200,6 +202,8 @@
         CPPUNIT_ASSERT(pulse.isReady_ && !pulse.isLeaving_);
         CPPUNIT_ASSERT(pulse.store_ == Policy::StoreContact::Reached);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(4567), pulse.targetsSeen_);
+        CPPUNIT_ASSERT(pulse.storeAnswered_ == Milliseconds(3'600'000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4560), pulse.targetsRead_);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), read->loads_.size());
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(0xfedcba98), read->loads_[0].target_);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(9), read->loads_[0].inProgress_);
@@ -229,17 +233,23 @@
     }
 
     // Symptom: while a fleet is replaced, old and new instances take each other for lost.
-    // Sequence: an instance of the version before tells of itself; it knows nothing of loads.
+    // Sequence: an instance of the version before tells of itself; it knows nothing of loads, and
+    //   not for how long the store has answered it.
     // Cause: refusing a message that lacks what later versions added.
     void messagesOfAnEarlierVersionAreRead()
     {
         auto text = nlohmann::json::from_msgpack(
             Steering::toBytes({someMember("front-koper-a-1"), {}, {}}));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), text.erase("loads"));
+        auto &pulse = text["sender"]["pulse"];
+        pulse.erase(pulse.size() - 1);
+        pulse.erase(pulse.size() - 1);
         std::string bytes;
         nlohmann::json::to_msgpack(text, bytes);
         const auto read = Steering::peerMessageFromBytes(bytes, now);
         CPPUNIT_ASSERT(read && read->loads_.empty());
+        CPPUNIT_ASSERT(read->sender_.pulse_.age_ == Milliseconds(350));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), read->sender_.pulse_.targetsRead_);
     }
 
     // Symptom: instances that tell of each other fill a link of 10 Mbit/s.
--- a/Tests/LibSteering/TestTargetBook.cpp
+++ b/Tests/LibSteering/TestTargetBook.cpp
@@ -215,7 +215,7 @@
         auto brain = informed(registration(5, 1000, 40));
         brain.tellTargets(6, {registration(5, 1000, 40), atTheAddressOfA("z", 6, 2000)});
         brain.book_.all().at(TargetId("z"))->isReplaced_ = true;
-        brain.book_.dropMissing(brain.now_);
+        brain.dropMissing();
         CPPUNIT_ASSERT(takesWork(brain, "a"));
         const auto placed = brain.placer_.place(Fakes::job(brain, "read", 7), brain.now_);
         CPPUNIT_ASSERT(std::get<Placement>(placed).target_ == stateIn(brain));
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(leavingTargetGetsNoNewWork);
     CPPUNIT_TEST(changedConfigurationIsInForceEverywhere);
     CPPUNIT_TEST(instanceThatTheStoreRefusesLearnsFromPeers);
+    CPPUNIT_TEST(instanceThatTheStoreRefusesBelievesPeersThatATargetLeft);
     CPPUNIT_TEST(fewReadTheStoreOfALargeFleetAndAllKnow);
     CPPUNIT_TEST(newsOfAnOutageIsInForceAfterIt);
     CPPUNIT_TEST(editAfterASilenceOfTheStoreIsInForceInTime);
@@ -219,15 +220,10 @@
             CPPUNIT_ASSERT(statusOf(fleet.send(*instance, "added", "b")) == status::ok);
     }
 
-    // Symptom: one instance goes on with an old configuration while all others have the new one.
-    // Sequence: the store turns this instance away and serves the others.
-    // Cause: knowing only what the store itself told.
-    void instanceThatTheStoreRefusesLearnsFromPeers()
+    /// Starts an instance to which the store is \a refusing, one that refuses every call.
+    static PlatformStandIns::FleetInstance &startRefused(Fleet &fleet,
+                                                         PlatformStandIns::Store &refusing)
     {
-        Fleet fleet;
-        CPPUNIT_ASSERT(fleet.serve(2, {"t1", "t2"}));
-        // To this instance the store is one that refuses every call.
-        PlatformStandIns::Store refusing("127.0.0.1");
         StoreFaults faults;
         faults.isRefusing_ = true;
         refusing.setFaults(faults);
@@ -235,6 +231,43 @@
         CPPUNIT_ASSERT(Harness::waitUntil(patience, [&] {
             return statusOf(fleet.send(refused, "read", "r")) == status::ok;
         }));
+        return refused;
+    }
+
+    // Guards against taking an instance's own failed calls for an outage of the store.
+    void instanceThatTheStoreRefusesBelievesPeersThatATargetLeft()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(3, {"t1", "t2"}));
+        PlatformStandIns::Store refusing("127.0.0.1");
+        const auto &refused = startRefused(fleet, refusing);
+        // So that nobody's calls were begun too lately to tell a leave from a lapse.
+        Harness::pause(Policy::lapseGrace);
+        const auto &leaving = *fleet.targets_[0];
+        fleet.store_.remove("servers", leaving.id());
+        const auto hasDropped = [&] {
+            const auto log = refused.process_->log();
+            return log.find("name=TargetGone target=" + leaving.id()) != std::string::npos;
+        };
+        CPPUNIT_ASSERT(Harness::waitUntil(applyBound, hasDropped));
+        const auto log = refused.process_->log();
+        const std::string keptAs = "after=lapse missing_ms=";
+        const auto kept = log.find(keptAs);
+        if (kept != std::string::npos) {
+            const Milliseconds keptFor(std::stoi(log.substr(kept + keptAs.size())));
+            CPPUNIT_ASSERT(keptFor < Policy::lapseGrace / 2);
+        }
+    }
+
+    // Symptom: one instance goes on with an old configuration while all others have the new one.
+    // Sequence: the store turns this instance away and serves the others.
+    // Cause: knowing only what the store itself told.
+    void instanceThatTheStoreRefusesLearnsFromPeers()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(2, {"t1", "t2"}));
+        PlatformStandIns::Store refusing("127.0.0.1");
+        const auto &refused = startRefused(fleet, refusing);
         auto &leaving = *fleet.targets_[0];
         fleet.registerTarget(leaving, "r-a", "draining");
         fleet.configure(4, "added");
