LibSteering: Let no call of a region's first reader hide a target's leave for eight seconds

What callers could see: requests sent to a target for up to nine seconds after it said that it leaves, at every instance.

Cause, the same class as edit-after-a-silence: a change makes all instances ask for changes at the same moment, with eight seconds to wait; the store, or what is between, falls silent for a moment, and calls that waited are never answered. The bound of two seconds at a region's first reader held for the operators' rows alone, so nobody heard of a leave before the calls ended.

--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -15,12 +15,12 @@
 /// this; a shorter time costs calls of which each is paid for.
 constexpr Milliseconds longestWait{8000};
 
-/// The same for the operators' table at the first reader of a region.
+/// The same at the first reader of a region.
 ///
-/// What goes wrong without it: the store falls silent for four seconds. Calls that wait there are
-/// never answered, so a configuration that is accepted just after its return is not known before
-/// they end, up to eight seconds after the silence began; where a change had made all instances
-/// ask at the same moment, at none of them. The others learn it from this one.
+/// What goes wrong without it: the store falls silent for a few seconds. Calls that wait there are
+/// never answered, so a configuration or a target's leave that is accepted just after its return is
+/// not known before they end, up to eight seconds after the silence began; where a change had made
+/// all instances ask at the same moment, at none of them. The others learn it from this one.
 constexpr Milliseconds firstReadersWait{2000};
 
 /// After news, further news of the targets are gathered for this long: a release brings a change
@@ -126,12 +126,11 @@
 
 /// How long the next call may wait for news. After a failure it only asks whether the store is
 /// back: a call that is sent a moment before that is never answered, however long it waits.
-Milliseconds StoreFollower::waitFor(StoreTable table, const Progress &progress) const
+Milliseconds StoreFollower::waitFor(const Progress &progress) const
 {
     if (!progress.isReached_)
         return Milliseconds(0);
-    const bool isFirst = rank_() == Policy::ReaderRank::First;
-    return isFirst && table == StoreTable::Operators ? firstReadersWait : longestWait;
+    return rank_() == Policy::ReaderRank::First ? firstReadersWait : longestWait;
 }
 
 Milliseconds StoreFollower::gatherTime(StoreTable table) const
@@ -172,7 +171,7 @@
 Task<bool> StoreFollower::readChanges(StoreTable table, Progress &progress)
 {
     const auto position = knowledge_.mirror(table).position();
-    const auto changes = co_await port_.awaitChanges_(table, position, waitFor(table, progress));
+    const auto changes = co_await port_.awaitChanges_(table, position, waitFor(progress));
     if (!changes) {
         if (Model::lastReason().code_ == ResultCode::PlatformHistoryGone) {
             log_.line(Event::HistoryLost)
--- a/Libraries/LibSteering/StoreFollower.h
+++ b/Libraries/LibSteering/StoreFollower.h
@@ -47,7 +47,7 @@
     Http::Task<void> follow(StoreTable table);
     bool shouldAsk(StoreTable table, const Progress &progress) const;
     void noteAsking(StoreTable table, Progress &progress, bool isAsking);
-    Model::Milliseconds waitFor(StoreTable table, const Progress &progress) const;
+    Model::Milliseconds waitFor(const Progress &progress) const;
     Model::Milliseconds gatherTime(StoreTable table) const;
     Http::Task<bool> readAll(StoreTable table, Progress &progress);
     Http::Task<bool> readChanges(StoreTable table, Progress &progress);
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -17,6 +17,8 @@
 constexpr Milliseconds patience{10000};
 /// What must be known of a change everywhere, by the platform's bounds.
 constexpr Milliseconds applyBound{2500};
+/// So long after a fault of the store its bounds hold again, by the platform's terms.
+constexpr Milliseconds settled{4000};
 
 class TestOnPlatform : public CppUnit::TestFixture
 {
@@ -35,6 +37,7 @@
     CPPUNIT_TEST(fewReadTheStoreOfALargeFleetAndAllKnow);
     CPPUNIT_TEST(newsOfAnOutageIsInForceAfterIt);
     CPPUNIT_TEST(editAfterASilenceOfTheStoreIsInForceInTime);
+    CPPUNIT_TEST(leaveAfterASilenceOfTheStoreIsKnownInTime);
     CPPUNIT_TEST(freshInstanceStartsFromPeersWhileTheStoreIsDown);
     CPPUNIT_TEST(forgottenHistoryIsReadAnew);
     CPPUNIT_TEST(plannedStopFinishesWhatIsInProgress);
@@ -376,6 +379,32 @@
             CPPUNIT_ASSERT(statusOf(fleet.send(*instance, "added", "x")) == status::ok);
     }
 
+    // Guards against calls for changes of targets that hang at a store that went silent and came back.
+    void leaveAfterASilenceOfTheStoreIsKnownInTime()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(3, {"t1", "t2"}));
+        Harness::pause(Milliseconds(2500));
+        // After it the calls of all instances begin together.
+        fleet.addTarget("t3", "r-b");
+        Harness::pause(Milliseconds(1000));
+        StoreFaults silent;
+        silent.isSilent_ = true;
+        fleet.store_.setFaults(silent);
+        Harness::pause(Milliseconds(500));
+        fleet.store_.setFaults({});
+        Harness::pause(settled);
+        auto &leaving = *fleet.targets_[0];
+        fleet.registerTarget(leaving, "r-a", "draining");
+        Harness::pause(applyBound);
+        const auto before = leaving.runCount();
+        for (int i = 0; i < 30; ++i) {
+            const auto &instance = *fleet.instances_[static_cast<std::size_t>(i % 3)];
+            fleet.send(instance, "read", "r" + std::to_string(i), 2000, std::to_string(i));
+        }
+        CPPUNIT_ASSERT_EQUAL(before, leaving.runCount());
+    }
+
     void freshInstanceStartsFromPeersWhileTheStoreIsDown()
     {
         Fleet fleet;
