LibPolicy, LibSteering: Tell the start of an instance from the return of the store

Cause: an instance that has just begun to read the store took its first answer for the store's return, and kept a target for two seconds whose registration went in that time; and its first call for changes waited, so others could not take its word for up to eight seconds more.

New test: freshInstanceTakesARemovalForALeaveAndIsNoWitnessForOthers.

Change: an instance's own removals are judged by when the store came back after a failure; for others it is a witness from its first answer on, and the first call only asks whether the store is there.

--- a/Libraries/LibPolicy/RegistrationLapse.cpp
+++ b/Libraries/LibPolicy/RegistrationLapse.cpp
@@ -1,6 +1,7 @@
 #include "RegistrationLapse.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace Policy {
 
@@ -13,18 +14,11 @@
     return standing.contact_ == StoreContact::Reached && standing.targetsRead_ >= removed.revision_;
 }
 
-/// When the store came back, by the instance's own calls alone.
-Model::SteadyTime ownReturn(const StoreStanding &own, const RemovedRegistration &removed)
+/// When the store came back, by the instance's own calls alone. One that has just started has not
+/// seen it fail.
+Model::SteadyTime returnSeenBy(const StoreStanding &own, const RemovedRegistration &removed)
 {
-    switch (own.contact_) {
-    case StoreContact::Reached:
-        return own.answeredSince_;
-    case StoreContact::Refused:
-        return removed.noticedAt_;
-    case StoreContact::NotAsked:
-        break;
-    }
-    return Model::longAgo;
+    return own.contact_ == StoreContact::Refused ? removed.noticedAt_ : own.returnedAt_;
 }
 
 } // namespace
@@ -37,28 +31,25 @@
         if (id == own || !isAlive(member, now))
             continue;
         const auto &pulse = member.pulse_;
-        standings.push_back(
-            {pulse.store_, member.heardAt_ - pulse.storeAnswered_, pulse.targetsRead_});
+        StoreStanding standing;
+        standing.contact_ = pulse.store_;
+        standing.answeredSince_ = member.heardAt_ - pulse.storeAnswered_;
+        standing.targetsRead_ = pulse.targetsRead_;
+        standings.push_back(standing);
     }
     return standings;
 }
 
 Model::SteadyTime usableUntil(const RemovedRegistration &removed, const StoreEvidence &evidence)
 {
-    std::vector<StoreStanding> witnesses;
-    std::copy_if(evidence.others_.begin(), evidence.others_.end(), std::back_inserter(witnesses),
-                 [&](const StoreStanding &standing) {
-                     return isWitness(standing, removed);
-                 });
+    std::optional<Model::SteadyTime> witnessed;
     if (isWitness(evidence.own_, removed))
-        witnesses.push_back(evidence.own_);
-    const auto earliest = std::min_element(witnesses.begin(), witnesses.end(),
-                                           [](const StoreStanding &a, const StoreStanding &b) {
-                                               return a.answeredSince_ < b.answeredSince_;
-                                           });
-    const bool isWitnessed = earliest != witnesses.end();
-    const auto returnedAt
-        = isWitnessed ? earliest->answeredSince_ : ownReturn(evidence.own_, removed);
+        witnessed = evidence.own_.returnedAt_;
+    for (const auto &other : evidence.others_) {
+        if (isWitness(other, removed))
+            witnessed = std::min(witnessed.value_or(other.answeredSince_), other.answeredSince_);
+    }
+    const auto returnedAt = witnessed.value_or(returnSeenBy(evidence.own_, removed));
     // Nobody reads a removal from a store that is away: it was back when this was noticed.
     const auto until = std::min(returnedAt, removed.noticedAt_) + lapseGrace;
     const auto untilUnseen = removed.noticedAt_ + unseenLapseGrace;
--- a/Libraries/LibPolicy/RegistrationLapse.h
+++ b/Libraries/LibPolicy/RegistrationLapse.h
@@ -10,6 +10,8 @@
     StoreContact contact_ = StoreContact::NotAsked;
     /// Since when the store has answered each of its calls, if it is reached.
     Model::SteadyTime answeredSince_ = Model::longAgo;
+    /// When a call was answered again after one had failed; only the instance itself knows it.
+    Model::SteadyTime returnedAt_ = Model::longAgo;
     /// The revision up to which it has itself read the targets' rows from the store.
     std::uint64_t targetsRead_ = 0;
 };
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -85,9 +85,11 @@
 {
     Policy::StoreStanding standing;
     standing.contact_ = contact();
-    if (operators_.answeredSince_ && targets_.answeredSince_)
+    standing.returnedAt_ = std::max(operators_.returnedAt_, targets_.returnedAt_);
+    if (operators_.answeredSince_ && targets_.answeredSince_) {
         standing.answeredSince_ = std::max(*operators_.answeredSince_, *targets_.answeredSince_);
-    standing.targetsRead_ = targets_.readUpTo_.value();
+        standing.targetsRead_ = targets_.readUpTo_.value();
+    }
     return standing;
 }
 
@@ -124,11 +126,12 @@
     }
 }
 
-/// How long the next call may wait for news. After a failure it only asks whether the store is
-/// back: a call that is sent a moment before that is never answered, however long it waits.
+/// How long the next call may wait for news. After a failure, and when it begins to ask, it only
+/// asks whether the store is there: a call that is sent a moment before the store's return is never
+/// answered, however long it waits.
 Milliseconds StoreFollower::waitFor(const Progress &progress) const
 {
-    if (!progress.isReached_)
+    if (!progress.answeredSince_)
         return Milliseconds(0);
     return rank_() == Policy::ReaderRank::First ? firstReadersWait : longestWait;
 }
@@ -197,9 +200,11 @@
 {
     if (!progress.isReached_)
         log_.line(Event::StoreBack).add("table", nameOf(table));
+    progress.confirmedAt_ = std::chrono::steady_clock::now();
+    if (progress.failures_ > 0)
+        progress.returnedAt_ = progress.confirmedAt_;
     progress.isReached_ = true;
     progress.failures_ = 0;
-    progress.confirmedAt_ = std::chrono::steady_clock::now();
     progress.readUpTo_ = readUpTo;
     if (!progress.answeredSince_)
         progress.answeredSince_ = progress.confirmedAt_;
--- a/Libraries/LibSteering/StoreFollower.h
+++ b/Libraries/LibSteering/StoreFollower.h
@@ -39,6 +39,8 @@
         /// Since when each call was answered; nothing while none was since one failed, or since
         /// this instance began to ask.
         std::optional<Model::SteadyTime> answeredSince_;
+        /// When a call was answered after one had failed.
+        Model::SteadyTime returnedAt_ = Model::longAgo;
         /// Everything up to this revision was told by the store itself.
         Platform::Revision readUpTo_;
         int failures_ = 0;
--- a/Tests/LibPolicy/TestRegistrationLapse.cpp
+++ b/Tests/LibPolicy/TestRegistrationLapse.cpp
@@ -22,18 +22,20 @@
     CPPUNIT_TEST(earliestReturnCounts);
     CPPUNIT_TEST(hearsayOfARemovalIsNoWitness);
     CPPUNIT_TEST(instanceThatIsNotAskingTakesARemovalForALeave);
+    CPPUNIT_TEST(freshInstanceTakesARemovalForALeaveAndIsNoWitnessForOthers);
     CPPUNIT_TEST(manyAtOnceAreKeptForAWhileWhateverWitnessesSay);
     CPPUNIT_TEST(graceIsNeverLongerThanALapseLasts);
     CPPUNIT_TEST(silentPeersAreNoWitnesses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    static StoreStanding reached(SteadyTime answeredSince, std::uint64_t targetsRead)
+    /// One that the store answers again since \a returned.
+    static StoreStanding reached(SteadyTime returned, std::uint64_t targetsRead)
     {
-        return {StoreContact::Reached, answeredSince, targetsRead};
+        return {StoreContact::Reached, returned, returned, targetsRead};
     }
 
-    static StoreStanding refused() { return {StoreContact::Refused, Model::longAgo, 0}; }
+    static StoreStanding refused() { return {.contact_ = StoreContact::Refused}; }
 
     static RemovedRegistration removal(bool isOneOfMany = false)
     {
@@ -85,6 +87,17 @@
         CPPUNIT_ASSERT(Policy::usableUntil(removal(), evidence) == noticed + Policy::lapseGrace);
     }
 
+    // Guards against taking an instance's start for the store's return, or for proof of its
+    // presence.
+    void freshInstanceTakesARemovalForALeaveAndIsNoWitnessForOthers()
+    {
+        const auto started = noticed - Milliseconds(300);
+        const StoreStanding fresh{StoreContact::Reached, started, Model::longAgo, removedIn};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), {fresh, {}}) < noticed);
+        const StoreEvidence other{refused(), {fresh}};
+        CPPUNIT_ASSERT(Policy::usableUntil(removal(), other) == started + Policy::lapseGrace);
+    }
+
     // Guards against dropping all targets at once after an outage that waiting calls outlived.
     void manyAtOnceAreKeptForAWhileWhateverWitnessesSay()
     {
@@ -101,7 +114,7 @@
                     StoreContact::NotAsked, StoreContact::Reached, StoreContact::Refused);
                 const Milliseconds since(*rc::gen::inRange(-5000, 5000));
                 const auto read = *rc::gen::inRange<std::uint64_t>(removedIn - 2, removedIn + 3);
-                return StoreStanding{contact, noticed + since, read};
+                return StoreStanding{contact, noticed + since, noticed + since, read};
             };
             StoreEvidence evidence{standing(), {}};
             const int others = *rc::gen::inRange(0, 5);
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -244,8 +244,9 @@
         CPPUNIT_ASSERT(fleet.serve(3, {"t1", "t2"}));
         PlatformStandIns::Store refusing("127.0.0.1");
         const auto &refused = startRefused(fleet, refusing);
-        // So that nobody's calls were begun too lately to tell a leave from a lapse.
-        Harness::pause(Policy::lapseGrace);
+        // Until then the peers have not read the store for long enough to tell a leave from a
+        // lapse.
+        Harness::pause(settled);
         const auto &leaving = *fleet.targets_[0];
         fleet.store_.remove("servers", leaving.id());
         const auto hasDropped = [&] {
@@ -379,7 +380,7 @@
             CPPUNIT_ASSERT(statusOf(fleet.send(*instance, "added", "x")) == status::ok);
     }
 
-    // Guards against calls for changes of targets that hang at a store that went silent and came back.
+    // Guards against calls for targets that hang at a store that fell silent for a moment.
     void leaveAfterASilenceOfTheStoreIsKnownInTime()
     {
         Fleet fleet;
