--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -50,7 +50,7 @@
         {TargetGone, Info, "TargetGone", "A target's registration is gone; it gets no new work.",
          100},
         {TargetMissing, Warning, "TargetMissing",
-         "A registration lapsed around an outage of the store; the target is used a little longer.",
+         "A registration is gone and may have lapsed; the target is used a little longer.",
          100},
         {TargetUnreadable, Warning, "TargetUnreadable",
          "A registration cannot be read; it names no target to use.", 20},
