--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -16,15 +16,6 @@
 constexpr Microseconds firstRoundTripNear{2000};
 constexpr Microseconds firstRoundTripFar{60000};
 
-/// Weight of one new connection in the round trip to a region.
-constexpr double roundTripWeight = 0.2;
-
-/// Weight of one answer in the mean time of a service's requests.
-constexpr double serviceMeanWeight = 0.02;
-
-/// Objects remembered for each target; targets themselves keep some dozens.
-constexpr std::size_t mostObjects = 256;
-
 /// How often the use of a service's slots is counted: a load takes several times as long.
 constexpr Milliseconds slotCountPause{100};
 
@@ -336,74 +327,4 @@
     return placement;
 }
 
-void Placer::noteAnswer(const Job &job, const Placement &placement, Microseconds took,
-                        SteadyTime now)
-{
-    TargetState &target = *placement.target_;
-    const auto roundTrip = roundTrips_[target.region_];
-    const auto worked = std::max(took - roundTrip, Microseconds(1));
-    const auto expected = std::max(placement.latestUsual_ - roundTrip, Microseconds(1));
-    target.answeredAt_ = now;
-    Policy::noteReached(target.reachability_);
-    Policy::learnAnswer(target.pace_, worked, expected, now);
-
-    std::optional<SteadyTime> sentBefore;
-    if (job.hasObject_) {
-        const auto sent = target.objects_.find(job.object_);
-        if (sent != target.objects_.end())
-            sentBefore = sent->second;
-        if (target.objects_.size() >= mostObjects)
-            target.objects_.clear();
-        target.objects_[job.object_] = now;
-    }
-    // An answer that waited for a slot says nothing of the work alone.
-    const bool hadSlot = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
-    if (!hadSlot || target.isCold(now))
-        return;
-    RouteWork &work = workOf(*job.route_, job.service_);
-    if (sentBefore) {
-        const auto age = std::chrono::duration_cast<Milliseconds>(now - *sentBefore);
-        Policy::learnKept(memory_[job.service_], age, Policy::looksWarm(work.times_, worked));
-    }
-    auto &others = work.othersWarmth_;
-    if (!placement.isKnownWarm_ && placement.isHome_)
-        Policy::learnWarmth(others.atHome_, work.times_, worked);
-    if (!placement.isKnownWarm_ && placement.isHomeOfOthers_)
-        Policy::learnWarmth(others.elsewhere_, work.times_, worked);
-    Policy::learnWorkTime(work.times_, worked, false);
-    const auto value = static_cast<double>(worked.count());
-    const auto [mean, isFirst] = serviceMeanUs_.emplace(job.service_, value);
-    if (!isFirst)
-        mean->second += (value - mean->second) * serviceMeanWeight;
-}
-
-void Placer::noteFailure(const Placement &placement, SteadyTime now)
-{
-    Policy::learnFailure(placement.target_->pace_, now);
-}
-
-void Placer::noteSilence(const Placement &placement, SteadyTime sentAt, bool wasSent,
-                         SteadyTime now)
-{
-    TargetState &target = *placement.target_;
-    noteFailure(placement, now);
-    // A single lost answer is the loss of one; a target that answers others meanwhile is there.
-    const bool hasAnsweredSince = target.answeredAt_ >= sentAt;
-    if (!wasSent || !hasAnsweredSince)
-        Policy::noteUnreachable(target.reachability_, now);
-}
-
-Milliseconds Placer::connectPatienceFor(const TargetState &target) const
-{
-    return Policy::connectPatience(roundTrips_[target.region_]);
-}
-
-void Placer::noteConnect(const TargetState &target, Microseconds took)
-{
-    auto &known = roundTrips_[target.region_];
-    const double value = static_cast<double>(known.count())
-                         + static_cast<double>((took - known).count()) * roundTripWeight;
-    known = Microseconds(static_cast<long long>(value));
-}
-
 } // namespace Steering
