LibSteering: Refuse as not ready while no targets are known

The test withoutTargetsARequestIsRefusedAtOnce asked for the old code without telling any targets; it tells an empty list now and asks for the same, and instanceThatKnowsNoTargetsYetIsNotReady, red before, asks for the other case.

--- a/Libraries/LibModel/ResultCode.cpp
+++ b/Libraries/LibModel/ResultCode.cpp
@@ -41,7 +41,7 @@
         {StoreUnavailable, "StoreUnavailable",
          "The platform's store is needed for this request and is down. Not run."},
         {NotReady, "NotReady",
-         "The instance does not know the table in force, or no entry that serves, yet. Not run."},
+         "The instance does not know the table, the targets or a serving entry yet. Not run."},
         {Stopping, "Stopping", "The instance is leaving; ask for another entry. Not run."},
         {DisplacedByFairShare, "DisplacedByFairShare",
          "Callers below their fair share went first. Not run."},
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -34,8 +34,6 @@
 /// Part of the second attempts that the platform lets all instances make, so that a miscount of
 /// instances breaks nothing.
 constexpr double usedRetryPart = 0.5;
-/// An instance that knows no table yet expects one within this time.
-constexpr Milliseconds comeBackWhenReady{300};
 /// Targets that are tried where none could be reached: what never left counts against no budget.
 /// Half of a failure domain may be down at once, so two tries often meet two dead ones.
 constexpr std::size_t mostTries = 4;
--- a/Libraries/LibSteering/Job.h
+++ b/Libraries/LibSteering/Job.h
@@ -46,6 +46,9 @@
     Model::Microseconds latestUsual_{0};
 };
 
+/// An instance that does not know the table or the targets yet expects them within this time.
+constexpr Model::Milliseconds comeBackWhenReady{300};
+
 /// Why a request is not sent anywhere now, and when to ask again.
 struct Refusal
 {
--- a/Libraries/LibSteering/Placer.cpp
+++ b/Libraries/LibSteering/Placer.cpp
@@ -275,6 +275,8 @@
 
 std::variant<Placement, Refusal> Placer::place(const Job &job, SteadyTime now)
 {
+    if (!knowledge_.mirror(StoreTable::Targets).isKnown())
+        return Refusal{ResultCode::NotReady, comeBackWhenReady, Microseconds(0)};
     const ServiceTargets *targets = book_.service(job.service_);
     if (targets) {
         gather(job, *targets, now);
--- a/Tests/LibSteering/TestPlacer.cpp
+++ b/Tests/LibSteering/TestPlacer.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(triedTargetsAreNotChosenAgain);
     CPPUNIT_TEST(coldTargetsOfOtherRegionsAreLeftToTheirEntries);
     CPPUNIT_TEST(withoutTargetsARequestIsRefusedAtOnce);
+    CPPUNIT_TEST(instanceThatKnowsNoTargetsYetIsNotReady);
     CPPUNIT_TEST(homeRegionsBind);
     CPPUNIT_TEST_SUITE_END();
 
@@ -127,12 +128,24 @@
     {
         Brain brain("r-a");
         brain.tellOperators(3, 1);
+        brain.tellTargets(2, {});
         const auto placed = brain.placer_.place(Fakes::job(brain, "read", 1), brain.now_);
         const auto &refusal = std::get<Refusal>(placed);
         CPPUNIT_ASSERT(refusal.code_ == Model::ResultCode::NoTarget);
         CPPUNIT_ASSERT(refusal.comeBack_ > Milliseconds(0));
     }
 
+    // Guards against telling callers that no target takes work before any target is known.
+    void instanceThatKnowsNoTargetsYetIsNotReady()
+    {
+        Brain brain("r-a");
+        brain.tellOperators(3, 1);
+        const auto placed = brain.placer_.place(Fakes::job(brain, "read", 1), brain.now_);
+        const auto &refusal = std::get<Refusal>(placed);
+        CPPUNIT_ASSERT(refusal.code_ == Model::ResultCode::NotReady);
+        CPPUNIT_ASSERT(refusal.comeBack_ > Milliseconds(0));
+    }
+
     void homeRegionsBind()
     {
         Brain brain("r-a");
