Soak: Let targets leave without a word, and judge instances that were disturbed before

The soak could not see a target used past its leave after an instance's way to the store had been cut: targets always announced their leave, and it was judged only where every instance had been calm for four seconds before it. A leave of some variants is now the removal of the registration alone, and an instance is judged by the four seconds before a request, as the platform does; the store has to be calm before the leave, as before.

--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -53,6 +53,16 @@
     return instance && store && std::max(*instance, *store) + calmBefore <= from;
 }
 
+/// The store was calm when it took it that a target leaves, and the instance is when requests are
+/// judged: it may have been disturbed when the target left.
+bool Promises::isBoundBy(const Model::Address &entry, SteadyTime leftAt) const
+{
+    const auto instance = site_.calmSince(entry);
+    const auto store = site_.storeCalmSince();
+    return instance && store && *store + calmBefore <= leftAt
+           && *instance + calmBefore <= leftAt + knownWithin;
+}
+
 std::vector<std::string> Promises::check()
 {
     for (auto &record : callers_.take()) {
@@ -125,7 +135,7 @@
             const auto &instances = site_.fleet().instances_;
             const bool allCalm
                 = std::all_of(instances.begin(), instances.end(), [&](const auto &instance) {
-                      return wasCalm(instance->entry(), at);
+                      return isBoundBy(instance->entry(), at);
                   });
             if (!isFirst && allCalm && runs > known->second)
                 broken("a leaving target gets no new work", id);
--- a/Tests/Soak/Promises.h
+++ b/Tests/Soak/Promises.h
@@ -27,6 +27,7 @@
     void checkNames();
     void checkEdit();
     bool wasCalm(const Model::Address &entry, Model::SteadyTime from) const;
+    bool isBoundBy(const Model::Address &entry, Model::SteadyTime leftAt) const;
     void broken(const std::string &promise, const std::string &what);
 
     SoakSite &site_;
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -215,9 +215,13 @@
     fleet_.store_.remove("servers", before);
 }
 
-void SoakSite::leaveTarget(std::size_t number)
+void SoakSite::leaveTarget(std::size_t number, bool isAnnounced)
 {
-    registerTarget(number, "draining");
+    if (isAnnounced) {
+        registerTarget(number, "draining");
+    } else {
+        fleet_.store_.remove("servers", fleet_.targets_[number]->id());
+    }
     leftAt_[fleet_.targets_[number]->id()] = steadyNow();
 }
 
@@ -273,7 +277,7 @@
         return;
     case TargetLeaves:
         if (leavingTargets_.insert(subject).second)
-            leaveTarget(subject);
+            leaveTarget(subject, fault.variant_ % 3 != 0);
         return;
     case TableEdited:
         newestRoute_ = "added" + std::to_string(++version_);
--- a/Tests/Soak/SoakSite.h
+++ b/Tests/Soak/SoakSite.h
@@ -58,7 +58,7 @@
     void stopInstance(std::size_t instance);
     void startInstance(std::size_t instance);
     void replaceTarget(std::size_t target);
-    void leaveTarget(std::size_t target);
+    void leaveTarget(std::size_t target, bool isAnnounced);
 
     PlanSize size_;
     PlatformStandIns::Fleet fleet_;
