--- a/Tests/Soak/Plan.h
+++ b/Tests/Soak/Plan.h
@@ -24,8 +24,8 @@
     TargetMisbehaves,
     /// It ends, and another run of it takes its address at once.
     TargetReplaced,
-    /// It says that it leaves, or its registration goes without a word; it serves on for a while and
-    /// comes back as another run.
+    /// It says that it leaves, or its registration goes without a word; it serves on for a while
+    /// and comes back as another run.
     TargetLeaves,
     TableEdited,
     DomainDrained,
