--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -232,10 +232,7 @@
         CPPUNIT_ASSERT(Model::lastReason().code_ == Model::ResultCode::PeerMessageUnreadable);
     }
 
-    // Symptom: while a fleet is replaced, old and new instances take each other for lost.
-    // Sequence: an instance of the version before tells of itself; it knows nothing of loads, and
-    //   not for how long the store has answered it.
-    // Cause: refusing a message that lacks what later versions added.
+    // Guards against refusing messages that lack what a later version added.
     void messagesOfAnEarlierVersionAreRead()
     {
         auto text = nlohmann::json::from_msgpack(
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -263,9 +263,7 @@
         }
     }
 
-    // Symptom: one instance goes on with an old configuration while all others have the new one.
-    // Sequence: the store turns this instance away and serves the others.
-    // Cause: knowing only what the store itself told.
+    // Guards against an instance that knows only what the store itself told.
     void instanceThatTheStoreRefusesLearnsFromPeers()
     {
         Fleet fleet;
