Tests: Send thirty requests by turns in one place

Two tests of leaving targets had the same loop; the newer one asks now, as the older one did, that all of its requests are served.

--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -51,6 +51,17 @@
         return answer ? answer->result() : status::unknown;
     }
 
+    /// Sends thirty requests for as many objects through the instances by turns; all are served.
+    static void sendByTurns(Fleet &fleet)
+    {
+        for (std::size_t i = 0; i < 30; ++i) {
+            const auto &instance = *fleet.instances_[i % fleet.instances_.size()];
+            const std::string number = std::to_string(i);
+            const auto answer = fleet.send(instance, "read", "r" + number, 2000, number);
+            CPPUNIT_ASSERT(statusOf(answer) == status::ok);
+        }
+    }
+
     void configuredRoutesAreServedAndOthersAreNot()
     {
         Fleet fleet;
@@ -199,12 +210,7 @@
         fleet.registerTarget(leaving, "r-a", "draining");
         Harness::pause(applyBound);
         const auto before = leaving.runCount();
-        for (int i = 0; i < 30; ++i) {
-            const auto &instance = *fleet.instances_[static_cast<std::size_t>(i % 3)];
-            const auto answer
-                = fleet.send(instance, "read", "r" + std::to_string(i), 2000, std::to_string(i));
-            CPPUNIT_ASSERT(statusOf(answer) == status::ok);
-        }
+        sendByTurns(fleet);
         CPPUNIT_ASSERT_EQUAL(before, leaving.runCount());
     }
 
@@ -397,10 +403,7 @@
         fleet.registerTarget(leaving, "r-a", "draining");
         Harness::pause(applyBound);
         const auto before = leaving.runCount();
-        for (int i = 0; i < 30; ++i) {
-            const auto &instance = *fleet.instances_[static_cast<std::size_t>(i % 3)];
-            fleet.send(instance, "read", "r" + std::to_string(i), 2000, std::to_string(i));
-        }
+        sendByTurns(fleet);
         CPPUNIT_ASSERT_EQUAL(before, leaving.runCount());
     }
 
