LibPolicy, LibSteering: Log what lost requests have in common

RequestUnknown and RequestRetried now carry a print: a hash of method, host, target, body and caller, the same for each repeat at every instance. It is made only for requests that are lost, so a request that is answered costs nothing more. The caller is the platform's key, or the IP number where callers have none.

--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -22,6 +22,7 @@
 #include "PeerNews.h"
 #include "RegistrationLapse.h"
 #include "RequestAdmission.h"
+#include "RequestPrint.h"
 #include "Shares.h"
 #include "SpareConnections.h"
 #include "SpillMeter.h"
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -171,7 +171,8 @@
         log_.line(Event::RequestRetried)
             .add("id", job.id_)
             .add("after", Model::describe(attempted.code_))
-            .add("target", placement.target_->record_.id_.value());
+            .add("target", placement.target_->record_.id_.value())
+            .add("print", toText(printOf(job, port_.headers_)));
         ++counters_.retried_;
     }
 }
--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -70,6 +70,7 @@
         .add("route", job.route_->id_.value())
         .add("service", job.service_.value())
         .add("target", job.tried_.empty() ? "" : job.tried_.back().value())
+        .add("print", toText(printOf(job, port_.headers_)))
         .add("attempts", static_cast<std::int64_t>(job.attempts_))
         .add("held_ms", std::chrono::duration_cast<Microseconds>(now - job.arrivedAt_))
         .add("deadline_ms",
--- a/Libraries/LibSteering/Job.h
+++ b/Libraries/LibSteering/Job.h
@@ -30,8 +30,16 @@
     unsigned turnedAwayWith_ = 0;
     Http::ExchangeControl control_;
     bool isAbandoned_ = false;
+    /// Made when they are first needed.
+    std::optional<std::uint32_t> head_;
+    std::optional<Policy::RequestPrint> print_;
 };
 
+/// Returns the head of the request's print, and the print. \a names are the platform's.
+/// Thread safety: \a job belongs to the calling thread.
+std::uint32_t headOf(Job &job, const HeaderNames &names);
+const Policy::RequestPrint &printOf(Job &job, const HeaderNames &names);
+
 /// Where a request goes, and what that rests on.
 struct Placement
 {
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -62,6 +62,8 @@
     std::string_view timeLeft_;
     /// Requests about one object carry one value.
     std::string_view affinityKey_;
+    /// Names the caller, where callers have names.
+    std::string_view caller_;
     /// The run of the target that may work on the request; any other one refuses.
     std::string_view expectedTarget_;
     /// In an answer: the target has not worked on the request.
