--- a/Tests/Harness/Process.cpp
+++ b/Tests/Harness/Process.cpp
@@ -45,6 +45,8 @@
     const int file = open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
+    // A stand-in's sockets would stay open in the child after the stand-in has closed them.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments[0], arguments.data());
     _exit(127);
 }
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -133,8 +133,13 @@
 Target &Fleet::addTarget(const std::string &id, const std::string &zone)
 {
     targets_.push_back(std::make_unique<Target>("127.0.0.1", id));
-    registerTarget(*targets_.back(), zone);
-    return *targets_.back();
+    Target &target = *targets_.back();
+    target.setBack([this, &target, zone](const std::string &earlier) {
+        store_.remove("servers", earlier);
+        registerTarget(target, zone);
+    });
+    registerTarget(target, zone);
+    return target;
 }
 
 void Fleet::registerTarget(const Target &target, const std::string &zone, const std::string &state,
@@ -143,19 +148,39 @@
     store_.put("servers", target.id(), target.registration("s", zone, state, coldMs));
 }
 
-std::optional<Http::Response> Fleet::send(const FleetInstance &instance, const std::string &route,
-                                          const std::string &id, int patienceMs,
-                                          const std::string &object)
+namespace {
+
+Http::SimpleRequest requestFor(const FleetInstance &instance, const std::string &path,
+                               const std::string &id, int patienceMs, const std::string &object)
 {
     Http::SimpleRequest request;
     request.address_ = instance.entry();
-    request.target_ = "/" + route + "/x";
-    request.method_ = route == "order" ? Http::http::verb::post : Http::http::verb::get;
+    request.target_ = path;
+    request.method_ = path.starts_with("/order/") ? Http::http::verb::post : Http::http::verb::get;
     request.timeout_ = Milliseconds(patienceMs + 1000);
     request.fields_ = {{"Host", "h.example"},
                        {"X-Cassiacrank-Request-Id", id},
                        {"X-Cassiacrank-Affinity-Key", object},
                        {"X-Cassiacrank-Deadline-Ms", std::to_string(patienceMs)}};
+    return request;
+}
+
+} // namespace
+
+std::optional<Http::Response> Fleet::send(const FleetInstance &instance, const std::string &route,
+                                          const std::string &id, int patienceMs,
+                                          const std::string &object)
+{
+    return Http::sendAndWait(requestFor(instance, "/" + route + "/x", id, patienceMs, object));
+}
+
+std::optional<Http::Response> Fleet::sendTo(const FleetInstance &instance, const std::string &path,
+                                            const std::string &id, const std::string &body,
+                                            const std::string &object)
+{
+    constexpr int patienceMs = 2000;
+    auto request = requestFor(instance, path, id, patienceMs, object);
+    request.body_ = body;
     return Http::sendAndWait(request);
 }
 
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -51,6 +51,10 @@
     std::optional<Http::Response> send(const FleetInstance &instance, const std::string &route,
                                        const std::string &id, int patienceMs = 2000,
                                        const std::string &object = "7");
+    /// The same for a path of its own, with a body.
+    std::optional<Http::Response> sendTo(const FleetInstance &instance, const std::string &path,
+                                         const std::string &id, const std::string &body = "",
+                                         const std::string &object = "7");
     /// Returns the addresses that an instance names to callers of a region.
     std::vector<std::string> lookUp(const FleetInstance &instance, const std::string &region);
     bool isReady(const FleetInstance &instance);
--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -61,6 +61,17 @@
     });
 }
 
+Served::Served(const Model::Address &address, Http::Handler handler)
+    : server_(context_, Http::ServerLimits(), std::move(handler))
+    , address_(address)
+{
+    while (!server_.listen(address_))
+        std::this_thread::sleep_for(feedStep);
+    thread_ = std::thread([this] {
+        context_.run();
+    });
+}
+
 Served::~Served()
 {
     context_.stop();
@@ -222,10 +233,89 @@
 
 Target::Target(const std::string &host, std::string id)
     : id_(std::move(id))
-    , served_(host, [this](Http::IncomingRequest request) {
-        return answer(std::move(request));
-    })
+    , served_(std::make_unique<Served>(host,
+                                       [this](Http::IncomingRequest request) {
+                                           return answer(std::move(request));
+                                       }))
+    , address_(served_->address())
+{
+    supervisor_ = std::thread([this] {
+        supervise();
+    });
+}
+
+Target::~Target()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isOver_ = true;
+        changed_.notify_all();
+    }
+    supervisor_.join();
+}
+
+std::string Target::id() const
+{
+    const std::lock_guard lock(mutex_);
+    return id_;
+}
+
+void Target::kill()
+{
+    const std::lock_guard lock(mutex_);
+    endAt_ = Model::longAgo;
+    changed_.notify_all();
+}
+
+void Target::setBack(std::function<void(const std::string &)> back)
+{
+    const std::lock_guard lock(mutex_);
+    back_ = std::move(back);
+}
+
+std::vector<Model::SteadyTime> Target::ends()
+{
+    const std::lock_guard lock(mutex_);
+    return ends_;
+}
+
+/// Ends runs that are to end and begins the next ones.
+void Target::supervise()
 {
+    std::unique_lock lock(mutex_);
+    const auto waitUntil = [&](Model::SteadyTime time) {
+        changed_.wait_until(lock, time, [this] {
+            return isOver_;
+        });
+    };
+    while (!isOver_) {
+        changed_.wait(lock, [this] {
+            return isOver_ || endAt_;
+        });
+        if (isOver_)
+            return;
+        const bool isKilled = *endAt_ == Model::longAgo;
+        waitUntil(*endAt_);
+        std::unique_ptr<Served> ended = std::move(served_);
+        lock.unlock();
+        ended.reset();
+        lock.lock();
+        if (!isKilled)
+            ends_.push_back(std::chrono::steady_clock::now());
+        waitUntil(std::chrono::steady_clock::now() + faults_.backAfter_);
+        if (isOver_)
+            return;
+        const std::string earlier = std::exchange(id_, id_ + "." + std::to_string(++run_));
+        endAt_.reset();
+        const auto back = back_;
+        lock.unlock();
+        auto fresh = std::make_unique<Served>(address_, [this](Http::IncomingRequest request) {
+            return answer(std::move(request));
+        });
+        back(earlier);
+        lock.lock();
+        served_ = std::move(fresh);
+    }
 }
 
 std::string Target::registration(const std::string &service, const std::string &zone,
@@ -278,6 +368,7 @@
     const std::string id(request["X-Cassiacrank-Request-Id"]);
     TargetFaults faults;
     Http::Response response;
+    bool isEnding = false;
     {
         const std::lock_guard lock(mutex_);
         faults = faults_;
@@ -294,6 +385,14 @@
         }
         ++runs_[id];
         requests_.push_back(request);
+        isEnding = !faults.endsUnder_.empty() && request.target().starts_with(faults.endsUnder_);
+        if (isEnding && !endAt_) {
+            endAt_ = std::chrono::steady_clock::now() + faults.endsAfter_;
+            changed_.notify_all();
+        }
+    }
+    if (isEnding) {
+        co_await Http::sleepFor(never);
     }
     co_await Http::sleepFor(faults.work_);
     if (faults.losesAnswers_) {
@@ -301,7 +400,7 @@
     }
     response = Http::textAnswer(http::status::ok, "text/plain", "body of " + id, 11);
     response.set("X-Cassiacrank-Request-Id", faults.isForeign_ ? "another" : id);
-    response.set("X-Cassiacrank-Server-Stamp", "stamp-" + id_);
+    response.set("X-Cassiacrank-Server-Stamp", "stamp-" + this->id());
     response.set("X-Cassiacrank-Server-Load", "1,0,6");
     if (faults.isTruncating_) {
         response.set(http::field::content_length, std::to_string(response.body().size() + 100));
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -4,8 +4,10 @@
 #include <LibModel/LibModel.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -15,11 +17,14 @@
 
 namespace PlatformStandIns {
 
-/// Serves a handler on a thread of its own at a free port of a loopback number.
+/// Serves a handler on a thread of its own.
 class Served
 {
 public:
+    /// Serves at a free port of a loopback number.
     Served(const std::string &host, Http::Handler handler);
+    /// Serves at \a address, which must be free.
+    Served(const Model::Address &address, Http::Handler handler);
     ~Served();
     Served(const Served &) = delete;
     Served &operator=(const Served &) = delete;
@@ -104,6 +109,11 @@
     /// Answers with the id of another request.
     bool isForeign_ = false;
     Model::Milliseconds work_{5};
+    /// Ends when it has begun to run a request whose path begins so; not if empty.
+    std::string endsUnder_;
+    Model::Milliseconds endsAfter_{20};
+    /// Then it starts again, as another run at the same address.
+    Model::Milliseconds backAfter_{1500};
 };
 
 /// A stand-in for a target of the platform: runs requests, counts them by id, refuses those that
@@ -114,9 +124,19 @@
 {
 public:
     Target(const std::string &host, std::string id);
+    ~Target();
+    Target(const Target &) = delete;
+    Target &operator=(const Target &) = delete;
 
-    const std::string &id() const { return id_; }
-    Model::Address address() const { return served_.address(); }
+    std::string id() const;
+    Model::Address address() const { return address_; }
+    /// Ends it as if it was killed: connections break, nothing listens until it is back.
+    void kill();
+    /// Called, on a thread of the target's own, when another run of it serves; with the id of the
+    /// run before.
+    void setBack(std::function<void(const std::string &earlier)> back);
+    /// When its runs ended, without those that were killed.
+    std::vector<Model::SteadyTime> ends();
     /// What it writes to the store of itself.
     std::string registration(const std::string &service, const std::string &zone,
                              const std::string &state = "ready", int coldMs = 0) const;
@@ -131,13 +151,23 @@
 
 private:
     Http::Task<Http::Response> answer(Http::IncomingRequest request);
+    void supervise();
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
     std::string id_;
     TargetFaults faults_;
     std::map<std::string, int> runs_;
     std::vector<Http::Request> requests_;
-    Served served_;
+    std::function<void(const std::string &)> back_ = [](const std::string &) {};
+    std::vector<Model::SteadyTime> ends_;
+    /// When the run that is in progress ends.
+    std::optional<Model::SteadyTime> endAt_;
+    bool isOver_ = false;
+    int run_ = 1;
+    std::unique_ptr<Served> served_;
+    Model::Address address_;
+    std::thread supervisor_;
 };
 
 } // namespace PlatformStandIns
