LibPolicy, LibSteering: Keep a request under which targets end from further targets

Callers saw 502 for their own requests and targets that went one after the other: one request ended each target that began to run it, came again under a new id, at any instance, and was placed like any other.

Cause: what an instance saw of a target's end it kept for the target alone. Nothing tied ends to the request that was in progress at all of them, and no instance told another. Class of fault: a failure that is blamed on the place where it shows, not on what brings it there.

Now each end of a target (a broken connection, and nothing listens at its address any more) is recorded with the prints of what was in progress there; instances tell each other in their rounds (LibPolicy/CrashEvidence, CrashNews), and an answer of any target clears a request for good. A request with ends in three instants that nobody answered, and that is not just the bystander of another one, is refused at once: 503, code 213, not run, with the time until its quarantine ends. At the third known end it is refused while the verdict settles; after two ends it goes to one target at a time, so that ends tell it from what ran beside it. Targets that leave, or fall silent (power, a cut), or end together accuse nobody.

Verdicts stand in the store, so an instance that starts knows them before it takes requests; GET and DELETE /quarantines at an instance's admin address list them and lift one, which peers take over.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -32,19 +32,28 @@
     return isBodyless || parser.chunked() || parser.content_length().has_value();
 }
 
-Task<std::unique_ptr<Connection>> connect(ConnectionPool &pool, const ExchangeOptions &options,
-                                          bool &isNew)
+/// How a connection was come by.
+struct Connected
 {
-    std::unique_ptr<Connection> connection;
+    std::unique_ptr<Connection> connection_;
+    bool isNew_ = false;
+    /// The other end's system refused it.
+    bool isRefused_ = false;
+};
+
+Task<Connected> connect(ConnectionPool &pool, const ExchangeOptions &options)
+{
+    Connected result;
     if (options.longestIdle_.count() > 0)
-        connection = pool.takeIdle(options.address_, options.longestIdle_);
-    isNew = !connection;
-    if (connection)
-        co_return connection;
+        result.connection_ = pool.takeIdle(options.address_, options.longestIdle_);
+    result.isNew_ = !result.connection_;
+    if (result.connection_)
+        co_return result;
 
-    connection = pool.openNew(options.address_, options.connectionLimit_);
+    std::unique_ptr<Connection> connection
+        = pool.openNew(options.address_, options.connectionLimit_);
     if (!connection)
-        co_return nullptr;
+        co_return result;
     const auto now = std::chrono::steady_clock::now();
     const Model::SteadyTime connectBy = now + options.connectTimeout_;
     connection->stream_.expires_at(std::min(connectBy, options.deadline_));
@@ -62,10 +71,12 @@
                                                asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         pool.discard(options.address_, std::move(connection));
-        co_return nullptr;
+        result.isRefused_ = error == asio::error::connection_refused;
+        co_return result;
     }
     tuneSocket(connection->stream_.socket());
-    co_return connection;
+    result.connection_ = std::move(connection);
+    co_return result;
 }
 
 ExchangeResult failed(ResultCode code)
@@ -162,9 +173,9 @@
 Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
                               const Request &request, const AnswerCheck &isOwnAnswer)
 {
-    bool isNew = false;
     const auto startedAt = std::chrono::steady_clock::now();
-    std::unique_ptr<Connection> connection = co_await connect(pool, options, isNew);
+    Connected connected = co_await connect(pool, options);
+    std::unique_ptr<Connection> connection = std::move(connected.connection_);
     const auto connectedAt = std::chrono::steady_clock::now();
     const bool isCancelled = options.control_ && options.control_->isCancelled();
     if (!connection || isCancelled) {
@@ -172,6 +183,7 @@
             pool.giveBack(options.address_, std::move(connection));
         ExchangeResult result;
         result.code_ = ResultCode::TargetUnreachable;
+        result.isRefused_ = connected.isRefused_;
         co_return result;
     }
 
@@ -180,8 +192,8 @@
         const ControlGuard guard(options.control_, connection->stream_);
         result = co_await exchangeOn(*connection, options, request, isOwnAnswer);
     }
-    result.isNewConnection_ = isNew;
-    if (isNew) {
+    result.isNewConnection_ = connected.isNew_;
+    if (connected.isNew_) {
         result.connectTook_
             = std::chrono::duration_cast<Model::Microseconds>(connectedAt - startedAt);
     }
@@ -201,16 +213,20 @@
     co_return result;
 }
 
-Task<bool> prepareConnection(ConnectionPool &pool, const ExchangeOptions &options)
+Task<Listening> knock(ConnectionPool &pool, const ExchangeOptions &options)
 {
     ExchangeOptions fresh = options;
     fresh.longestIdle_ = Model::Milliseconds(0);
-    bool isNew = false;
-    std::unique_ptr<Connection> connection = co_await connect(pool, fresh, isNew);
-    if (!connection)
-        co_return false;
-    pool.giveBack(options.address_, std::move(connection));
-    co_return true;
+    Connected connected = co_await connect(pool, fresh);
+    if (!connected.connection_)
+        co_return connected.isRefused_ ? Listening::No : Listening::Unknown;
+    pool.giveBack(options.address_, std::move(connected.connection_));
+    co_return Listening::Yes;
+}
+
+Task<bool> prepareConnection(ConnectionPool &pool, const ExchangeOptions &options)
+{
+    co_return co_await knock(pool, options) == Listening::Yes;
 }
 
 bool anyAnswer(const Request &, const Response &)
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -65,6 +65,8 @@
     Model::Microseconds connectTook_{0};
     /// Answers to other requests that were dropped on the way.
     int foreignAnswers_ = 0;
+    /// No connection could be made since nothing listens at the address.
+    bool isRefused_ = false;
 };
 
 /// Tells whether an answer belongs to a request.
@@ -83,6 +85,19 @@
 /// need not wait for it. Returns whether it did. Thread safety: as exchange().
 Task<bool> prepareConnection(ConnectionPool &pool, const ExchangeOptions &options);
 
+/// Whether something listens at an address.
+enum class Listening {
+    Yes,
+    /// The other end's system says that nothing does.
+    No,
+    /// Nobody answered, or no connection was free to ask with.
+    Unknown,
+};
+
+/// Asks whether something listens at options.address_, with a new connection; one that is made is
+/// kept idle in \a pool. Thread safety: as exchange().
+Task<Listening> knock(ConnectionPool &pool, const ExchangeOptions &options);
+
 /// For peers whose answers carry no request id. Thread safety: any thread.
 bool anyAnswer(const Request &request, const Response &answer);
 
--- a/Libraries/LibModel/ResultCode.cpp
+++ b/Libraries/LibModel/ResultCode.cpp
@@ -50,6 +50,8 @@
         {TargetUnreachable, "TargetUnreachable", "No connection to a target. Not run."},
         {WouldBeLate, "WouldBeLate",
          "No target could answer before the caller stops waiting. Not run."},
+        {Quarantined, "Quarantined",
+         "Targets ended under this request before; it is kept from them for a time. Not run."},
         {TargetConnectionLost, "TargetConnectionLost",
          "The connection to the target was lost after dispatch. Unknown whether it ran."},
         {TargetTimeout, "TargetTimeout",
--- a/Libraries/LibModel/ResultCode.h
+++ b/Libraries/LibModel/ResultCode.h
@@ -39,6 +39,7 @@
     ClassLimited = 210,
     TargetUnreachable = 211,
     WouldBeLate = 212,
+    Quarantined = 213,
 
     TargetConnectionLost = 301,
     TargetTimeout = 302,
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -32,6 +32,10 @@
     DomainOut = 3005,
     DomainBack = 3006,
     ClaimUnsettled = 3007,
+    TargetEnded = 3008,
+    RequestQuarantined = 3009,
+    QuarantineLifted = 3010,
+    QuarantinesUnread = 3011,
 
     SnapshotApplied = 4001,
     ControlLost = 4002,
--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -8,6 +8,8 @@
 #include "Claims.h"
 #include "ColdRamp.h"
 #include "ConnectionBudget.h"
+#include "CrashEvidence.h"
+#include "CrashNews.h"
 #include "Dissemination.h"
 #include "DomainPicker.h"
 #include "EntryFailures.h"
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -94,11 +94,13 @@
 } // namespace
 
 Dispatcher::Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
-                       const Knowledge &knowledge, Placer &placer, Observe::DecisionLog &log)
+                       const Knowledge &knowledge, Placer &placer, CrashGuard &guard,
+                       Observe::DecisionLog &log)
     : context_(context)
     , port_(port)
     , knowledge_(knowledge)
     , placer_(placer)
+    , guard_(guard)
     , log_(log)
     , pool_(context)
 {
@@ -114,6 +116,7 @@
     if (refused)
         co_return std::move(*refused);
     Http::Response response = co_await carry(job);
+    guard_.release(job);
     if (job.isAbandoned_)
         ++counters_.abandoned_;
     co_return response;
@@ -125,7 +128,7 @@
     job.arrivedAt_ = job.incoming_.arrivedAt_;
     job.id_ = std::string(textOf(message[viewOf(port_.headers_.requestId_)]));
     job.table_ = knowledge_.table();
-    if (!job.table_)
+    if (!job.table_ || !guard_.isInformed())
         return refuse(job, {ResultCode::NotReady, comeBackWhenReady, Microseconds(0)});
 
     const std::string_view host = withoutPort(textOf(message[http::field::host]));
@@ -156,6 +159,8 @@
     // attempts after it come to.
     std::optional<Attempt> open;
     while (true) {
+        if (const auto kept = guard_.check(job, steadyNow()))
+            co_return open ? giveUp(job, *open) : refuse(job, *kept);
         const auto placed = placer_.place(job, steadyNow());
         if (const auto *refusal = std::get_if<Refusal>(&placed))
             co_return open ? giveUp(job, *open) : refuse(job, *refusal);
@@ -303,6 +308,7 @@
         const bool isSilent = result.code_ == ResultCode::TargetTimeout;
         // An attempt that was broken off says nothing; another request may probe.
         target.reachability_.isProbed_ = false;
+        noteCrash(job, placement, result, now);
         if (!job.isAbandoned_ && (isSilent || !attempted.wasSent_)) {
             placer_.noteSilence(placement, sentAt, attempted.wasSent_, now);
         } else if (!job.isAbandoned_) {
@@ -316,6 +322,7 @@
         return attempted;
     }
     target.answeredAt_ = now;
+    target.hasEnded_ = false;
     Policy::noteReached(target.reachability_);
     noteLoad(target, *result.answer_);
     const auto status = result.answer_->result();
@@ -327,6 +334,7 @@
         attempted.code_ = ResultCode::TargetRefused;
         if (isMisdirected) {
             target.isReplaced_ = true;
+            guard_.noteEnded(target, now);
             log_.line(Event::TargetGone)
                 .add("target", target.record_.id_.value())
                 .add("by", "another target at its address");
@@ -335,11 +343,47 @@
         }
         return attempted;
     }
+    // A failure of the target's own says little of what it did with the request.
+    if (status < http::status::internal_server_error)
+        guard_.noteAnswered(job, now);
     attempted.outcome_ = Policy::outcomeOf(Policy::AttemptStage::Answered);
     attempted.answer_ = std::move(result.answer_);
     return attempted;
 }
 
+void Dispatcher::noteCrash(Job &job, const Placement &placement, const Http::ExchangeResult &result,
+                           SteadyTime now)
+{
+    TargetState &target = *placement.target_;
+    if (result.stage_ == Http::ExchangeStage::NotConnected) {
+        if (result.isRefused_)
+            guard_.noteListening(target, Http::Listening::No, now);
+        return;
+    }
+    const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
+                          || result.code_ == ResultCode::TruncatedAnswer;
+    if (job.control_.isCancelled()) {
+        guard_.noteBrokenOff(job, target, now);
+    } else if (isBroken && guard_.noteLost(job, target, now)) {
+        Http::asio::co_spawn(context_, askWhetherListening(placement.target_),
+                             Http::asio::detached);
+    }
+}
+
+Task<void> Dispatcher::askWhetherListening(std::shared_ptr<TargetState> target)
+{
+    Http::ExchangeOptions options;
+    options.address_ = target->record_.address_;
+    options.connectTimeout_ = placer_.connectPatienceFor(*target);
+    options.deadline_ = steadyNow() + options.connectTimeout_;
+    options.connectionLimit_ = connectionsToTarget;
+    const auto listening = co_await Http::knock(pool_, options);
+    const auto now = steadyNow();
+    guard_.noteListening(*target, listening, now);
+    if (listening == Http::Listening::No)
+        Policy::noteUnreachable(target->reachability_, now);
+}
+
 bool Dispatcher::mayTryAgain(const Job &job, const Attempt &attempt, SteadyTime now)
 {
     if (job.isAbandoned_ || now >= job.deadline_)
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashGuard.h"
 #include "Placer.h"
 
 #include <list>
@@ -31,7 +32,8 @@
 {
 public:
     Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
-               const Knowledge &knowledge, Placer &placer, Observe::DecisionLog &log);
+               const Knowledge &knowledge, Placer &placer, CrashGuard &guard,
+               Observe::DecisionLog &log);
 
     /// Answers one request of a caller.
     Http::Task<Http::Response> answer(Http::IncomingRequest incoming);
@@ -74,6 +76,9 @@
     Http::Task<Attempt> attempt(Job &job, const Placement &placement);
     Http::Task<void> prepareSpare(std::shared_ptr<TargetState> target,
                                   Http::ExchangeOptions options);
+    Http::Task<void> askWhetherListening(std::shared_ptr<TargetState> target);
+    void noteCrash(Job &job, const Placement &placement, const Http::ExchangeResult &result,
+                   Model::SteadyTime now);
     Http::Request messageFor(const Job &job, const TargetState &target,
                              Model::SteadyTime now) const;
     Attempt judge(Job &job, const Placement &placement, Model::SteadyTime sentAt,
@@ -89,6 +94,7 @@
     const PlatformPort &port_;
     const Knowledge &knowledge_;
     Placer &placer_;
+    CrashGuard &guard_;
     Observe::DecisionLog &log_;
     Http::ConnectionPool pool_;
     std::list<Job *> jobs_;
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -40,6 +40,11 @@
 constexpr Milliseconds pauseWhileAlone{2000};
 constexpr Milliseconds pauseWhileApart{30000};
 
+/// How long a fresh instance waits to hear which requests are in quarantine, where neither the
+/// store nor a ready peer tells; and the pause between two attempts to read or write it.
+constexpr Milliseconds quarantinePatience{1500};
+constexpr Milliseconds quarantinePause{300};
+
 /// A stop takes these steps; together with the longest request they stay inside the time after
 /// which a stopped process is killed.
 constexpr Milliseconds spreadTime{1700};
@@ -63,6 +68,13 @@
     return std::chrono::steady_clock::now();
 }
 
+Model::WallTime wallNow()
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+constexpr std::string_view quarantinesPath = "/quarantines";
+
 } // namespace
 
 Instance::Instance(const Observe::Settings &settings, std::string settingsPath)
@@ -112,10 +124,18 @@
         [this](const auto &loads) {
             parts_->book_.hearLoads(loads, steadyNow());
         });
+    parts_->peers_.setCrashNews(
+        [this] {
+            return parts_->guard_.news(steadyNow());
+        },
+        [this](const auto &news, bool isPeerReady) {
+            parts_->guard_.hear(news, isPeerReady, steadyNow());
+        });
     parts_->follower_.start();
     awaitSignal();
     Http::asio::co_spawn(context_, tickLoop(), Http::asio::detached);
     Http::asio::co_spawn(context_, introduce(), Http::asio::detached);
+    Http::asio::co_spawn(context_, keepQuarantines(), Http::asio::detached);
     return true;
 }
 
@@ -192,6 +212,42 @@
         .add("reason", toText(Model::lastReason()));
 }
 
+/// Learns which requests are in quarantine when it starts, from the store or from a ready peer, and
+/// writes what changes.
+///
+/// What goes wrong without the store: all instances are killed at the same time, none knows what
+/// ended targets before, and targets end under it again.
+Task<void> Instance::keepQuarantines()
+{
+    while (!parts_->guard_.isInformed()) {
+        const auto records = co_await port_.readQuarantines_();
+        if (records) {
+            parts_->guard_.takeRecords(*records, steadyNow(), wallNow());
+            break;
+        }
+        log_.line(Event::QuarantinesUnread).add("reason", toText(Model::lastReason()));
+        if (steadyNow() - startedAt_ > quarantinePatience)
+            parts_->guard_.setInformed();
+        co_await Http::sleepFor(quarantinePause);
+    }
+    while (!isStopping_) {
+        co_await Http::sleepFor(quarantinePause);
+        co_await writeQuarantines();
+    }
+}
+
+Task<void> Instance::writeQuarantines()
+{
+    const auto records = parts_->guard_.takeUnwritten(steadyNow(), wallNow());
+    for (const auto &record : records) {
+        const bool isWritten = co_await port_.writeQuarantine_(toText(record.print_), record.text_);
+        if (isWritten)
+            continue;
+        log_.line(Event::QuarantinesUnread).add("reason", toText(Model::lastReason()));
+        parts_->guard_.writeAgain(record.print_);
+    }
+}
+
 Task<void> Instance::tickLoop()
 {
     while (true) {
@@ -201,6 +257,7 @@
         parts_->peers_.setStoreStanding(parts_->follower_.standing());
         parts_->book_.dropMissing(now, parts_->peers_.storeEvidence());
         parts_->dispatcher_.sweepAbandoned();
+        parts_->guard_.judge(now);
         if (now - sparesSeenAt_ >= sparesPause) {
             sparesSeenAt_ = now;
             parts_->dispatcher_.refreshSpares(parts_->book_);
@@ -259,7 +316,8 @@
 void Instance::updateReadiness()
 {
     const bool isReady = !isStopping_ && parts_->knowledge_.table()
-                         && parts_->knowledge_.mirror(StoreTable::Targets).isKnown();
+                         && parts_->knowledge_.mirror(StoreTable::Targets).isKnown()
+                         && parts_->guard_.isInformed();
     if (isReady == isReady_)
         return;
     isReady_ = isReady;
@@ -322,14 +380,36 @@
 Task<Http::Response> Instance::answerAdmin(Http::IncomingRequest request)
 {
     const unsigned version = request.message_.version();
+    if (request.message_.target().starts_with(
+            Http::beast::string_view(quarantinesPath.data(), quarantinesPath.size())))
+        co_return answerQuarantines(request.message_);
     if (request.message_.target() != "/metrics") {
-        co_return Http::textAnswer(http::status::not_found, "text/plain", "known here: /metrics\n",
-                                   version);
+        co_return Http::textAnswer(http::status::not_found, "text/plain",
+                                   "known here: /metrics /quarantines\n", version);
     }
     co_return Http::textAnswer(http::status::ok, "text/plain; version=0.0.4", metricsText(),
                                version);
 }
 
+/// GET lists them; DELETE of /quarantines/PRINT lifts one, here and, through the peers, everywhere.
+Http::Response Instance::answerQuarantines(const Http::Request &request)
+{
+    const auto now = steadyNow();
+    const std::string target(request.target());
+    if (target == quarantinesPath && request.method() == http::verb::get) {
+        return Http::textAnswer(http::status::ok, "application/json", parts_->guard_.listText(now),
+                                request.version());
+    }
+    if (request.method() != http::verb::delete_ || target.size() <= quarantinesPath.size())
+        return Http::refusal({Model::ResultCode::MalformedRequest, ""}, request.version());
+    const auto print
+        = Policy::printFromText(std::string_view(target).substr(quarantinesPath.size() + 1));
+    if (!print || !parts_->guard_.lift(*print, now))
+        return Http::refusal(Model::lastReason(), request.version());
+    return Http::textAnswer(http::status::ok, "application/json", parts_->guard_.listText(now),
+                            request.version());
+}
+
 Task<void> Instance::stopGently()
 {
     const auto endAt = steadyNow() + port_.terms_.stopGrace_ - stopReserve;
--- a/Libraries/LibSteering/Instance.h
+++ b/Libraries/LibSteering/Instance.h
@@ -39,11 +39,14 @@
     Http::Task<void> introduce();
     Http::Task<bool> writeOwnRecord();
     Http::Task<void> readRecords();
+    Http::Task<void> keepQuarantines();
+    Http::Task<void> writeQuarantines();
     void logInstancesLost();
     Http::Task<void> stopGently();
     Http::Task<Http::Response> answerLookup(Http::IncomingRequest request);
     Http::Task<Http::Response> answerReady(Http::IncomingRequest request);
     Http::Task<Http::Response> answerAdmin(Http::IncomingRequest request);
+    Http::Response answerQuarantines(const Http::Request &request);
     void awaitSignal();
     void knowledgeChanged();
     void countEntries();
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -22,6 +22,15 @@
     count("cassiacrank_to_home_total", "Answers from the object's home.", counters.toHome_);
     count("cassiacrank_to_warm_total", "Answers from a target that knew the object.",
           counters.toWarm_);
+    const auto &guard = parts_->guard_;
+    count("cassiacrank_targets_ended_total", "Targets that ended while requests were there.",
+          guard.endedTargets());
+    count("cassiacrank_quarantines_total", "Verdicts made here against requests.",
+          guard.verdicts());
+    count("cassiacrank_kept_from_targets_total", "Requests refused since targets ended under them.",
+          guard.kept());
+    text.add("cassiacrank_quarantined", "Requests in quarantine.", "gauge",
+             static_cast<double>(guard.quarantined(std::chrono::steady_clock::now())));
     count("cassiacrank_store_reads_total", "Read calls to the store.", store_.reads_);
     count("cassiacrank_store_writes_total", "Write calls to the store.", store_.writes_);
     count("cassiacrank_log_lines_total", "Lines of the decision log.", log_.written());
--- a/Libraries/LibSteering/InstanceParts.cpp
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -29,7 +29,8 @@
     : knowledge_(instance.port_, instance.settings_, instance.log_)
     , book_(instance.port_, knowledge_, instance.log_)
     , placer_(instance.settings_, knowledge_, book_)
-    , dispatcher_(instance.context_, instance.port_, knowledge_, placer_, instance.log_)
+    , guard_(instance.port_, instance.log_)
+    , dispatcher_(instance.context_, instance.port_, knowledge_, placer_, guard_, instance.log_)
     , peers_(instance.context_, instance.settings_, knowledge_, instance.log_)
     , follower_(
           instance.context_, instance.port_, knowledge_, instance.log_,
--- a/Libraries/LibSteering/InstanceParts.h
+++ b/Libraries/LibSteering/InstanceParts.h
@@ -15,6 +15,7 @@
     Knowledge knowledge_;
     TargetBook book_;
     Placer placer_;
+    CrashGuard guard_;
     Dispatcher dispatcher_;
     PeerExchange peers_;
     StoreFollower follower_;
--- a/Libraries/LibSteering/Job.h
+++ b/Libraries/LibSteering/Job.h
@@ -33,6 +33,8 @@
     /// Made when they are first needed.
     std::optional<std::uint32_t> head_;
     std::optional<Policy::RequestPrint> print_;
+    /// It holds the instance's one place for requests under which targets ended.
+    bool isOnTrial_ = false;
 };
 
 /// Returns the head of the request's print, and the print. \a names are the platform's.
--- a/Libraries/LibSteering/LibSteering.h
+++ b/Libraries/LibSteering/LibSteering.h
@@ -4,6 +4,7 @@
 /// the platform and its exchange with peers. What speaks to a platform is given as a PlatformPort.
 /// This is the library's only public header.
 
+#include "CrashGuard.h"
 #include "Dispatcher.h"
 #include "Instance.h"
 #include "Knowledge.h"
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -67,7 +67,7 @@
 Task<void> PeerExchange::askPeer(Model::Instance peer, bool isAnnouncement)
 {
     const auto now = std::chrono::steady_clock::now();
-    PeerMessage message{members_.at(settings_.instance_), {}, {}};
+    PeerMessage message{members_.at(settings_.instance_), {}, {}, crashesTold_()};
     if (!isAnnouncement) {
         message.loads_ = loadsTold_();
         message.news_.pulses_
@@ -147,7 +147,7 @@
     take(*asked, now);
     if (request.target() == announcePath)
         return Http::textAnswer(http::status::no_content, "text/plain", "", request.version());
-    PeerMessage news{members_.at(settings_.instance_), {}, {}};
+    PeerMessage news{members_.at(settings_.instance_), {}, {}, crashesTold_()};
     news.loads_ = loadsTold_();
     news.news_ = Policy::newsFor(members_, ownInstance(), asked->sender_.instance_,
                                  asked->news_.pulses_, now, random_());
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -227,6 +227,7 @@
             Policy::hearPulse(members_, pulse, now);
     }
     loadsHeard_(message.loads_);
+    crashesHeard_(message.crashes_, message.sender_.pulse_.isReady_);
     catchUp(now);
 }
 
@@ -237,6 +238,13 @@
     loadsHeard_ = std::move(heard);
 }
 
+void PeerExchange::setCrashNews(std::function<Policy::CrashNews()> told,
+                                std::function<void(const Policy::CrashNews &, bool)> heard)
+{
+    crashesTold_ = std::move(told);
+    crashesHeard_ = std::move(heard);
+}
+
 void PeerExchange::noteChanges(SteadyTime now)
 {
     for (const auto &[id, member] : members_) {
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -39,6 +39,11 @@
     void setLoadNews(std::function<std::vector<Policy::TargetLoad>()> told,
                      std::function<void(const std::vector<Policy::TargetLoad> &)> heard);
 
+    /// Sets where news of ended targets and of requests in quarantine comes from, and where that of
+    /// peers goes, with whether the peer is ready.
+    void setCrashNews(std::function<Policy::CrashNews()> told,
+                      std::function<void(const Policy::CrashNews &, bool)> heard);
+
     /// If there is news of the store, tells it at once to a few peers that do not read the store.
     void announce();
 
@@ -98,6 +103,10 @@
         return std::vector<Policy::TargetLoad>();
     };
     std::function<void(const std::vector<Policy::TargetLoad> &)> loadsHeard_ = [](const auto &) {};
+    std::function<Policy::CrashNews()> crashesTold_ = [] {
+        return Policy::CrashNews();
+    };
+    std::function<void(const Policy::CrashNews &, bool)> crashesHeard_ = [](const auto &, bool) {};
     std::mt19937_64 random_{std::random_device()()};
     Model::Incarnation incarnation_;
     std::uint64_t rounds_ = 0;
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -122,6 +122,58 @@
     return load;
 }
 
+// Ended runs and quarantines are arrays of numbers, like pulses.
+json toJson(const Policy::CrashNews &news)
+{
+    json runs = json::array();
+    for (const auto &run : news.runs_) {
+        json told = {run.run_.value(), run.age_.count()};
+        for (const auto &suspect : run.suspects_) {
+            told.push_back(suspect.print_.request_);
+            told.push_back(suspect.print_.caller_);
+            told.push_back(suspect.isCleared_);
+        }
+        runs.push_back(std::move(told));
+    }
+    json quarantines = json::array();
+    for (const auto &told : news.quarantines_) {
+        quarantines.push_back({told.print_.request_, told.print_.caller_, told.generation_,
+                               told.lifted_, told.age_.count()});
+    }
+    return {std::move(runs), std::move(quarantines)};
+}
+
+Model::Milliseconds ageFromJson(const json &text)
+{
+    return std::max(Model::Milliseconds(0), Model::Milliseconds(text.get<long long>()));
+}
+
+Policy::CrashNews crashesFromJson(const json &text)
+{
+    constexpr std::size_t suspectsAt = 2;
+    constexpr std::size_t suspectSize = 3;
+    Policy::CrashNews news;
+    for (const auto &told : text.at(0)) {
+        Policy::ToldRun run;
+        run.run_ = Policy::RunKey(told.at(0).get<std::uint64_t>());
+        run.age_ = ageFromJson(told.at(1));
+        for (std::size_t i = suspectsAt; i < told.size(); i += suspectSize) {
+            run.suspects_.push_back(
+                {{told.at(i).get<std::uint64_t>(), told.at(i + 1).get<std::uint32_t>()},
+                 told.at(i + 2).get<bool>()});
+        }
+        news.runs_.push_back(std::move(run));
+    }
+    for (const auto &told : text.at(1)) {
+        news.quarantines_.push_back(
+            {{told.at(0).get<std::uint64_t>(), told.at(1).get<std::uint32_t>()},
+             told.at(2).get<std::uint32_t>(),
+             told.at(3).get<std::uint32_t>(),
+             ageFromJson(told.at(4))});
+    }
+    return news;
+}
+
 std::nullopt_t unreadable(const char *why)
 {
     return Model::fail(Model::ResultCode::PeerMessageUnreadable, why);
@@ -140,10 +192,12 @@
     json loads = json::array();
     for (const auto &load : message.loads_)
         loads.push_back({load.target_, load.inProgress_, load.age_.count()});
-    const json all = {{"sender", toJson(message.sender_)},
-                      {"whole", std::move(whole)},
-                      {"pulses", std::move(pulses)},
-                      {"loads", std::move(loads)}};
+    json all = {{"sender", toJson(message.sender_)},
+                {"whole", std::move(whole)},
+                {"pulses", std::move(pulses)},
+                {"loads", std::move(loads)}};
+    if (!message.crashes_.isEmpty())
+        all["crashes"] = toJson(message.crashes_);
     std::string bytes;
     json::to_msgpack(all, bytes);
     return bytes;
@@ -165,6 +219,8 @@
         // tell of no loads.
         for (const auto &load : all.value("loads", json::array()))
             message.loads_.push_back(loadFromJson(load));
+        if (all.contains("crashes"))
+            message.crashes_ = crashesFromJson(all["crashes"]);
         return message;
     } catch (const std::exception &error) {
         return unreadable(error.what());
--- a/Libraries/LibSteering/PeerMessage.h
+++ b/Libraries/LibSteering/PeerMessage.h
@@ -14,6 +14,7 @@
     Policy::Member sender_;
     Policy::PeerNews news_;
     std::vector<Policy::TargetLoad> loads_;
+    Policy::CrashNews crashes_;
 };
 
 /// Returns \a message in MessagePack: a record of an instance is 150 bytes there and a pulse 40,
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -5,6 +5,7 @@
 #include <LibPlatform/LibPlatform.h>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -62,12 +63,12 @@
     std::string_view timeLeft_;
     /// Requests about one object carry one value.
     std::string_view affinityKey_;
-    /// Names the caller, where callers have names.
-    std::string_view caller_;
     /// The run of the target that may work on the request; any other one refuses.
     std::string_view expectedTarget_;
     /// In an answer: the target has not worked on the request.
     std::string_view notRun_;
+    /// Names the caller, where callers have names.
+    std::string_view caller_;
 };
 
 /// The platform as the product sees it: calls that only translate. Whoever implements it decides,
@@ -92,6 +93,12 @@
     /// Returns what all instances said of themselves.
     std::function<Http::Task<std::optional<std::vector<std::string>>>()> readInstances_;
 
+    /// Writes or removes the record of a request in quarantine; returns whether the store took it.
+    std::function<Http::Task<bool>(std::string print, std::optional<std::string> record)>
+        writeQuarantine_;
+    /// Returns all such records, by print.
+    std::function<Http::Task<std::optional<std::map<std::string, std::string>>>()> readQuarantines_;
+
     /// Reads the operators' rows. Nothing, with the last reason set, if they cannot be understood
     /// or nothing was written yet.
     std::function<std::optional<OperatorRows>(const std::vector<Platform::StoredRow> &)>
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -59,6 +59,14 @@
     std::shared_ptr<const TargetState> successor_;
     /// Its registration is gone, and may only have lapsed.
     std::optional<Policy::RemovedRegistration> removed_;
+    /// Requests whose connections broke before it was known whether it ended, and when the last one
+    /// did.
+    std::vector<Policy::RequestPrint> lost_;
+    Model::SteadyTime lostAt_ = Model::longAgo;
+    /// It is being asked whether it still listens.
+    bool isKnockedAt_ = false;
+    /// Nothing listens at its address any more.
+    bool hasEnded_ = false;
     /// When each object was sent here last.
     std::unordered_map<std::uint64_t, Model::SteadyTime> objects_;
 
--- a/Tests/LibPolicy/SimulatedFleet.cpp
+++ b/Tests/LibPolicy/SimulatedFleet.cpp
@@ -83,11 +83,20 @@
                                                asked.instance_.region_, now_, random_());
     hear(asked, asker.members_.at(asker.instance_.id_), now_);
     take(asked, {{}, known}, now_);
+    tellCrashes(asker, asked);
     const auto news
         = Policy::newsFor(asked.members_, asked.instance_, asker.instance_, known, now_, random_());
     mostNamed_ = std::max({mostNamed_, known.size(), news.whole_.size() + news.pulses_.size()});
     hear(asker, asked.members_.at(asked.instance_.id_), now_);
     take(asker, news, now_);
+    tellCrashes(asked, asker);
+}
+
+void Fleet::tellCrashes(const Node &teller, Node &listener)
+{
+    const auto news = Policy::newsOf(teller.crashes_, now_);
+    crashesTold_ += news.runs_.size() + news.quarantines_.size();
+    Policy::takeIn(listener.crashes_, news, now_);
 }
 
 void Fleet::playRounds(int rounds)
@@ -109,6 +118,8 @@
             }
         }
         now_ += roundPeriod;
+        for (auto &node : nodes_)
+            Policy::judge(node.crashes_, now_);
     }
 }
 
--- a/Tests/LibPolicy/SimulatedFleet.h
+++ b/Tests/LibPolicy/SimulatedFleet.h
@@ -15,6 +15,7 @@
 {
     Model::Instance instance_;
     Policy::Members members_;
+    Policy::CrashBook crashes_;
     bool isRunning_ = true;
 };
 
@@ -50,10 +51,13 @@
     std::size_t farExchanges_ = 0;
     std::size_t acrossDomains_ = 0;
     std::size_t mostNamed_ = 0;
+    /// Ended runs and verdicts told so far.
+    std::size_t crashesTold_ = 0;
 
 private:
     void beat(Node &node);
     void ask(Node &asker, Node &asked);
+    void tellCrashes(const Node &teller, Node &listener);
 
     std::map<Model::InstanceId, std::size_t> places_;
     std::mt19937_64 random_{7};
--- a/Tests/LibSteering/TestSpares.cpp
+++ b/Tests/LibSteering/TestSpares.cpp
@@ -21,8 +21,9 @@
     {
         Brain brain("r-a");
         Http::asio::io_context context;
+        Steering::CrashGuard guard(brain.port_, brain.log_);
         Steering::Dispatcher dispatcher(context, brain.port_, brain.knowledge_, brain.placer_,
-                                        brain.log_);
+                                        guard, brain.log_);
         brain.tellTargets(2, {Fakes::target("a", "gauging", "s-a", 2)});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), brain.book_.all().size());
         dispatcher.refreshSpares(brain.book_);
