LibPeers, Entryd, Controld: Keep requests under which targets end from them in the daemons too

Each entry now records ends of targets with the requests that were in progress (a refused connection, or another incarnation in the answer to a probe) and reports them to its controld; control processes merge them in their pulls, also between regions, and tell their entries. An entry checks a request against an immutable view through RCU; while nothing is known of ends that is one atomic read. Requests with an idempotency key that say that they were never sent before are refused before their key is claimed; others after it, so that a stored answer is still given.

GET and DELETE /quarantines at an entry's admin address list them and lift one.

--- a/Libraries/LibHttp/AdminServer.cpp
+++ b/Libraries/LibHttp/AdminServer.cpp
@@ -33,6 +33,14 @@
 {
     const std::string path(request.message_.target());
     const unsigned version = request.message_.version();
+    if (request.message_.method() == http::verb::delete_) {
+        if (pages_.remove_ && pages_.remove_(path))
+            co_return textAnswer(http::status::ok, "application/json", "{}\n", version);
+        if (pages_.remove_)
+            co_return refusal(Model::lastReason(), version);
+        const Model::Reason unknown(Model::ResultCode::MalformedRequest, "");
+        co_return refusal(unknown, version);
+    }
     if (path == "/metrics") {
         co_return textAnswer(http::status::ok, "text/plain; version=0.0.4", pages_.metrics_(),
                              version);
--- a/Libraries/LibHttp/AdminServer.h
+++ b/Libraries/LibHttp/AdminServer.h
@@ -16,6 +16,9 @@
     std::function<std::string()> status_;
     /// Answers any other path, if set; the argument is the path with its query.
     std::function<std::optional<std::string>(const std::string &)> other_;
+    /// Removes what DELETE of a path names, if set; returns false, with the last reason set, if it
+    /// cannot.
+    std::function<bool(const std::string &)> remove_;
 };
 
 /// Serves a daemon's readouts on a thread of its own, so that they never hold up a request.
--- a/Libraries/LibPeers/Codec.cpp
+++ b/Libraries/LibPeers/Codec.cpp
@@ -235,4 +235,50 @@
     return summary;
 }
 
+cassiacrank::CrashNews toMessage(const Policy::CrashNews &news)
+{
+    cassiacrank::CrashNews message;
+    for (const auto &run : news.runs_) {
+        auto *told = message.add_runs();
+        told->set_run(run.run_.value());
+        told->set_age_ms(run.age_.count());
+        for (const auto &suspect : run.suspects_) {
+            auto *item = told->add_suspects();
+            item->set_request(suspect.print_.request_);
+            item->set_caller(suspect.print_.caller_);
+            item->set_cleared(suspect.isCleared_);
+        }
+    }
+    for (const auto &quarantine : news.quarantines_) {
+        auto *told = message.add_quarantines();
+        told->set_request(quarantine.print_.request_);
+        told->set_caller(quarantine.print_.caller_);
+        told->set_generation(quarantine.generation_);
+        told->set_lifted(quarantine.lifted_);
+        told->set_age_ms(quarantine.age_.count());
+    }
+    return message;
+}
+
+Policy::CrashNews fromMessage(const cassiacrank::CrashNews &message)
+{
+    const auto ageOf = [](const auto &told) {
+        return std::max(Model::Milliseconds(0), Model::Milliseconds(told.age_ms()));
+    };
+    Policy::CrashNews news;
+    for (const auto &told : message.runs()) {
+        Policy::ToldRun run;
+        run.run_ = Policy::RunKey(told.run());
+        run.age_ = ageOf(told);
+        for (const auto &suspect : told.suspects())
+            run.suspects_.push_back({{suspect.request(), suspect.caller()}, suspect.cleared()});
+        news.runs_.push_back(std::move(run));
+    }
+    for (const auto &told : message.quarantines()) {
+        news.quarantines_.push_back(
+            {{told.request(), told.caller()}, told.generation(), told.lifted(), ageOf(told)});
+    }
+    return news;
+}
+
 } // namespace Peers
--- a/Libraries/LibPeers/Codec.h
+++ b/Libraries/LibPeers/Codec.h
@@ -32,4 +32,7 @@
 cassiacrank::WalkedShares toMessage(const WalkedShares &walked);
 WalkedShares fromMessage(const cassiacrank::WalkedShares &message);
 
+cassiacrank::CrashNews toMessage(const Policy::CrashNews &news);
+Policy::CrashNews fromMessage(const cassiacrank::CrashNews &message);
+
 } // namespace Peers
--- a/Libraries/LibPeers/Gossip.cpp
+++ b/Libraries/LibPeers/Gossip.cpp
@@ -90,9 +90,11 @@
 
 } // namespace
 
-cassiacrank::PullRequest makePull(const GossipState &state, bool isSameRegion)
+cassiacrank::PullRequest makePull(const GossipState &state, bool isSameRegion,
+                                  Model::SteadyTime now)
 {
     cassiacrank::PullRequest request;
+    *request.mutable_crashes() = toMessage(Policy::newsOf(state.crashes_, now));
     *request.mutable_sender() = toMessage(state.self_);
     request.set_table_version(state.table_.version_.value());
     for (const auto &[region, summary] : state.members_.summaries_) {
@@ -116,7 +118,9 @@
                                    Model::SteadyTime now)
 {
     takeRecord(state, request.sender(), now);
+    Policy::takeIn(state.crashes_, fromMessage(request.crashes()), now);
     cassiacrank::PullAnswer answer;
+    *answer.mutable_crashes() = toMessage(Policy::newsOf(state.crashes_, now));
     *answer.mutable_responder() = toMessage(state.self_.instance_);
     answer.set_responder_ready(state.self_.isReady_);
     answer.set_table_version(state.table_.version_.value());
@@ -157,6 +161,7 @@
         news.liveChanged_ |= takeIn(state.members_, *summary, now);
     }
     news.liveChanged_ |= takeMarks(state.members_.marks_, answer);
+    Policy::takeIn(state.crashes_, fromMessage(answer.crashes()), now);
     return news;
 }
 
--- a/Libraries/LibPeers/Gossip.h
+++ b/Libraries/LibPeers/Gossip.h
@@ -12,11 +12,13 @@
     InstanceRecord self_;
     Members members_;
     Platform::TableMirror table_;
+    Policy::CrashBook crashes_;
 };
 
 /// Returns the request that asks a peer for what \a state lacks. A peer of another region is told
 /// only of the table, the summaries and itself. Thread safety: none.
-cassiacrank::PullRequest makePull(const GossipState &state, bool isSameRegion);
+cassiacrank::PullRequest makePull(const GossipState &state, bool isSameRegion,
+                                  Model::SteadyTime now);
 
 /// Takes in what the request tells of its sender and returns what the sender lacks.
 ///
--- a/Libraries/LibPeers/InstanceView.cpp
+++ b/Libraries/LibPeers/InstanceView.cpp
@@ -39,6 +39,7 @@
         if (auto record = fromMessage(message))
             view.members_.push_back(std::move(*record));
     }
+    view.crashes_ = fromMessage(live.crashes());
     view.summaries_.clear();
     for (const auto &message : live.summaries()) {
         if (auto summary = fromMessage(message))
--- a/Libraries/LibPeers/InstanceView.h
+++ b/Libraries/LibPeers/InstanceView.h
@@ -20,6 +20,8 @@
     /// Fresh summaries of all regions.
     std::vector<RegionSummary> summaries_;
     Policy::LeavingMarks marks_;
+    /// What the control process last told of ended targets and quarantines.
+    Policy::CrashNews crashes_;
     std::size_t fleetSize_ = 1;
 };
 
--- a/Libraries/LibSteering/CrashGuard.cpp
+++ b/Libraries/LibSteering/CrashGuard.cpp
@@ -39,7 +39,7 @@
 
 std::optional<Refusal> CrashGuard::check(Job &job, SteadyTime now)
 {
-    if (view_.isEmpty() || job.isOnTrial_ || !view_.mayHold(headOf(job, port_.headers_)))
+    if (view_.isEmpty() || !view_.mayHold(headOf(job, port_.headers_)))
         return std::nullopt;
     const auto found = Policy::standingOf(view_, printOf(job, port_.headers_), now);
     Refusal refusal{ResultCode::Quarantined, comeBackFromTrial, Model::Microseconds(0)};
@@ -47,11 +47,13 @@
     case RequestStanding::Free:
         return std::nullopt;
     case RequestStanding::Trial:
-        if (isTrialHeld_)
-            break;
-        isTrialHeld_ = true;
-        job.isOnTrial_ = true;
-        return std::nullopt;
+        // What lost a target beside another request is sent on all the same.
+        if (job.isOnTrial_ || job.attempts_ > 0)
+            return std::nullopt;
+        job.isOnTrial_ = !std::exchange(isTrialHeld_, true);
+        if (job.isOnTrial_)
+            return std::nullopt;
+        break;
     case RequestStanding::Pending:
     case RequestStanding::Quarantined:
         refusal.comeBack_
--- a/Services/Controld/ControlState.cpp
+++ b/Services/Controld/ControlState.cpp
@@ -104,6 +104,7 @@
     expireReports();
     Peers::forgetSilent(gossip_.members_, memberMemory, steadyNow());
     refreshSummary();
+    judgeCrashes();
     if (steadyNow() - startedAt_ >= Policy::startPatience)
         start_.peersHadTheirSay_ = true;
     judgeReadiness();
@@ -111,6 +112,23 @@
     noteRoutine();
 }
 
+void ControlState::judgeCrashes()
+{
+    const auto verdicts = Policy::judge(gossip_.crashes_, steadyNow());
+    for (const auto &print : verdicts.quarantined_)
+        Observe::logEvent(Event::RequestQuarantined, {{"print", toText(print)}});
+    for (const auto &print : verdicts.lifted_)
+        Observe::logEvent(Event::QuarantineLifted, {{"print", toText(print)}});
+    noteCrashes();
+}
+
+/// Has everybody told at once of what is new about ended targets and quarantines.
+void ControlState::noteCrashes()
+{
+    if (std::exchange(gossip_.crashes_.isChanged_, false))
+        noteChange();
+}
+
 /// A process that died without a word stops reporting; the instance is then not named as an entry.
 void ControlState::expireReports()
 {
@@ -145,13 +163,14 @@
 cassiacrank::PullRequest ControlState::makePull(bool isSameRegion) const
 {
     const std::lock_guard lock(mutex_);
-    return Peers::makePull(gossip_, isSameRegion);
+    return Peers::makePull(gossip_, isSameRegion, steadyNow());
 }
 
 cassiacrank::PullAnswer ControlState::answerPull(const cassiacrank::PullRequest &request)
 {
     const std::lock_guard lock(mutex_);
     auto answer = Peers::answerPull(gossip_, request, steadyNow());
+    noteCrashes();
     noteRoutine();
     return answer;
 }
@@ -170,6 +189,7 @@
     }
     if (news.tableChanged_)
         onTableChanged();
+    noteCrashes();
     if (news.liveChanged_)
         noteRoutine();
     judgeReadiness();
@@ -250,6 +270,8 @@
         isNews |= Policy::markLeaving(gossip_.members_.marks_, Model::TargetId(mark.target()),
                                       Model::Incarnation(mark.incarnation()));
     }
+    Policy::takeIn(gossip_.crashes_, Peers::fromMessage(report.crashes()), steadyNow());
+    noteCrashes();
     if (isNews || report.stopping())
         noteChange();
 }
--- a/Services/Controld/ControlState.h
+++ b/Services/Controld/ControlState.h
@@ -82,6 +82,8 @@
     /// Returns a number that changes when a member comes, goes, leaves or becomes ready, or a
     /// target is marked: what requests are placed by at once.
     std::size_t urgentPrint() const;
+    void judgeCrashes();
+    void noteCrashes();
     void expireReports();
     cassiacrank::LiveState liveState() const;
     void refreshSummary();
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -85,7 +85,16 @@
     const auto sentAt = steadyNow();
     const Http::Request message = messageForTarget(request, sentAt);
     Http::ExchangeResult result = co_await Http::exchange(pool_, options, message, isAnswerTo);
+    const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
+                          || result.code_ == ResultCode::TruncatedAnswer;
+    if (isBroken && guard_.noteLost(request, *target, steadyNow()))
+        Http::asio::co_spawn(context_, askWhetherListening(target), Http::asio::detached);
+    if (result.isRefused_)
+        guard_.noteListening(*target, Http::Listening::No, steadyNow());
     Verdict verdict = judgeTargetAnswer(std::move(result), *target, isRefusedAsFull);
+    // A failure of the target's own says little of what it did with the request.
+    if (verdict.answer_ && verdict.answer_->result() < Http::http::status::internal_server_error)
+        guard_.noteAnswered(request, steadyNow());
     // A refusal takes no time; counted as an answer it would make the target look fast, and real
     // work would then be given up as silent.
     if (verdict.outcome_ == Outcome::Run)
@@ -94,6 +103,18 @@
     co_return verdict;
 }
 
+Http::Task<void> Dispatcher::askWhetherListening(std::shared_ptr<TargetState> target)
+{
+    Http::ExchangeOptions options;
+    options.address_ = Observe::dialAddress(settings_, target->target_.address_);
+    options.connectTimeout_ = connectTimeout;
+    options.deadline_ = steadyNow() + connectTimeout;
+    const auto listening = co_await Http::knock(pool_, options);
+    guard_.noteListening(*target, listening, steadyNow());
+    if (listening == Http::Listening::No)
+        noteTargetLost(*target, true);
+}
+
 Verdict Dispatcher::judgeTargetAnswer(Http::ExchangeResult result, TargetState &target,
                                       bool &isRefusedAsFull)
 {
--- a/Services/Entryd/CallerRequest.h
+++ b/Services/Entryd/CallerRequest.h
@@ -29,6 +29,11 @@
     /// Empty if the caller gave no idempotency key.
     std::string claimKey_;
     std::uint64_t requestHash_ = 0;
+    /// Made when they are first needed.
+    std::optional<std::uint32_t> head_;
+    std::optional<Policy::RequestPrint> print_;
+    /// It holds the entry's one place for requests under which targets ended.
+    bool isOnTrial_ = false;
 };
 
 /// Reads a request from the port for callers. Headers that begin with our own prefix are stripped.
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -65,13 +65,14 @@
 
 Dispatcher::Dispatcher(Http::asio::io_context &context, const Observe::Settings &settings,
                        const SnapshotCell &cell, Planner &planner, ClaimKeeper &claims,
-                       SlotHints &hints, int threadNumber,
+                       CrashGuard &guard, SlotHints &hints, int threadNumber,
                        std::function<void(std::size_t)> wakeOthers)
     : context_(context)
     , settings_(settings)
     , cell_(cell)
     , planner_(planner)
     , claims_(claims)
+    , guard_(guard)
     , hints_(hints)
     , wakeOthers_(std::move(wakeOthers))
     , pool_(context)
@@ -127,6 +128,7 @@
     } else {
         verdict = co_await carryClaimed(*request);
     }
+    guard_.release(*request);
     co_return toAnswer(std::move(verdict), *request, version);
 }
 
@@ -143,6 +145,7 @@
     if (!request)
         co_return refuse(version, Outcome::NotRun);
     Verdict verdict = co_await carry(*request);
+    guard_.release(*request);
     Http::Response answer = toAnswer(std::move(verdict), *request, version);
     answer.set(viewOf(Http::requestIdHeader), request->id_.value());
     co_return answer;
@@ -150,6 +153,12 @@
 
 Http::Task<Verdict> Dispatcher::carryClaimed(CallerRequest &request)
 {
+    // What ran under the key before is answered, whatever became of targets since; a first request
+    // need not ask for it.
+    if (!mayBeRepeat(request.message_)) {
+        if (const auto comeBack = guard_.check(request, 0, steadyNow()))
+            co_return notRun(ResultCode::Quarantined, *comeBack);
+    }
     // A request that would be refused anyway must not cost the store two writes.
     ServiceQueue &queue = queueFor(request);
     if (queue.wouldRefuse(request))
@@ -201,6 +210,10 @@
     int attempts = 0;
     std::optional<ResultCode> unknownBecause;
     while (true) {
+        if (const auto comeBack = guard_.check(request, attempts, steadyNow())) {
+            Verdict verdict = notRun(ResultCode::Quarantined, *comeBack);
+            co_return ofAllAttempts(std::move(verdict), unknownBecause);
+        }
         const auto waitingSince = steadyNow();
         Placement placement = co_await queue.place(request);
         counters_.waiting_.add(
@@ -228,6 +241,9 @@
         }
         if (verdict.outcome_ == Outcome::Unknown)
             unknownBecause = verdict.code_;
+        // Another region's word against the request holds here too.
+        if (verdict.code_ == ResultCode::Quarantined)
+            co_return ofAllAttempts(std::move(verdict), unknownBecause);
         if (!Policy::mayRetry(retryBudget_, verdict.outcome_, request.isIdempotent_, attempts))
             co_return ofAllAttempts(std::move(verdict), unknownBecause);
         ++counters_.retries_;
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Claims.h"
+#include "CrashGuard.h"
 #include "EntryCounters.h"
 #include "ServiceQueue.h"
 #include "SlotHints.h"
@@ -36,8 +37,8 @@
 public:
     /// \a wakeOthers is called when a slot came free that nobody on this thread waits for.
     Dispatcher(Http::asio::io_context &context, const Observe::Settings &settings,
-               const SnapshotCell &cell, Planner &planner, ClaimKeeper &claims, SlotHints &hints,
-               int threadNumber, std::function<void(std::size_t)> wakeOthers);
+               const SnapshotCell &cell, Planner &planner, ClaimKeeper &claims, CrashGuard &guard,
+               SlotHints &hints, int threadNumber, std::function<void(std::size_t)> wakeOthers);
 
     /// Answers a request from the port for callers.
     Http::Task<Http::Response> answerCaller(Http::IncomingRequest incoming);
@@ -60,6 +61,7 @@
     Http::Task<Verdict> attemptTarget(CallerRequest &request, ToTarget place, AttemptNumber number,
                                       bool &isRefusedAsFull);
     Http::Task<Verdict> attemptEntry(CallerRequest &request, ToEntry place);
+    Http::Task<void> askWhetherListening(std::shared_ptr<TargetState> target);
     Verdict judgeTargetAnswer(Http::ExchangeResult result, TargetState &target,
                               bool &isRefusedAsFull);
     Model::SteadyTime attemptDeadline(const CallerRequest &request, const TargetState &target,
@@ -80,6 +82,7 @@
     const SnapshotCell &cell_;
     Planner &planner_;
     ClaimKeeper &claims_;
+    CrashGuard &guard_;
     SlotHints &hints_;
     std::function<void(std::size_t)> wakeOthers_;
     Http::ConnectionPool pool_;
--- a/Services/Entryd/EntryThread.cpp
+++ b/Services/Entryd/EntryThread.cpp
@@ -19,11 +19,12 @@
 } // namespace
 
 EntryThread::EntryThread(const Observe::Settings &settings, const SnapshotCell &cell,
-                         Planner &planner, ClaimKeeper &claims, SlotHints &hints, int number,
-                         std::function<void(std::size_t)> wakeOthers)
+                         Planner &planner, ClaimKeeper &claims, CrashGuard &guard, SlotHints &hints,
+                         int number, std::function<void(std::size_t)> wakeOthers)
     : settings_(settings)
     , number_(number)
-    , dispatcher_(context_, settings, cell, planner, claims, hints, number, std::move(wakeOthers))
+    , dispatcher_(context_, settings, cell, planner, claims, guard, hints, number,
+                  std::move(wakeOthers))
     , callerServer_(context_, limitsOf(settings),
                     [this](Http::IncomingRequest request) {
                         return dispatcher_.answerCaller(std::move(request));
--- a/Services/Entryd/EntryThread.h
+++ b/Services/Entryd/EntryThread.h
@@ -15,7 +15,7 @@
 {
 public:
     EntryThread(const Observe::Settings &settings, const SnapshotCell &cell, Planner &planner,
-                ClaimKeeper &claims, SlotHints &hints, int number,
+                ClaimKeeper &claims, CrashGuard &guard, SlotHints &hints, int number,
                 std::function<void(std::size_t)> wakeOthers);
     ~EntryThread();
     EntryThread(const EntryThread &) = delete;
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -46,9 +46,10 @@
     return distance(a, b) > notableDistance;
 }
 
-Planner::Planner(const Observe::Settings &settings, SnapshotCell &cell)
+Planner::Planner(const Observe::Settings &settings, SnapshotCell &cell, CrashGuard &guard)
     : settings_(settings)
     , cell_(cell)
+    , guard_(guard)
     , client_(settings.controlLocal_, "entry")
 {
 }
@@ -96,8 +97,10 @@
         if (hasArrived_) {
             view_ = arrived_;
             hasArrived_ = false;
+            guard_.hear(view_.crashes_, steadyNow());
             updateTargets();
         }
+        guard_.step(steadyNow());
         step();
         lock.unlock();
         if (steadyNow() - reportedAt_ >= reportPause)
--- a/Services/Entryd/Planner.h
+++ b/Services/Entryd/Planner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashGuard.h"
 #include "EntrySnapshot.h"
 
 #include <LibObserve/LibObserve.h>
@@ -25,7 +26,7 @@
 class Planner
 {
 public:
-    Planner(const Observe::Settings &settings, SnapshotCell &cell);
+    Planner(const Observe::Settings &settings, SnapshotCell &cell, CrashGuard &guard);
     ~Planner();
     Planner(const Planner &) = delete;
     Planner &operator=(const Planner &) = delete;
@@ -65,6 +66,7 @@
 
     const Observe::Settings &settings_;
     SnapshotCell &cell_;
+    CrashGuard &guard_;
     Peers::ControlClient client_;
     std::thread thread_;
 
@@ -89,10 +91,13 @@
         bool isStarting_ = true;
         int marks_ = -1;
         int walked_ = -1;
+        std::uint64_t crashes_ = 0;
 
         bool operator==(const ReportPrint &) const = default;
     };
     ReportPrint lastReport_;
+    /// The guard's changes that the report in hand tells of.
+    std::uint64_t crashesReported_ = 0;
 
     std::atomic<bool> isStopping_{false};
     std::atomic<bool> isReady_{false};
--- a/Services/Entryd/PlannerReports.cpp
+++ b/Services/Entryd/PlannerReports.cpp
@@ -15,8 +15,8 @@
 
 void Planner::reportIfDue(const cassiacrank::ProcessReport &report)
 {
-    const ReportPrint print{report.table_version(), report.stopping(), report.starting(),
-                            report.marks_size(), report.walked_size()};
+    const ReportPrint print{report.table_version(), report.stopping(),    report.starting(),
+                            report.marks_size(),    report.walked_size(), crashesReported_};
     const bool isUrgent = print != lastReport_ || report.walked_size() > 0;
     if (!isUrgent && std::chrono::steady_clock::now() - reportedAt_ < routineReportPause)
         return;
@@ -28,6 +28,8 @@
 cassiacrank::ProcessReport Planner::makeReport()
 {
     cassiacrank::ProcessReport report;
+    crashesReported_ = guard_.changes();
+    *report.mutable_crashes() = Peers::toMessage(guard_.news(std::chrono::steady_clock::now()));
     report.set_role("entry");
     report.set_table_version(isReady_ ? tableVersion_.load() : 0);
     report.set_stopping(isStopping_);
--- a/Services/Entryd/Prober.cpp
+++ b/Services/Entryd/Prober.cpp
@@ -56,6 +56,7 @@
         co_return;
     }
     noteTargetAnswer(*target, *result.answer_);
+    guard_.noteAlive(*target, std::chrono::steady_clock::now());
 }
 
 } // namespace Entryd
--- a/Services/Entryd/main.cpp
+++ b/Services/Entryd/main.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds stopStep{20};
 /// No request in progress is cut off before this; it is longer than the longest usual deadline.
 constexpr Milliseconds longestFinish{20000};
+constexpr const char *quarantinesPath = "/quarantines";
 
 /// All of entryd: its threads, its planner and its claims.
 class EntryDaemon
@@ -22,7 +23,7 @@
 public:
     explicit EntryDaemon(const Observe::Settings &settings)
         : settings_(settings)
-        , planner_(settings, cell_)
+        , planner_(settings, cell_, guard_)
         , claims_(settings)
         , hints_(settings, cell_,
                  [this](std::size_t service) {
@@ -34,13 +35,21 @@
                   [this] {
                       return planner_.statusText();
                   },
-                  {}})
+                  [this](const std::string &path) -> std::optional<std::string> {
+                      if (path != quarantinesPath)
+                          return std::nullopt;
+                      return guard_.listText();
+                  },
+                  [this](const std::string &path) {
+                      return lift(path);
+                  }})
     {
         for (int i = 0; i < settings.entryThreads_; ++i) {
-            threads_.push_back(std::make_unique<Entryd::EntryThread>(
-                settings, cell_, planner_, claims_, hints_, i, [this, i](std::size_t service) {
-                    wakeOthers(i, service);
-                }));
+            threads_.push_back(
+                std::make_unique<Entryd::EntryThread>(settings, cell_, planner_, claims_, guard_,
+                                                      hints_, i, [this, i](std::size_t service) {
+                                                          wakeOthers(i, service);
+                                                      }));
         }
     }
 
@@ -101,6 +110,18 @@
         }
     }
 
+    /// DELETE of /quarantines/PRINT lifts one, here and, through the control processes, everywhere.
+    bool lift(const std::string &path)
+    {
+        const std::string start = std::string(quarantinesPath) + "/";
+        if (!path.starts_with(start)) {
+            Model::fail(Model::ResultCode::MalformedRequest, path);
+            return false;
+        }
+        const auto print = Policy::printFromText(std::string_view(path).substr(start.size()));
+        return print && guard_.lift(*print);
+    }
+
     std::string metricsText()
     {
         Observe::MetricsText text;
@@ -108,6 +129,14 @@
             thread->addMetrics(text);
         text.add("cassiacrank_entry_table_version", "Version of the table in use.", "gauge",
                  static_cast<double>(planner_.tableVersion()));
+        text.add("cassiacrank_entry_targets_ended_total",
+                 "Targets that ended while requests were there.", "counter",
+                 static_cast<double>(guard_.endedTargets()));
+        text.add("cassiacrank_entry_kept_from_targets_total",
+                 "Requests refused since targets ended under them.", "counter",
+                 static_cast<double>(guard_.kept()));
+        text.add("cassiacrank_entry_quarantined", "Requests in quarantine.", "gauge",
+                 static_cast<double>(guard_.quarantined()));
         text.add("cassiacrank_entry_store_writes_total", "Commits of claims.", "counter",
                  static_cast<double>(claims_.storeWrites()));
         return text.text();
@@ -115,6 +144,7 @@
 
     const Observe::Settings &settings_;
     Entryd::SnapshotCell cell_;
+    Entryd::CrashGuard guard_;
     Entryd::Planner planner_;
     Entryd::ClaimKeeper claims_;
     Entryd::SlotHints hints_;
--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -22,6 +22,8 @@
     std::map<std::string, double> meanMs_;
     bool hasExponentialTimes_ = true;
     double coldFactor_ = 1;
+    /// Targets end under requests whose path holds this.
+    std::string endUnder_;
     /// Instances to start, at most 12; the first of each failure domain come first.
     std::size_t instances_ = 12;
     int lookupTimeToLiveMs_ = 1000;
--- a/Tests/LibPeers/TestGossip.cpp
+++ b/Tests/LibPeers/TestGossip.cpp
@@ -24,7 +24,7 @@
 void pull(Peers::GossipState &asker, Peers::GossipState &asked, SteadyTime now)
 {
     const bool isSame = asker.self_.instance_.region_ == asked.self_.instance_.region_;
-    const auto answer = Peers::answerPull(asked, Peers::makePull(asker, isSame), now);
+    const auto answer = Peers::answerPull(asked, Peers::makePull(asker, isSame, now), now);
     Peers::takeInAnswer(asker, answer, now);
 }
 
--- a/Tests/Slopes/Slopes.cpp
+++ b/Tests/Slopes/Slopes.cpp
@@ -168,7 +168,7 @@
         int number = 0;
         for (auto &[id, member] : asked.members_.members_)
             member.record_.heartbeat_ += static_cast<std::uint64_t>(number++ % 2);
-        const auto request = Peers::makePull(asker, true);
+        const auto request = Peers::makePull(asker, true, {});
         const auto answer = Peers::answerPull(asked, request, {});
         Peers::takeInAnswer(asker, answer, {});
         bytes = request.ByteSizeLong() + answer.ByteSizeLong();
@@ -187,7 +187,7 @@
     for (auto _ : state) {
         for (auto &[region, summary] : asked.members_.summaries_)
             summary.madeAt_ += Model::Milliseconds(1);
-        const auto request = Peers::makePull(asker, false);
+        const auto request = Peers::makePull(asker, false, {});
         const auto answer = Peers::answerPull(asked, request, {});
         Peers::takeInAnswer(asker, answer, {});
         bytes = request.ByteSizeLong() + answer.ByteSizeLong();
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <random>
+#include <unistd.h>
 
 DEFINE_string(address, "127.0.0.1:8000", "where to listen");
 DEFINE_int32(slots, 4, "requests worked on at the same time");
@@ -14,6 +15,8 @@
 DEFINE_double(cold_factor, 1, "service times begin this much longer and shrink as work is done");
 DEFINE_int32(cold_requests, 50, "requests until the caches are warm");
 DEFINE_uint64(seed, 1, "seed of the service times");
+DEFINE_string(end_under, "", "ends when it has begun to run a request whose path holds this");
+DEFINE_int32(end_after_ms, 20, "how long after that");
 
 namespace {
 
@@ -72,6 +75,10 @@
         ++started_;
         ++inFlight_;
         mostInFlight_ = std::max(mostInFlight_, inFlight_);
+        if (!FLAGS_end_under.empty() && target.find(FLAGS_end_under) != std::string::npos) {
+            co_await Http::sleepFor(Milliseconds(FLAGS_end_after_ms));
+            _exit(EXIT_FAILURE);
+        }
         const auto now = std::chrono::steady_clock::now();
         const std::string deadline(request.message_[Http::deadlineHeader.data()]);
         const Milliseconds left(deadline.empty() ? 600000 : std::stoll(deadline));
