LibPolicy, LibSteering, Entryd: Keep names and bounds of the crash guards in one place

Both guards had the same three times and the same memory of what lost requests asked for. No behaviour changes, but that a name is found by the exact caller first.

--- a/Libraries/LibPolicy/CrashEvidence.h
+++ b/Libraries/LibPolicy/CrashEvidence.h
@@ -80,6 +80,13 @@
 constexpr std::size_t instantsForSharedVerdict = 8;
 /// Other instances' word of what else was in progress arrives within this time.
 constexpr Model::Milliseconds settleTime{600};
+/// Requests that lost their connection to a target were there when it ended, if its end is noticed
+/// within this time.
+constexpr Model::Milliseconds lossMemory{2000};
+/// A request that has to wait for the trial of another one comes back after this.
+constexpr Model::Milliseconds comeBackFromTrial{300};
+/// A book in which nothing changed is judged this often, for what is too old.
+constexpr Model::Milliseconds reviewPause{1000};
 /// A verdict that others' word explains better is void within this time.
 constexpr Model::Milliseconds appealTime{5000};
 
--- a/Libraries/LibPolicy/RequestPrint.cpp
+++ b/Libraries/LibPolicy/RequestPrint.cpp
@@ -70,4 +70,22 @@
     return print;
 }
 
+void remember(RequestNames &names, const RequestPrint &print, std::string name)
+{
+    if (names.names_.size() >= mostNames)
+        names.names_.clear();
+    name.resize(std::min(name.size(), longestName));
+    names.names_[print] = std::move(name);
+}
+
+std::string nameOf(const RequestNames &names, const RequestPrint &print)
+{
+    const auto exact = names.names_.find(print);
+    if (exact != names.names_.end())
+        return exact->second;
+    const auto found = names.names_.lower_bound({print.request_, 0});
+    const bool isKnown = found != names.names_.end() && found->first.request_ == print.request_;
+    return isKnown ? found->second : "";
+}
+
 } // namespace Policy
--- a/Libraries/LibPolicy/RequestPrint.h
+++ b/Libraries/LibPolicy/RequestPrint.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,4 +51,22 @@
 std::string toText(const RequestPrint &print);
 std::optional<RequestPrint> printFromText(std::string_view text);
 
+/// What requests with a print asked for, in the words of their callers, so that operators recognise
+/// them. Not shared between threads.
+struct RequestNames
+{
+    std::map<RequestPrint, std::string> names_;
+};
+
+/// Names kept, and the longest; where more come, all are forgotten.
+constexpr std::size_t mostNames = 256;
+constexpr std::size_t longestName = 120;
+
+/// Remembers \a name, shortened if need be. Thread safety: \a names belongs to the calling thread.
+void remember(RequestNames &names, const RequestPrint &print, std::string name);
+
+/// Returns the name of a request with \a print, or of one that differs in its caller only; empty if
+/// there is none. Thread safety: any thread.
+std::string nameOf(const RequestNames &names, const RequestPrint &print);
+
 } // namespace Policy
--- a/Libraries/LibSteering/CrashGuard.cpp
+++ b/Libraries/LibSteering/CrashGuard.cpp
@@ -15,15 +15,6 @@
 
 namespace {
 
-/// A request whose place for trials is taken comes back after this.
-constexpr Milliseconds comeBackFromTrial{300};
-/// Broken connections count for a target's end if it is noticed within this time.
-constexpr Milliseconds lossMemory{2000};
-/// A book in which nothing changed is looked through this often for what is too old.
-constexpr Milliseconds reviewPause{1000};
-constexpr std::size_t mostAbout = 256;
-constexpr std::size_t longestAbout = 120;
-
 long long millisecondsOf(Model::WallTime time)
 {
     return time.time_since_epoch().count();
@@ -42,7 +33,7 @@
     if (view_.isEmpty() || !view_.mayHold(headOf(job, port_.headers_)))
         return std::nullopt;
     const auto found = Policy::standingOf(view_, printOf(job, port_.headers_), now);
-    Refusal refusal{ResultCode::Quarantined, comeBackFromTrial, Model::Microseconds(0)};
+    Refusal refusal{ResultCode::Quarantined, Policy::comeBackFromTrial, Model::Microseconds(0)};
     switch (found.standing_) {
     case RequestStanding::Free:
         return std::nullopt;
@@ -73,18 +64,15 @@
 
 void CrashGuard::remember(Job &job, TargetState &target, SteadyTime now)
 {
-    if (now - target.lostAt_ > lossMemory)
+    if (now - target.lostAt_ > Policy::lossMemory)
         target.lost_.clear();
     target.lostAt_ = now;
     if (target.lost_.size() < Policy::mostSuspects)
         target.lost_.push_back(printOf(job, port_.headers_));
-    if (about_.size() >= mostAbout)
-        about_.clear();
     const auto &message = job.incoming_.message_;
-    std::string about(message.method_string());
-    about += " " + std::string(message[Http::http::field::host]) + std::string(message.target());
-    about.resize(std::min(about.size(), longestAbout));
-    about_[printOf(job, port_.headers_)] = std::move(about);
+    std::string name(message.method_string());
+    name += " " + std::string(message[Http::http::field::host]) + std::string(message.target());
+    Policy::remember(names_, printOf(job, port_.headers_), std::move(name));
 }
 
 bool CrashGuard::noteLost(Job &job, TargetState &target, SteadyTime now)
@@ -117,7 +105,7 @@
 void CrashGuard::noteEnded(TargetState &target, SteadyTime now)
 {
     const bool isNew = !std::exchange(target.hasEnded_, true);
-    if (target.lost_.empty() || now - target.lostAt_ > lossMemory)
+    if (target.lost_.empty() || now - target.lostAt_ > Policy::lossMemory)
         return;
     if (isNew) {
         ++endedTargets_;
@@ -152,7 +140,8 @@
 
 void CrashGuard::judge(SteadyTime now)
 {
-    const bool isDue = book_.isChanged_ || !book_.pending_.empty() || now - judgedAt_ > reviewPause;
+    const bool isDue
+        = book_.isChanged_ || !book_.pending_.empty() || now - judgedAt_ > Policy::reviewPause;
     if (!isDue)
         return;
     judgedAt_ = now;
@@ -171,7 +160,7 @@
         const auto length = Policy::inForceUntil(quarantine) - now;
         log_.line(Event::RequestQuarantined)
             .add("print", toText(print))
-            .add("request", aboutOf(print))
+            .add("request", Policy::nameOf(names_, print))
             .add("generation", static_cast<std::int64_t>(quarantine.generation_))
             .add("for_ms", std::chrono::duration_cast<Model::Microseconds>(length));
         unwritten_.push_back(print);
@@ -187,13 +176,6 @@
     log_.line(Event::QuarantineLifted).add("print", toText(print)).add("by", by);
 }
 
-std::string CrashGuard::aboutOf(const RequestPrint &print) const
-{
-    const auto found = about_.lower_bound({print.request_, 0});
-    const bool isKnown = found != about_.end() && found->first.request_ == print.request_;
-    return isKnown ? found->second : "";
-}
-
 void CrashGuard::hear(const Policy::CrashNews &news, bool isPeerReady, SteadyTime now)
 {
     isInformed_ = isInformed_ || isPeerReady;
@@ -218,7 +200,7 @@
         if (!was && is) {
             log_.line(Event::RequestQuarantined)
                 .add("print", toText(told.print_))
-                .add("request", aboutOf(told.print_))
+                .add("request", Policy::nameOf(names_, told.print_))
                 .add("by", "peer");
         }
     }
@@ -281,7 +263,7 @@
             continue;
         quarantined.push_back(
             {{"print", toText(print)},
-             {"request", aboutOf(print)},
+             {"request", Policy::nameOf(names_, print)},
              {"generation", quarantine.generation_},
              {"left_ms", std::chrono::duration_cast<Milliseconds>(left).count()}});
     }
--- a/Libraries/LibSteering/CrashGuard.h
+++ b/Libraries/LibSteering/CrashGuard.h
@@ -77,15 +77,14 @@
     void remember(Job &job, TargetState &target, Model::SteadyTime now);
     void noteVerdicts(const Policy::Verdicts &verdicts, Model::SteadyTime now);
     void logLifted(const Policy::RequestPrint &print, const char *by);
-    std::string aboutOf(const Policy::RequestPrint &print) const;
 
     const PlatformPort &port_;
     Observe::DecisionLog &log_;
     Policy::CrashBook book_;
     Policy::CrashView view_;
     Model::SteadyTime judgedAt_ = Model::longAgo;
-    /// What requests that were lost here asked for, so that operators recognise them.
-    std::map<Policy::RequestPrint, std::string> about_;
+    /// Of requests that were lost here.
+    Policy::RequestNames names_;
     std::vector<Policy::RequestPrint> unwritten_;
     bool isTrialHeld_ = false;
     bool isInformed_ = false;
--- a/Services/Entryd/CrashGuard.cpp
+++ b/Services/Entryd/CrashGuard.cpp
@@ -16,15 +16,6 @@
 
 namespace {
 
-/// A request whose place for trials is taken comes back after this.
-constexpr Milliseconds comeBackFromTrial{300};
-/// Broken connections count for a target's end if it is noticed within this time.
-constexpr Milliseconds lossMemory{2000};
-/// A book in which nothing changed is looked through this often for what is too old.
-constexpr Milliseconds reviewPause{1000};
-constexpr std::size_t mostAbout = 256;
-constexpr std::size_t longestAbout = 120;
-
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -77,7 +68,7 @@
     const auto found = view_.read([&](const Policy::CrashView *view) {
         return Policy::standingOf(*view, print, now);
     });
-    Milliseconds comeBack = comeBackFromTrial;
+    Milliseconds comeBack = Policy::comeBackFromTrial;
     switch (found.standing_) {
     case RequestStanding::Free:
         return std::nullopt;
@@ -114,18 +105,15 @@
     hasLosses_ = true;
     Losses &losses = losses_[target.target_.id_];
     const Model::Incarnation incarnation(target.incarnation_);
-    if (losses.incarnation_ != incarnation || now - losses.lostAt_ > lossMemory)
+    if (losses.incarnation_ != incarnation || now - losses.lostAt_ > Policy::lossMemory)
         losses = {};
     losses.incarnation_ = incarnation;
     losses.lostAt_ = now;
     if (losses.prints_.size() < Policy::mostSuspects)
         losses.prints_.push_back(print);
-    if (about_.size() >= mostAbout)
-        about_.clear();
-    std::string about(textOf(request.message_.method_string()));
-    about += " " + std::string(textOf(request.message_.target()));
-    about.resize(std::min(about.size(), longestAbout));
-    about_[print] = about + " of " + request.caller_.value();
+    std::string name(textOf(request.message_.method_string()));
+    name += " " + std::string(textOf(request.message_.target()));
+    Policy::remember(names_, print, name + " of " + request.caller_.value());
     if (losses.hasEnded_) {
         recordEnd(target, losses, now);
         return false;
@@ -155,7 +143,7 @@
     Losses &losses = found->second;
     const bool isOtherRun = losses.incarnation_.value() != 0
                             && losses.incarnation_ != Model::Incarnation(target.incarnation_);
-    if (isOtherRun && now - losses.lostAt_ <= lossMemory)
+    if (isOtherRun && now - losses.lostAt_ <= Policy::lossMemory)
         recordEnd(target, losses, now);
     if (isOtherRun)
         losses_.erase(found);
@@ -211,17 +199,18 @@
     {
         const std::lock_guard lock(mutex_);
         std::erase_if(losses_, [&](const auto &entry) {
-            return now - entry.second.lostAt_ > lossMemory;
+            return now - entry.second.lostAt_ > Policy::lossMemory;
         });
         hasLosses_ = !losses_.empty();
-        if (!isStale_ && book_.pending_.empty() && now - judgedAt_ <= reviewPause)
+        if (!isStale_ && book_.pending_.empty() && now - judgedAt_ <= Policy::reviewPause)
             return;
         judgedAt_ = now;
         isStale_ = false;
         const auto verdicts = Policy::judge(book_, now);
         for (const auto &print : verdicts.quarantined_) {
-            Observe::logEvent(Event::RequestQuarantined,
-                              {{"print", toText(print)}, {"request", aboutOf(print)}});
+            Observe::logEvent(
+                Event::RequestQuarantined,
+                {{"print", toText(print)}, {"request", Policy::nameOf(names_, print)}});
         }
         for (const auto &print : verdicts.lifted_) {
             Observe::logEvent(
@@ -238,13 +227,6 @@
     isEmpty_ = isEmpty;
 }
 
-std::string CrashGuard::aboutOf(const RequestPrint &print) const
-{
-    const auto found = about_.lower_bound({print.request_, 0});
-    const bool isKnown = found != about_.end() && found->first.request_ == print.request_;
-    return isKnown ? found->second : "";
-}
-
 std::string CrashGuard::listText() const
 {
     const auto now = steadyNow();
@@ -256,7 +238,7 @@
             continue;
         quarantined.push_back(
             {{"print", toText(print)},
-             {"request", aboutOf(print)},
+             {"request", Policy::nameOf(names_, print)},
              {"generation", quarantine.generation_},
              {"left_ms", std::chrono::duration_cast<Milliseconds>(left).count()}});
     }
--- a/Services/Entryd/CrashGuard.h
+++ b/Services/Entryd/CrashGuard.h
@@ -71,12 +71,11 @@
 
     void recordEnd(const TargetState &target, Losses &losses, Model::SteadyTime now);
     bool mayBeSuspect(CallerRequest &request) const;
-    std::string aboutOf(const Policy::RequestPrint &print) const;
 
     mutable std::mutex mutex_;
     Policy::CrashBook book_;
     std::map<Model::TargetId, Losses> losses_;
-    std::map<Policy::RequestPrint, std::string> about_;
+    Policy::RequestNames names_;
     Model::SteadyTime judgedAt_ = Model::longAgo;
     bool isStale_ = false;
     Concurrency::RcuCell<Policy::CrashView> view_;
