LibSteering: Take another run at its address for the end of a target

A proxy in front of targets goes on listening when one of them ends, so asking whether something listens finds nothing out, and an end accused nobody.

--- a/Libraries/LibPolicy/CrashEvidence.h
+++ b/Libraries/LibPolicy/CrashEvidence.h
@@ -82,7 +82,7 @@
 constexpr Model::Milliseconds settleTime{600};
 /// Requests that lost their connection to a target were there when it ended, if its end is noticed
 /// within this time.
-constexpr Model::Milliseconds lossMemory{2000};
+constexpr Model::Milliseconds lossMemory{3000};
 /// A request that has to wait for the trial of another one comes back after this.
 constexpr Model::Milliseconds comeBackFromTrial{300};
 /// A book in which nothing changed is judged this often, for what is too old.
--- a/Libraries/LibSteering/CrashGuard.cpp
+++ b/Libraries/LibSteering/CrashGuard.cpp
@@ -62,8 +62,11 @@
     job.isOnTrial_ = false;
 }
 
-void CrashGuard::remember(Job &job, TargetState &target, SteadyTime now)
+void CrashGuard::remember(Job &job, const std::shared_ptr<TargetState> &kept, SteadyTime now)
 {
+    TargetState &target = *kept;
+    if (std::find(lossy_.begin(), lossy_.end(), kept) == lossy_.end())
+        lossy_.push_back(kept);
     if (now - target.lostAt_ > Policy::lossMemory)
         target.lost_.clear();
     target.lostAt_ = now;
@@ -75,12 +78,13 @@
     Policy::remember(names_, printOf(job, port_.headers_), std::move(name));
 }
 
-bool CrashGuard::noteLost(Job &job, TargetState &target, SteadyTime now)
+bool CrashGuard::noteLost(Job &job, const std::shared_ptr<TargetState> &kept, SteadyTime now)
 {
+    TargetState &target = *kept;
     // The end of a target that leaves is no crash.
     if (target.record_.isLeaving_ || target.removed_)
         return false;
-    remember(job, target, now);
+    remember(job, kept, now);
     if (target.hasEnded_ || target.isReplaced_) {
         noteEnded(target, now);
         return false;
@@ -88,9 +92,9 @@
     return !std::exchange(target.isKnockedAt_, true);
 }
 
-void CrashGuard::noteBrokenOff(Job &job, TargetState &target, SteadyTime now)
+void CrashGuard::noteBrokenOff(Job &job, const std::shared_ptr<TargetState> &target, SteadyTime now)
 {
-    if (!target.record_.isLeaving_ && !target.removed_)
+    if (!target->record_.isLeaving_ && !target->removed_)
         remember(job, target, now);
 }
 
@@ -138,8 +142,22 @@
         view_ = Policy::viewOf(book_, now);
 }
 
+/// Something between the two ends may go on listening for a target that ended; that another run
+/// registered itself at its address tells too.
+void CrashGuard::findSucceeded(SteadyTime now)
+{
+    for (const auto &target : lossy_) {
+        if (target->isReplaced_ || target->isSucceeded())
+            noteEnded(*target, now);
+    }
+    std::erase_if(lossy_, [&](const auto &target) {
+        return target->lost_.empty() || now - target->lostAt_ > Policy::lossMemory;
+    });
+}
+
 void CrashGuard::judge(SteadyTime now)
 {
+    findSucceeded(now);
     const bool isDue
         = book_.isChanged_ || !book_.pending_.empty() || now - judgedAt_ > Policy::reviewPause;
     if (!isDue)
--- a/Libraries/LibSteering/CrashGuard.h
+++ b/Libraries/LibSteering/CrashGuard.h
@@ -32,17 +32,18 @@
 
     /// Takes in that the connection to \a target broke while \a job was in progress there. Returns
     /// whether the target is to be asked if it still listens; noteListening() takes the answer.
-    bool noteLost(Job &job, TargetState &target, Model::SteadyTime now);
+    bool noteLost(Job &job, const std::shared_ptr<TargetState> &target, Model::SteadyTime now);
     /// Takes in that this instance itself broke \a job off: should the target turn out to have
     /// ended, it was in progress there.
-    void noteBrokenOff(Job &job, TargetState &target, Model::SteadyTime now);
+    void noteBrokenOff(Job &job, const std::shared_ptr<TargetState> &target, Model::SteadyTime now);
     void noteListening(TargetState &target, Http::Listening listening, Model::SteadyTime now);
     /// Takes in that a run of a target is over: nothing, or another run, listens at its address.
     void noteEnded(TargetState &target, Model::SteadyTime now);
     /// Takes in that a target has worked on \a job and answered.
     void noteAnswered(Job &job, Model::SteadyTime now);
 
-    /// Makes the verdicts that are due. Called every tick.
+    /// Finds targets whose place another run has taken, and makes the verdicts that are due. Called
+    /// every tick.
     void judge(Model::SteadyTime now);
 
     Policy::CrashNews news(Model::SteadyTime now) const { return Policy::newsOf(book_, now); }
@@ -74,7 +75,8 @@
     std::uint64_t kept() const { return kept_; }
 
 private:
-    void remember(Job &job, TargetState &target, Model::SteadyTime now);
+    void remember(Job &job, const std::shared_ptr<TargetState> &target, Model::SteadyTime now);
+    void findSucceeded(Model::SteadyTime now);
     void noteVerdicts(const Policy::Verdicts &verdicts, Model::SteadyTime now);
     void logLifted(const Policy::RequestPrint &print, const char *by);
 
@@ -83,6 +85,8 @@
     Policy::CrashBook book_;
     Policy::CrashView view_;
     Model::SteadyTime judgedAt_ = Model::longAgo;
+    /// Targets that lost requests of late.
+    std::vector<std::shared_ptr<TargetState>> lossy_;
     /// Of requests that were lost here.
     Policy::RequestNames names_;
     std::vector<Policy::RequestPrint> unwritten_;
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -363,8 +363,8 @@
     const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
                           || result.code_ == ResultCode::TruncatedAnswer;
     if (job.control_.isCancelled()) {
-        guard_.noteBrokenOff(job, target, now);
-    } else if (isBroken && guard_.noteLost(job, target, now)) {
+        guard_.noteBrokenOff(job, placement.target_, now);
+    } else if (isBroken && guard_.noteLost(job, placement.target_, now)) {
         Http::asio::co_spawn(context_, askWhetherListening(placement.target_),
                              Http::asio::detached);
     }
