Soak: Send requests under which targets end, beside the other faults

Up to three such requests a run come four times a second while instances, the store, ways and targets are disturbed. Promise: from four seconds after the third end, where nobody was disturbed, at most three more targets end under one of them. Targets stand behind the proxy there, which goes on listening for them.

--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -273,7 +273,7 @@
     back_ = std::move(back);
 }
 
-std::vector<Model::SteadyTime> Target::ends()
+std::vector<TargetEnd> Target::ends()
 {
     const std::lock_guard lock(mutex_);
     return ends_;
@@ -301,7 +301,7 @@
         ended.reset();
         lock.lock();
         if (!isKilled)
-            ends_.push_back(std::chrono::steady_clock::now());
+            ends_.push_back({std::chrono::steady_clock::now(), endsUnder_});
         waitUntil(std::chrono::steady_clock::now() + faults_.backAfter_);
         if (isOver_)
             return;
@@ -388,6 +388,7 @@
         isEnding = !faults.endsUnder_.empty() && request.target().starts_with(faults.endsUnder_);
         if (isEnding && !endAt_) {
             endAt_ = std::chrono::steady_clock::now() + faults.endsAfter_;
+            endsUnder_ = std::string(request.target());
             changed_.notify_all();
         }
     }
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -116,6 +116,14 @@
     Model::Milliseconds backAfter_{1500};
 };
 
+/// An end of a target's run under a request.
+struct TargetEnd
+{
+    Model::SteadyTime at_;
+    /// The request's path.
+    std::string path_;
+};
+
 /// A stand-in for a target of the platform: runs requests, counts them by id, refuses those that
 /// expect another run.
 ///
@@ -135,8 +143,8 @@
     /// Called, on a thread of the target's own, when another run of it serves; with the id of the
     /// run before.
     void setBack(std::function<void(const std::string &earlier)> back);
-    /// When its runs ended, without those that were killed.
-    std::vector<Model::SteadyTime> ends();
+    /// The ends of its runs, without those that were killed.
+    std::vector<TargetEnd> ends();
     /// What it writes to the store of itself.
     std::string registration(const std::string &service, const std::string &zone,
                              const std::string &state = "ready", int coldMs = 0) const;
@@ -160,7 +168,8 @@
     std::map<std::string, int> runs_;
     std::vector<Http::Request> requests_;
     std::function<void(const std::string &)> back_ = [](const std::string &) {};
-    std::vector<Model::SteadyTime> ends_;
+    std::vector<TargetEnd> ends_;
+    std::string endsUnder_;
     /// When the run that is in progress ends.
     std::optional<Model::SteadyTime> endAt_;
     bool isOver_ = false;
--- a/Tests/Platform/TestCrashes.cpp
+++ b/Tests/Platform/TestCrashes.cpp
@@ -50,8 +50,8 @@
     {
         std::vector<SteadyTime> all;
         for (const auto &target : fleet.targets_) {
-            const auto ends = target->ends();
-            all.insert(all.end(), ends.begin(), ends.end());
+            for (const auto &end : target->ends())
+                all.push_back(end.at_);
         }
         std::sort(all.begin(), all.end());
         return all;
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds lateSlack{2500};
 constexpr std::uint64_t objects = 40;
 constexpr Milliseconds watchStep{20};
+/// Between two requests under which targets end.
+constexpr Milliseconds endingPause{230};
 
 std::string bodyFor(const std::string &id)
 {
@@ -35,6 +37,7 @@
 {
     for (std::size_t i = 0; i < count; ++i)
         Http::asio::co_spawn(context_, call(i), Http::asio::detached);
+    Http::asio::co_spawn(context_, callEnding(), Http::asio::detached);
     Http::asio::co_spawn(context_, watchTime(), Http::asio::detached);
     thread_ = std::thread([this] {
         context_.run();
@@ -102,15 +105,18 @@
 }
 
 Task<Record> Callers::send(Http::ConnectionPool &pool, const Model::Address &entry,
-                           const std::string &id, Milliseconds &comeBack)
+                           const std::string &id, Milliseconds &comeBack, std::string endingPath)
 {
     Record record;
     record.id_ = id;
     record.entry_ = entry;
-    record.mayRepeat_ = random_() % 3 != 0;
+    record.endsTargets_ = !endingPath.empty();
+    record.mayRepeat_ = record.endsTargets_ || random_() % 3 != 0;
     record.sentAt_ = std::chrono::steady_clock::now();
     Http::Request request(record.mayRepeat_ ? http::verb::get : http::verb::post,
                           record.mayRepeat_ ? "/read/x" : "/order/x", 11);
+    if (record.endsTargets_)
+        request.target(endingPath);
     request.set(http::field::host, "h.example");
     request.set("X-Cassiacrank-Request-Id", id);
     request.set("X-Cassiacrank-Affinity-Key", std::to_string(random_() % objects));
@@ -134,6 +140,43 @@
     co_return record;
 }
 
+void Callers::beginEnding(const std::string &path)
+{
+    const std::lock_guard lock(mutex_);
+    endingPaths_.push_back(path);
+}
+
+void Callers::endEnding(const std::string &path)
+{
+    const std::lock_guard lock(mutex_);
+    std::erase(endingPaths_, path);
+}
+
+Task<void> Callers::callEnding()
+{
+    Http::ConnectionPool pool(context_);
+    for (std::uint64_t sent = 0; !isStopping_; ++sent) {
+        std::string path;
+        {
+            const std::lock_guard lock(mutex_);
+            if (!endingPaths_.empty())
+                path = endingPaths_[sent % endingPaths_.size()];
+        }
+        std::vector<std::string> entries;
+        if (!path.empty())
+            entries = co_await lookUp(pool);
+        if (!entries.empty()) {
+            const auto entry = Model::addressFromText(entries[random_() % entries.size()]);
+            Milliseconds comeBack{0};
+            const std::string id = "ends-" + std::to_string(sent);
+            Record record = co_await send(pool, *entry, id, comeBack, path);
+            const std::lock_guard lock(mutex_);
+            records_.push_back(std::move(record));
+        }
+        co_await Http::sleepFor(endingPause);
+    }
+}
+
 Task<void> Callers::call(std::size_t number)
 {
     Http::ConnectionPool pool(context_);
@@ -151,7 +194,7 @@
         if (!entries.empty()) {
             const auto entry = Model::addressFromText(entries[random_() % entries.size()]);
             const std::string id = "c" + std::to_string(number) + "-" + std::to_string(sent);
-            Record record = co_await send(pool, *entry, id, comeBack);
+            Record record = co_await send(pool, *entry, id, comeBack, "");
             const std::lock_guard lock(mutex_);
             records_.push_back(std::move(record));
         }
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -16,6 +16,8 @@
 {
     std::string id_;
     bool mayRepeat_ = false;
+    /// Targets end under it; it is never served.
+    bool endsTargets_ = false;
     Model::Address entry_;
     Model::SteadyTime sentAt_;
     Model::SteadyTime endedAt_;
@@ -39,6 +41,11 @@
     Callers(const Callers &) = delete;
     Callers &operator=(const Callers &) = delete;
 
+    /// Sends requests for a path under which targets end, until it is taken back.
+    /// Thread safety: any thread.
+    void beginEnding(const std::string &path);
+    void endEnding(const std::string &path);
+
     /// Ends the callers, each after its current request.
     void stop();
     /// Returns the requests that ended since the last call. Thread safety: any thread.
@@ -58,7 +65,9 @@
     Http::Task<void> call(std::size_t number);
     Http::Task<std::vector<std::string>> lookUp(Http::ConnectionPool &pool);
     Http::Task<Record> send(Http::ConnectionPool &pool, const Model::Address &entry,
-                            const std::string &id, Model::Milliseconds &comeBack);
+                            const std::string &id, Model::Milliseconds &comeBack,
+                            std::string endingPath);
+    Http::Task<void> callEnding();
     Http::Task<void> watchTime();
 
     std::vector<Model::Address> lookups_;
@@ -69,6 +78,7 @@
     std::mutex mutex_;
     std::vector<Record> records_;
     std::vector<Named> named_;
+    std::vector<std::string> endingPaths_;
     std::thread thread_;
 };
 
--- a/Tests/Soak/Plan.cpp
+++ b/Tests/Soak/Plan.cpp
@@ -16,10 +16,18 @@
 constexpr Milliseconds shortest{300};
 constexpr Milliseconds longest{4500};
 
-constexpr std::array<const char *, 14> names
-    = {"InstanceKilled", "InstancePaused", "InstanceStopped", "StoreRefuses", "StoreLosesAnswers",
-       "StoreForgets",   "StoreWay",       "PeerWays",        "TargetWay",    "TargetMisbehaves",
-       "TargetReplaced", "TargetLeaves",   "TableEdited",     "DomainDrained"};
+/// A request under which targets end comes for at least so long; there are up to so many in a run.
+constexpr Milliseconds shortestEnding{4000};
+constexpr Milliseconds longestEnding{12000};
+constexpr std::size_t mostEnding = 3;
+
+/// Kinds that are drawn for every plan; the last one has draws of its own.
+constexpr std::size_t drawnKinds = 14;
+
+constexpr std::array<const char *, drawnKinds + 1> names = {
+    "InstanceKilled", "InstancePaused", "InstanceStopped", "StoreRefuses",  "StoreLosesAnswers",
+    "StoreForgets",   "StoreWay",       "PeerWays",        "TargetWay",     "TargetMisbehaves",
+    "TargetReplaced", "TargetLeaves",   "TableEdited",     "DomainDrained", "RequestEndsTargets"};
 
 bool concernsInstance(FaultKind kind)
 {
@@ -28,6 +36,25 @@
            || kind == FaultKind::PeerWays;
 }
 
+void addEndingRequests(std::vector<Fault> &faults, std::uint64_t seed, const PlanSize &size)
+{
+    std::mt19937_64 random(~seed);
+    const auto draw = [&](Milliseconds from, Milliseconds to) {
+        return Milliseconds(
+            std::uniform_int_distribution<long long>(from.count(), to.count())(random));
+    };
+    const auto end = size.length_ - calmTime;
+    const std::size_t count = 1 + random() % mostEnding;
+    for (std::size_t i = 0; i < count; ++i) {
+        Fault fault;
+        fault.kind_ = FaultKind::RequestEndsTargets;
+        fault.start_ = draw(settleTime, std::max(settleTime, end - shortestEnding));
+        fault.end_ = std::min(end, fault.start_ + draw(shortestEnding, longestEnding));
+        fault.subject_ = i;
+        faults.push_back(fault);
+    }
+}
+
 } // namespace
 
 std::vector<Fault> planOf(std::uint64_t seed, const PlanSize &size)
@@ -40,7 +67,7 @@
     std::vector<Fault> faults;
     for (auto at = settleTime; at < end; at += Milliseconds(draw(0, 2 * pauseBetween.count()))) {
         Fault fault;
-        fault.kind_ = static_cast<FaultKind>(draw(0, static_cast<long long>(names.size()) - 1));
+        fault.kind_ = static_cast<FaultKind>(draw(0, static_cast<long long>(drawnKinds) - 1));
         fault.start_ = at;
         fault.end_ = std::min(end, at + Milliseconds(draw(shortest.count(), longest.count())));
         const auto subjects = concernsInstance(fault.kind_) ? size.instances_ : size.targets_;
@@ -48,6 +75,8 @@
         fault.variant_ = static_cast<std::size_t>(draw(0, 3));
         faults.push_back(fault);
     }
+    if (size.hasEndingRequests_)
+        addEndingRequests(faults, seed, size);
     return faults;
 }
 
--- a/Tests/Soak/Plan.h
+++ b/Tests/Soak/Plan.h
@@ -29,6 +29,8 @@
     TargetLeaves,
     TableEdited,
     DomainDrained,
+    /// A request comes again and again under which every target that runs it ends.
+    RequestEndsTargets,
 };
 
 struct Fault
@@ -46,6 +48,8 @@
     std::size_t instances_ = 6;
     std::size_t targets_ = 8;
     Model::Milliseconds length_{30000};
+    /// Plans have requests under which targets end, beside their other faults.
+    bool hasEndingRequests_ = true;
 };
 
 /// No fault starts before the callers have settled, and none lasts into the end of a run.
--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -22,6 +22,10 @@
 /// Times are judged only where this program itself was at most so late.
 constexpr Milliseconds latenessBorne{150};
 
+/// After so many ends a request is known to be what ends targets, and so many more are borne later.
+constexpr std::size_t endsToKnow = 3;
+constexpr int mostLateEnds = 3;
+
 bool promisesNotRun(unsigned code)
 {
     return code == 429 || code == 503 || code == 408 || code == 421;
@@ -76,6 +80,7 @@
     checkLeaving();
     checkNames();
     checkEdit();
+    checkEnds();
     return std::exchange(found_, {});
 }
 
@@ -175,12 +180,32 @@
     }
 }
 
+/// Who was disturbed when a target ended, or just before, is not bound: any of them may have sent
+/// what ended it.
+void Promises::checkEnds()
+{
+    const auto &instances = site_.fleet().instances_;
+    for (const auto &[path, times] : site_.ends()) {
+        for (std::size_t &seen = endsSeen_[path]; seen < times.size(); ++seen) {
+            const auto at = times[seen];
+            const bool allCalm
+                = std::all_of(instances.begin(), instances.end(), [&](const auto &instance) {
+                      return wasCalm(instance->entry(), at);
+                  });
+            if (seen < endsToKnow || at <= times[endsToKnow - 1] + calmBefore || !allCalm)
+                continue;
+            if (++lateEnds_[path] > mostLateEnds)
+                broken("a request under which targets end is kept from them", path);
+        }
+    }
+}
+
 double Promises::servedSince(SteadyTime from) const
 {
     double served = 0;
     double sent = 0;
     for (const auto &record : records_) {
-        if (record.sentAt_ < from)
+        if (record.sentAt_ < from || record.endsTargets_)
             continue;
         sent += 1;
         served += record.status_ == 200 ? 1 : 0;
--- a/Tests/Soak/Promises.h
+++ b/Tests/Soak/Promises.h
@@ -26,6 +26,7 @@
     void checkLeaving();
     void checkNames();
     void checkEdit();
+    void checkEnds();
     bool wasCalm(const Model::Address &entry, Model::SteadyTime from) const;
     bool isBoundBy(const Model::Address &entry, Model::SteadyTime leftAt) const;
     void broken(const std::string &promise, const std::string &what);
@@ -38,6 +39,9 @@
     std::vector<std::string> toldNotRun_;
     /// How often a leaving run of a target had run requests when the time to know of it was over.
     std::map<std::string, std::size_t> runsWhenKnown_;
+    /// Ends of targets under each request that were looked at, and those that came too late.
+    std::map<std::string, std::size_t> endsSeen_;
+    std::map<std::string, int> lateEnds_;
     std::string checkedRoute_;
     std::vector<std::string> found_;
 };
--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -69,6 +69,7 @@
         return result;
     }
     Callers callers(callerCount, site.lookups(), seed);
+    site.setCallers(callers);
     Promises promises(site, callers);
     Player player(planOf(seed, size), site);
     const auto startedAt = std::chrono::steady_clock::now();
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -1,5 +1,6 @@
 #include "SoakSite.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <filesystem>
@@ -34,6 +35,17 @@
     return static_cast<std::uint16_t>(base + static_cast<int>(number));
 }
 
+/// Requests for paths that begin so end the targets that run them; these are back after a while.
+constexpr const char *endingPath = "/read/ends-";
+constexpr Milliseconds backAfter{400};
+
+TargetFaults withEnds(TargetFaults faults)
+{
+    faults.endsUnder_ = endingPath;
+    faults.backAfter_ = backAfter;
+    return faults;
+}
+
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -101,6 +113,11 @@
     for (std::size_t i = 0; i < size_.targets_; ++i) {
         fleet_.targets_.push_back(std::make_unique<PlatformStandIns::Target>(
             "127.0.0.1", "t" + std::to_string(++lastRun_)));
+        fleet_.targets_.back()->setFaults(withEnds({}));
+        fleet_.targets_.back()->setBack([this, i](const std::string &earlier) {
+            registerTarget(i, "ready");
+            fleet_.store_.remove("servers", earlier);
+        });
         registerTarget(i, "ready");
     }
     writeWays();
@@ -225,6 +242,18 @@
     leftAt_[fleet_.targets_[number]->id()] = steadyNow();
 }
 
+std::map<std::string, std::vector<SteadyTime>> SoakSite::ends()
+{
+    std::map<std::string, std::vector<SteadyTime>> all;
+    for (const auto &target : fleet_.targets_) {
+        for (const auto &end : target->ends())
+            all[end.path_].push_back(end.at_);
+    }
+    for (auto &[path, times] : all)
+        std::sort(times.begin(), times.end());
+    return all;
+}
+
 void SoakSite::begin(const Fault &fault)
 {
     const auto subject = fault.subject_;
@@ -269,7 +298,7 @@
         faults.losesAnswers_ = fault.variant_ == 1;
         faults.isTruncating_ = fault.variant_ == 2;
         faults.isForeign_ = fault.variant_ == 3;
-        return fleet_.targets_[subject]->setFaults(faults);
+        return fleet_.targets_[subject]->setFaults(withEnds(faults));
     }
     case TargetReplaced:
         if (!leavingTargets_.contains(subject))
@@ -290,6 +319,8 @@
             fleet_.store_.put("op", "evacuate/" + domain, "{}");
         return;
     }
+    case RequestEndsTargets:
+        return callers_->beginEnding(endingPath + number);
     }
 }
 
@@ -320,7 +351,7 @@
     case TargetWay:
         return switchWays("target-" + number, "pass");
     case TargetMisbehaves:
-        return fleet_.targets_[subject]->setFaults({});
+        return fleet_.targets_[subject]->setFaults(withEnds({}));
     case TargetLeaves:
         if (leavingTargets_.erase(subject) > 0)
             replaceTarget(subject);
@@ -331,6 +362,8 @@
             fleet_.store_.remove("op", "evacuate/" + domain);
         return;
     }
+    case RequestEndsTargets:
+        return callers_->endEnding(endingPath + number);
     case TargetReplaced:
     case TableEdited:
         return;
--- a/Tests/Soak/SoakSite.h
+++ b/Tests/Soak/SoakSite.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Callers.h"
 #include "Plan.h"
 
 #include <Platform/Fleet.h>
@@ -30,6 +31,11 @@
     /// Since when an instance was killed or stopped; nothing while it runs.
     std::optional<Model::SteadyTime> goneSince(const std::string &entry) const;
 
+    /// Sets who sends requests under which targets end; \a callers outlive the faults.
+    void setCallers(Callers &callers) { callers_ = &callers; }
+    /// The ends of targets under each such request, in order.
+    std::map<std::string, std::vector<Model::SteadyTime>> ends();
+
     /// When the store took it that a run of a target leaves, by the run's id.
     const std::map<std::string, Model::SteadyTime> &leftAt() const { return leftAt_; }
     /// The newest route that was added, and when the store took it.
@@ -76,6 +82,7 @@
     std::map<std::string, int> drains_;
     std::string newestRoute_;
     Model::SteadyTime editedAt_ = Model::longAgo;
+    Callers *callers_ = nullptr;
     int version_ = 1;
     int lastRun_ = 0;
     std::vector<std::string> mistakes_;
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(planIsTheSameForASeed);
     CPPUNIT_TEST(promisesAreKeptUnderASeriesOfFaults);
     CPPUNIT_TEST(refusalAfterALostAnswerIsTrue);
+    CPPUNIT_TEST(requestsThatEndTargetsAreKeptFromThemAmongOtherFaults);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -25,16 +26,21 @@
         }
     }
 
-    void promisesAreKeptUnderASeriesOfFaults() { assertKept(3); }
+    void promisesAreKeptUnderASeriesOfFaults() { assertKept(3, false); }
 
     // Symptom: c19-58 was told that it has not run, and it has.
     // Sequence: one target cuts its answer short, the second one refuses.
     // Cause: telling the outcome of the last attempt for that of all.
-    void refusalAfterALostAnswerIsTrue() { assertKept(1); }
+    void refusalAfterALostAnswerIsTrue() { assertKept(1, false); }
 
-    static void assertKept(std::uint64_t seed)
+    // Guards against requests under which targets end while instances and targets come and go.
+    void requestsThatEndTargetsAreKeptFromThemAmongOtherFaults() { assertKept(5, true); }
+
+    static void assertKept(std::uint64_t seed, bool hasEndingRequests)
     {
-        const auto result = Soak::run(seed, {});
+        Soak::PlanSize size;
+        size.hasEndingRequests_ = hasEndingRequests;
+        const auto result = Soak::run(seed, size);
         std::string found = "seed " + std::to_string(seed) + ", logs " + result.directory_;
         for (const auto &broken : result.broken_)
             found += "\n" + broken;
