Tablectl: List requests that are kept from targets, and lift one

"quarantines" and "lift" ask admin addresses of instances directly, so they work while the platform's store is away. Bad prints, unknown ones and addresses are refused with their numbered reason. The daemons' test lifts by it now.

--- a/Tests/Integration/TestCrashes.cpp
+++ b/Tests/Integration/TestCrashes.cpp
@@ -202,12 +202,14 @@
         };
         const auto quarantined = listAt(site.instances()[0]);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), quarantined.size());
-        Http::SimpleRequest lift;
-        lift.address_ = adminOf(site.instances()[0]);
-        lift.method_ = verb::delete_;
-        lift.target_ = "/quarantines/" + quarantined.at(0).at("print").get<std::string>();
-        const auto answer = Http::sendAndWait(lift);
-        CPPUNIT_ASSERT(answer && answer->result() == Http::http::status::ok);
+        const auto print = quarantined.at(0).at("print").get<std::string>();
+        const std::string ask = "--ask=" + toText(adminOf(site.instances()[0]));
+        std::string listed;
+        CPPUNIT_ASSERT_EQUAL(0, site.tablectl({"quarantines", ask}, &listed));
+        CPPUNIT_ASSERT_MESSAGE(listed, listed.find(print) != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0, site.tablectl({"lift", print, ask}));
+        CPPUNIT_ASSERT_EQUAL(1, site.tablectl({"lift", print, ask}));
+        CPPUNIT_ASSERT_EQUAL(1, site.tablectl({"lift", "none", ask}));
         for (const auto &instance : site.instances()) {
             CPPUNIT_ASSERT(Harness::waitUntil(Milliseconds(5000), [&] {
                 return listAt(instance).empty();
--- a/Utilities/Tablectl/Commands.cpp
+++ b/Utilities/Tablectl/Commands.cpp
@@ -3,6 +3,7 @@
 #include "Explain.h"
 #include "LiveState.h"
 #include "PlatformCalls.h"
+#include "Quarantines.h"
 
 #include <algorithm>
 #include <fstream>
@@ -328,6 +329,9 @@
     {"history", "history                     the audit trail", history},
     {"explain", "explain SERVICE CALLER --origin REGION [--at TIME]  why traffic goes where",
      explainCommand},
+    {"quarantines", "quarantines --ask ADDRESSES  requests that are kept from targets",
+     listQuarantines},
+    {"lift", "lift PRINT --ask ADDRESSES  send such a request to targets again", liftQuarantine},
     {"status", "status [--ask ADDRESSES]    which version is in force where; drains", status},
 };
 
--- a/Utilities/Tablectl/main.cpp
+++ b/Utilities/Tablectl/main.cpp
@@ -11,7 +11,10 @@
 DEFINE_string(end, "", "drain: when traffic begins to come back");
 DEFINE_string(origin, "", "explain: the region of the caller");
 DEFINE_string(at, "", "explain: the time; default now");
-DEFINE_string(ask, "", "status: control_admin addresses to ask instead of the platform's list");
+DEFINE_string(
+    ask, "",
+    "status: control_admin addresses to ask instead of the platform's list; quarantines and "
+    "lift: admin addresses of instanced, entry_admin of entryd");
 DEFINE_int32(timeout_ms, 2000, "longest wait for one answer of the platform");
 
 int main(int argc, char **argv)
@@ -38,7 +41,8 @@
         options.base_ = Model::TableVersion(FLAGS_base);
     options.arguments_.assign(argv + 1, argv + argc);
     const std::string command = options.arguments_.empty() ? "" : options.arguments_.front();
-    const bool isOfAsked = command == "status" && !options.ask_.empty();
+    const bool isOfAsked = (command == "status" && !options.ask_.empty())
+                           || command == "quarantines" || command == "lift";
     const bool needsPlatform = command != "validate" && !isOfAsked;
     const auto platform = Model::addressFromText(FLAGS_platform);
     if (needsPlatform && !platform) {
