--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -163,8 +163,9 @@
                 path = endingPaths_[sent % endingPaths_.size()];
         }
         std::vector<std::string> entries;
-        if (!path.empty())
+        if (!path.empty()) {
             entries = co_await lookUp(pool);
+        }
         if (!entries.empty()) {
             const auto entry = Model::addressFromText(entries[random_() % entries.size()]);
             Milliseconds comeBack{0};
