--- a/Libraries/LibHttp/AdminServer.cpp
+++ b/Libraries/LibHttp/AdminServer.cpp
@@ -38,8 +38,7 @@
             co_return textAnswer(http::status::ok, "application/json", "{}\n", version);
         if (pages_.remove_)
             co_return refusal(Model::lastReason(), version);
-        const Model::Reason unknown(Model::ResultCode::MalformedRequest, "");
-        co_return refusal(unknown, version);
+        co_return refusal({Model::ResultCode::MalformedRequest, ""}, version);
     }
     if (path == "/metrics") {
         co_return textAnswer(http::status::ok, "text/plain; version=0.0.4", pages_.metrics_(),
