--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -178,12 +178,14 @@
     std::unique_ptr<Connection> connection = std::move(connected.connection_);
     const auto connectedAt = std::chrono::steady_clock::now();
     const bool isCancelled = options.control_ && options.control_->isCancelled();
-    if (!connection || isCancelled) {
+    const bool isWithdrawn = connection && !isCancelled && !options.maySend_();
+    if (!connection || isCancelled || isWithdrawn) {
         if (connection)
             pool.giveBack(options.address_, std::move(connection));
         ExchangeResult result;
         result.code_ = ResultCode::TargetUnreachable;
         result.isRefused_ = connected.isRefused_;
+        result.isWithdrawn_ = isWithdrawn;
         co_return result;
     }
 
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -52,6 +52,11 @@
     int foreignAnswersSkipped_ = 0;
     /// If set, outlives the exchange.
     ExchangeControl *control_ = nullptr;
+    /// Called once there is a connection, just before the first byte is sent. If it returns false,
+    /// nothing is sent and the connection is kept.
+    std::function<bool()> maySend_ = [] {
+        return true;
+    };
 };
 
 struct ExchangeResult
@@ -67,6 +72,8 @@
     int foreignAnswers_ = 0;
     /// No connection could be made since nothing listens at the address.
     bool isRefused_ = false;
+    /// There was a connection, and ExchangeOptions::maySend_ said no.
+    bool isWithdrawn_ = false;
 };
 
 /// Tells whether an answer belongs to a request.
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -199,6 +199,10 @@
     options.takesUnframed_ = true;
     options.foreignAnswersSkipped_ = foreignAnswersSkipped;
     options.control_ = &job.control_;
+    options.maySend_ = [&] {
+        noteSend(job, target);
+        return true;
+    };
 
     ++target.ownInFlight_;
     const auto sent = target.sent_.insert(target.sent_.end(), {sentAt, placement.latestUsual_});
@@ -216,6 +220,7 @@
         // The pool had run out; where a connection takes long, have one more than is in use.
         if (result.connectTook_ >= dearConnection && !target.isPreparing_) {
             options.control_ = nullptr;
+            options.maySend_ = nullptr;
             options.deadline_ = now + options.connectTimeout_;
             Http::asio::co_spawn(context_, prepareSpare(placement.target_, options),
                                  Http::asio::detached);
@@ -275,6 +280,21 @@
     return message;
 }
 
+void Dispatcher::noteSend(const Job &job, TargetState &target)
+{
+    const auto now = steadyNow();
+    target.lastSend_
+        = {job.id_, now, knowledge_.mirror(StoreTable::Targets).position(), targetsNews_()};
+    if (!target.removed_)
+        return;
+    log_.line(Event::RequestSentToMissing)
+        .add("id", job.id_)
+        .add("target", target.record_.id_.value())
+        .add("revision", static_cast<std::int64_t>(target.removed_->revision_))
+        .add("missing_ms",
+             std::chrono::duration_cast<Microseconds>(now - target.removed_->noticedAt_));
+}
+
 void Dispatcher::noteLoad(TargetState &target, const Http::Response &answer)
 {
     const auto load = port_.loadIn_(answer);
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -47,6 +47,9 @@
     /// Sets how many instances share the budget of second attempts.
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
+    /// Sets what tells when the targets' rows were last confirmed.
+    void setTargetsNews(std::function<TargetsNews()> news) { targetsNews_ = std::move(news); }
+
     /// Opens a new connection to each far target that is in use and whose idle connections are
     /// about to be too old. Policy::isSpareWorthwhile() tells what goes wrong without it.
     void refreshSpares(const TargetBook &book);
@@ -83,6 +86,7 @@
                              Model::SteadyTime now) const;
     Attempt judge(Job &job, const Placement &placement, Model::SteadyTime sentAt,
                   Http::ExchangeResult result);
+    void noteSend(const Job &job, TargetState &target);
     void noteLoad(TargetState &target, const Http::Response &answer);
     bool mayTryAgain(const Job &job, const Attempt &attempt, Model::SteadyTime now);
 
@@ -100,6 +104,9 @@
     std::list<Job *> jobs_;
     std::unordered_map<Model::ServiceId, Policy::RetryBudget> retryBudgets_;
     std::size_t instances_ = 1;
+    std::function<TargetsNews()> targetsNews_ = [] {
+        return TargetsNews();
+    };
     DispatchCounters counters_;
 };
 
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -131,6 +131,10 @@
         [this](const auto &news, bool isPeerReady) {
             parts_->guard_.hear(news, isPeerReady, steadyNow());
         });
+    parts_->dispatcher_.setTargetsNews([this] {
+        return TargetsNews{parts_->follower_.confirmedAt(StoreTable::Targets),
+                           parts_->peers_.informedAt()};
+    });
     parts_->follower_.start();
     awaitSignal();
     Http::asio::co_spawn(context_, tickLoop(), Http::asio::detached);
--- a/Libraries/LibSteering/Knowledge.cpp
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -73,6 +73,7 @@
         operatorsChanged(source);
     } else {
         ++targetChanges_;
+        targetsSource_ = source;
     }
 }
 
@@ -89,6 +90,7 @@
         operatorsChanged(source);
     } else {
         ++targetChanges_;
+        targetsSource_ = source;
     }
 }
 
--- a/Libraries/LibSteering/Knowledge.h
+++ b/Libraries/LibSteering/Knowledge.h
@@ -40,6 +40,8 @@
     std::uint64_t tableChanges() const { return tableChanges_; }
     /// Grows with each change of a target's row.
     std::uint64_t targetChanges() const { return targetChanges_; }
+    /// Who told of the latest change of a target's row: "store" or a peer's name.
+    const std::string &targetsSource() const { return targetsSource_; }
 
     /// Returns up to where the tables are known here.
     HeldPositions held() const;
@@ -68,6 +70,7 @@
     std::set<Model::FailureDomainId> drained_;
     std::uint64_t tableChanges_ = 0;
     std::uint64_t targetChanges_ = 0;
+    std::string targetsSource_;
 };
 
 } // namespace Steering
--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -67,6 +67,37 @@
 
 } // namespace
 
+namespace {
+
+/// The milliseconds from \a then to \a now; -1 where \a then never was.
+std::int64_t msSince(SteadyTime then, SteadyTime now)
+{
+    if (then == Model::longAgo)
+        return -1;
+    return std::chrono::duration_cast<Model::Milliseconds>(now - then).count();
+}
+
+} // namespace
+
+/// Tells what was known of the targets when the last request was sent to one that leaves: whether a
+/// request was sent by late news, or in spite of it, shows in this line alone.
+void TargetBook::logLeave(const TargetState &target, const char *how, Platform::Revision revision,
+                          SteadyTime now)
+{
+    const LastSend &last = target.lastSend_;
+    log_.line(Event::TargetLeaveKnown)
+        .add("target", target.record_.id_.value())
+        .add("how", how)
+        .add("revision", static_cast<std::int64_t>(revision.value()))
+        .add("by", knowledge_.targetsSource())
+        .add("in_progress", target.ownInFlight_)
+        .add("last_request", last.request_)
+        .add("sent_ms_ago", msSince(last.at_, now))
+        .add("sent_knowing", static_cast<std::int64_t>(last.known_.value()))
+        .add("store_said_ms_before", msSince(last.news_.fromStore_, last.at_))
+        .add("peers_said_ms_before", msSince(last.news_.fromPeers_, last.at_));
+}
+
 void TargetBook::noteUnreadable(const Platform::StoredRow &row)
 {
     const auto known = targets_.find(Model::TargetId(row.key_));
@@ -149,6 +180,8 @@
         .add("leaving", target->record_.isLeaving_ ? "yes" : "no")
         .add("cold_ms", static_cast<std::int64_t>(record->coldFor_.count()))
         .add("revision", static_cast<std::int64_t>(row.revision_.value()));
+    if (target->record_.isLeaving_ && !wasLeaving)
+        logLeave(*target, "announced", row.revision_, now);
 }
 
 /// Of several targets that are registered at one address, the last one is there.
@@ -209,11 +242,14 @@
                 .add("store", nameOf(evidence.own_.contact_))
                 .add("use_ms", std::chrono::duration_cast<Model::Microseconds>(until - now))
                 .add("at_once", static_cast<std::int64_t>(unannounced));
+            logLeave(*target, "missing", Platform::Revision(removed.revision_), now);
             return false;
         }
         log_.line(Event::TargetGone)
             .add("target", id.value())
             .add("leaving", target->record_.isLeaving_ ? "yes" : "no");
+        if (!target->record_.isLeaving_)
+            logLeave(*target, "removed", Platform::Revision(removed.revision_), now);
         return true;
     });
 }
@@ -229,6 +265,7 @@
             .add("target", id.value())
             .add("after", "lapse")
             .add("missing_ms", std::chrono::duration_cast<Model::Microseconds>(missingFor));
+        logLeave(*target, "lapsed", Platform::Revision(target->removed_->revision_), now);
         return true;
     });
     if (dropped > 0)
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -21,6 +21,24 @@
     Model::Microseconds latestUsual_{0};
 };
 
+/// When the targets' rows were last confirmed to this instance.
+struct TargetsNews
+{
+    /// The store answered a call for them.
+    Model::SteadyTime fromStore_ = Model::longAgo;
+    /// A peer spoke, and no living peer was known to know newer rows.
+    Model::SteadyTime fromPeers_ = Model::longAgo;
+};
+
+/// The last request that was sent to a target, and by what knowledge of the targets.
+struct LastSend
+{
+    std::string request_;
+    Model::SteadyTime at_ = Model::longAgo;
+    Platform::Revision known_;
+    TargetsNews news_;
+};
+
 /// One run of a target with what this instance has seen of it.
 struct TargetState
 {
@@ -39,6 +57,7 @@
     std::int64_t ownInFlight_ = 0;
     /// The requests in progress, oldest first.
     std::list<SentRequest> sent_;
+    LastSend lastSend_;
     Policy::OthersLoad othersLoad_;
     Policy::SharedLoad sharedLoad_;
 
@@ -122,6 +141,8 @@
 private:
     void take(const Platform::StoredRow &row, Model::SteadyTime now);
     void noteUnreadable(const Platform::StoredRow &row);
+    void logLeave(const TargetState &target, const char *how, Platform::Revision revision,
+                  Model::SteadyTime now);
     std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
     void findSuccessors();
     void noteMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -82,6 +82,10 @@
     options.connectionLimit_ = Policy::connectionsForThread(
         target->target_.connections_, entries, static_cast<std::size_t>(settings_.entryThreads_));
 
+    options.maySend_ = [&] {
+        noteSend(*target, steadyNow());
+        return true;
+    };
     const auto sentAt = steadyNow();
     const Http::Request message = messageForTarget(request, sentAt);
     Http::ExchangeResult result = co_await Http::exchange(pool_, options, message, isAnswerTo);
@@ -141,7 +145,8 @@
         verdict.comeBack_ = Policy::leastComeBack;
         isRefusedAsFull = true;
         if (refusedBecause == "draining") {
-            target.isLeaving_ = true;
+            if (!target.isLeaving_.exchange(true))
+                logLeaving(target, "itself", steadyNow());
         } else {
             noteFull(target, steadyNow());
         }
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -141,7 +141,7 @@
         if (!Policy::isLeaving(view_.marks_, id, seen))
             continue;
         if (!found->second->isLeaving_.exchange(true))
-            Observe::logEvent(Event::TargetLeaving, {{"target", id.value()}, {"by", "peer"}});
+            logLeaving(*found->second, "peer", std::chrono::steady_clock::now());
     }
 }
 
--- a/Services/Entryd/TargetAnswer.cpp
+++ b/Services/Entryd/TargetAnswer.cpp
@@ -32,10 +32,8 @@
 void noteTargetAnswer(TargetState &target, const Http::Response &answer)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (noteReport(target, reportIn(answer), now)) {
-        Observe::logEvent(Event::TargetLeaving,
-                          {{"target", target.target_.id_.value()}, {"by", "itself"}});
-    }
+    if (noteReport(target, reportIn(answer), now))
+        logLeaving(target, "itself", now);
     if (noteAlive(target, now))
         Observe::logEvent(Event::TargetBack, {{"target", target.target_.id_.value()}});
 }
--- a/Services/Entryd/TargetState.cpp
+++ b/Services/Entryd/TargetState.cpp
@@ -1,5 +1,6 @@
 #include "TargetState.h"
 
+#include <LibObserve/LibObserve.h>
 #include <algorithm>
 
 namespace Entryd {
@@ -40,6 +41,27 @@
     return view;
 }
 
+void noteSend(TargetState &state, Model::SteadyTime now)
+{
+    state.sentAtUs_ = microsecondsOf(now);
+}
+
+void logLeaving(const TargetState &state, std::string_view by, Model::SteadyTime now)
+{
+    const std::int64_t sentAt = state.sentAtUs_;
+    const std::int64_t heardAt = state.heardAtUs_;
+    const auto ms = [](std::int64_t fromUs, std::int64_t toUs) {
+        constexpr std::int64_t usInMs = 1000;
+        return std::to_string(fromUs == 0 ? -1 : (toUs - fromUs) / usInMs);
+    };
+    Observe::logEvent(Observe::Event::TargetLeaving,
+                      {{"target", state.target_.id_.value()},
+                       {"by", std::string(by)},
+                       {"in_progress", std::to_string(state.ownInFlight_)},
+                       {"sent_ms_ago", ms(sentAt, microsecondsOf(now))},
+                       {"heard_ms_before", ms(heardAt, sentAt)}});
+}
+
 bool noteReport(TargetState &state, const TargetReport &report, Model::SteadyTime now)
 {
     if (report.inFlight_ >= 0) {
@@ -111,6 +133,7 @@
 bool noteAlive(TargetState &state, Model::SteadyTime now)
 {
     state.failuresInARow_ = 0;
+    state.heardAtUs_ = microsecondsOf(now);
     if (!state.isSuspect_.exchange(false))
         return false;
     state.inUseSinceUs_ = microsecondsOf(now);
--- a/Services/Entryd/TargetState.h
+++ b/Services/Entryd/TargetState.h
@@ -35,6 +35,9 @@
     std::atomic<std::uint64_t> incarnation_{0};
     std::atomic<bool> isSuspect_{false};
     std::atomic<bool> isLeaving_{false};
+    /// When a request was last sent there, and when it last answered anything; zero for never.
+    std::atomic<std::int64_t> sentAtUs_{0};
+    std::atomic<std::int64_t> heardAtUs_{0};
 };
 
 /// What an entry said of its requests holds for this long, if it does not say it again.
@@ -89,6 +92,13 @@
 /// Thread safety: any thread.
 bool noteReport(TargetState &state, const TargetReport &report, Model::SteadyTime now);
 
+/// Takes in that a request is sent there now. Thread safety: any thread.
+void noteSend(TargetState &state, Model::SteadyTime now);
+
+/// Logs that the target is known to leave: by whom, how long ago a request was last sent there, and
+/// how long before that the target had last said anything. Thread safety: any thread.
+void logLeaving(const TargetState &state, std::string_view by, Model::SteadyTime now);
+
 /// Takes in the time that an answer took. Thread safety: any thread.
 void noteLatency(TargetState &state, Model::Microseconds latency);
 
