--- a/Meta/soak.sh
+++ b/Meta/soak.sh
@@ -10,7 +10,7 @@
     --minutes) arguments+=("--minutes=$2"); shift 2 ;;
     --size)
         # Some runs go up to what the machine bears: a hundred processes.
-        [ "$2" = large ] && arguments+=(--instances=40 --targets=40 --seconds=60)
+        [ "$2" = large ] && arguments+=(--instances=40 --targets=40 --seconds=76)
         shift 2 ;;
     *) echo "unknown: $1"; exit 2 ;;
     esac
--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -353,6 +353,12 @@
     return requests_.size();
 }
 
+std::vector<Arrival> Target::takeArrivals()
+{
+    const std::lock_guard lock(mutex_);
+    return std::exchange(arrivals_, {});
+}
+
 std::vector<std::string> Target::seen(const std::string &header)
 {
     const std::lock_guard lock(mutex_);
@@ -385,6 +391,7 @@
         }
         ++runs_[id];
         requests_.push_back(request);
+        arrivals_.push_back({incoming.arrivedAt_, id_, id, std::string(request[throughHeader])});
         isEnding = !faults.endsUnder_.empty() && request.target().starts_with(faults.endsUnder_);
         if (isEnding && !endAt_) {
             endAt_ = std::chrono::steady_clock::now() + faults.endsAfter_;
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -124,6 +124,20 @@
     std::string path_;
 };
 
+/// A request that a target began to run.
+struct Arrival
+{
+    Model::SteadyTime at_;
+    /// The run of the target.
+    std::string run_;
+    std::string request_;
+    /// The instance that it came through, where its caller named it.
+    std::string through_;
+};
+
+/// The field by which callers of a soak name the entry that they use; instances pass it on.
+constexpr const char *throughHeader = "X-Through";
+
 /// A stand-in for a target of the platform: runs requests, counts them by id, refuses those that
 /// expect another run.
 ///
@@ -154,6 +168,8 @@
     /// How often each request ran.
     std::map<std::string, int> runs();
     std::size_t runCount();
+    /// The requests that began to run since the last call.
+    std::vector<Arrival> takeArrivals();
     /// The values of a header in the requests that ran.
     std::vector<std::string> seen(const std::string &header);
 
@@ -167,6 +183,7 @@
     TargetFaults faults_;
     std::map<std::string, int> runs_;
     std::vector<Http::Request> requests_;
+    std::vector<Arrival> arrivals_;
     std::function<void(const std::string &)> back_ = [](const std::string &) {};
     std::vector<TargetEnd> ends_;
     std::string endsUnder_;
--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -1,5 +1,6 @@
 #include "Callers.h"
 
+#include <Platform/StandIns.h>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
@@ -110,15 +111,16 @@
     Record record;
     record.id_ = id;
     record.entry_ = entry;
-    record.endsTargets_ = !endingPath.empty();
-    record.mayRepeat_ = record.endsTargets_ || random_() % 3 != 0;
+    record.endingPath_ = endingPath;
+    record.mayRepeat_ = record.endsTargets() || random_() % 3 != 0;
     record.sentAt_ = std::chrono::steady_clock::now();
     Http::Request request(record.mayRepeat_ ? http::verb::get : http::verb::post,
                           record.mayRepeat_ ? "/read/x" : "/order/x", 11);
-    if (record.endsTargets_)
+    if (record.endsTargets())
         request.target(endingPath);
     request.set(http::field::host, "h.example");
     request.set("X-Cassiacrank-Request-Id", id);
+    request.set(PlatformStandIns::throughHeader, toText(entry));
     request.set("X-Cassiacrank-Affinity-Key", std::to_string(random_() % objects));
     request.set("X-Cassiacrank-Deadline-Ms", std::to_string(patience.count()));
     request.prepare_payload();
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -16,8 +16,9 @@
 {
     std::string id_;
     bool mayRepeat_ = false;
-    /// Targets end under it; it is never served.
-    bool endsTargets_ = false;
+    /// Its path, if targets end under it; it is never served then.
+    std::string endingPath_;
+    bool endsTargets() const { return !endingPath_.empty(); }
     Model::Address entry_;
     Model::SteadyTime sentAt_;
     Model::SteadyTime endedAt_;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -12,7 +12,7 @@
 DEFINE_double(minutes, 0, "play fresh seeds for so long instead");
 DEFINE_uint64(instances, 6, "instances of the system");
 DEFINE_uint64(targets, 8, "targets");
-DEFINE_int32(seconds, 30, "length of a run");
+DEFINE_int32(seconds, 46, "length of a run");
 DEFINE_bool(plan, false, "print the faults of each seed");
 
 namespace {
@@ -30,6 +30,10 @@
     const auto result = Soak::run(seed, size);
     std::cout << "seed " << seed << ": " << (result.broken_.empty() ? "kept" : "BROKEN") << ", "
               << result.requests_ << " requests, served at the end " << result.servedAtEnd_ << "\n";
+    for (std::size_t i = 0; i < Soak::promiseCount; ++i) {
+        std::cout << "  judged " << result.judged_[i] << ": "
+                  << Soak::toText(static_cast<Soak::Promise>(i)) << "\n";
+    }
     for (const auto &broken : result.broken_)
         std::cout << "  " << broken << "\n  logs: " << result.directory_ << "\n";
     std::cout.flush();
@@ -42,6 +46,12 @@
 {
     gflags::SetUsageMessage("Plays faults against real processes and checks the promises.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_seconds * 1000 < Soak::shortestLength.count() || FLAGS_instances == 0
+        || FLAGS_targets < 4) {
+        std::cerr << "a run needs at least " << Soak::shortestLength.count() / 1000
+                  << " seconds, an instance and four targets\n";
+        return 2;
+    }
     int kept = 0;
     int broken = 0;
     const auto count = [&](bool isKept) {
--- a/Tests/Soak/Plan.cpp
+++ b/Tests/Soak/Plan.cpp
@@ -17,7 +17,7 @@
 constexpr Milliseconds longest{4500};
 
 /// A request under which targets end comes for at least so long; there are up to so many in a run.
-constexpr Milliseconds shortestEnding{4000};
+constexpr Milliseconds shortestEnding{8000};
 constexpr Milliseconds longestEnding{12000};
 constexpr std::size_t mostEnding = 3;
 
@@ -43,7 +43,7 @@
         return Milliseconds(
             std::uniform_int_distribution<long long>(from.count(), to.count())(random));
     };
-    const auto end = size.length_ - calmTime;
+    const auto end = size.length_ - calmTime - leaveTime;
     const std::size_t count = 1 + random() % mostEnding;
     for (std::size_t i = 0; i < count; ++i) {
         Fault fault;
@@ -55,6 +55,57 @@
     }
 }
 
+/// From the start of the leaves until the store has been calm for long enough to bind.
+constexpr Milliseconds storeSettles{4200};
+constexpr Milliseconds pauseBetweenLeaves{1500};
+constexpr std::size_t leaves = 3;
+/// An instance is gone for so long that nobody may name it any more.
+constexpr Milliseconds goneStart{300};
+constexpr Milliseconds goneEnd{11500};
+constexpr Milliseconds editStart{5000};
+
+/// What disturbs instances and targets, and not the store.
+constexpr std::array<FaultKind, 8> besideLeaves
+    = {FaultKind::InstanceKilled, FaultKind::InstancePaused,  FaultKind::InstanceStopped,
+       FaultKind::StoreWay,       FaultKind::PeerWays,        FaultKind::TargetWay,
+       FaultKind::TargetReplaced, FaultKind::TargetMisbehaves};
+
+void addLeaves(std::vector<Fault> &faults, std::uint64_t seed, const PlanSize &size)
+{
+    std::mt19937_64 random(seed * 2 + 1);
+    const auto draw = [&](long long from, long long to) {
+        return std::uniform_int_distribution<long long>(from, to)(random);
+    };
+    const auto drawBelow = [&](std::size_t count) {
+        return static_cast<std::size_t>(draw(0, static_cast<long long>(count) - 1));
+    };
+    const auto start = size.length_ - calmTime - leaveTime;
+    const auto end = size.length_ - calmTime;
+    const auto add = [&](FaultKind kind, Milliseconds from, Milliseconds to, std::size_t subject,
+                         std::size_t variant) {
+        faults.push_back({kind, from, std::min(end, to), subject, variant});
+    };
+    add(FaultKind::InstanceKilled, start + goneStart, start + goneEnd, drawBelow(size.instances_),
+        0);
+    add(FaultKind::TableEdited, start + editStart, start + editStart, 0, 0);
+    const bool isTogether = draw(0, 2) == 0;
+    const std::size_t first = drawBelow(size.targets_);
+    auto at = start + storeSettles + Milliseconds(draw(0, 300));
+    for (std::size_t i = 0; i < leaves; ++i) {
+        const std::size_t variant = isTogether ? 0 : static_cast<std::size_t>(draw(0, 3));
+        add(FaultKind::TargetLeaves, at, end, (first + i) % size.targets_, variant);
+        if (!isTogether)
+            at += Milliseconds(draw(0, pauseBetweenLeaves.count()));
+    }
+    for (auto time = start; time < end; time += Milliseconds(draw(0, 2 * pauseBetween.count()))) {
+        const FaultKind kind = besideLeaves[drawBelow(besideLeaves.size())];
+        const auto until = time + Milliseconds(draw(shortest.count(), longest.count()));
+        const std::size_t subject
+            = drawBelow(concernsInstance(kind) ? size.instances_ : size.targets_);
+        add(kind, time, until, subject, static_cast<std::size_t>(draw(0, 3)));
+    }
+}
+
 } // namespace
 
 std::vector<Fault> planOf(std::uint64_t seed, const PlanSize &size)
@@ -63,7 +114,7 @@
     const auto draw = [&](long long from, long long to) {
         return std::uniform_int_distribution<long long>(from, to)(random);
     };
-    const auto end = size.length_ - calmTime;
+    const auto end = size.length_ - calmTime - leaveTime;
     std::vector<Fault> faults;
     for (auto at = settleTime; at < end; at += Milliseconds(draw(0, 2 * pauseBetween.count()))) {
         Fault fault;
@@ -77,6 +128,7 @@
     }
     if (size.hasEndingRequests_)
         addEndingRequests(faults, seed, size);
+    addLeaves(faults, seed, size);
     return faults;
 }
 
--- a/Tests/Soak/Plan.h
+++ b/Tests/Soak/Plan.h
@@ -47,7 +47,7 @@
 {
     std::size_t instances_ = 6;
     std::size_t targets_ = 8;
-    Model::Milliseconds length_{30000};
+    Model::Milliseconds length_{46000};
     /// Plans have requests under which targets end, beside their other faults.
     bool hasEndingRequests_ = true;
 };
@@ -55,6 +55,10 @@
 /// No fault starts before the callers have settled, and none lasts into the end of a run.
 constexpr Model::Milliseconds settleTime{3000};
 constexpr Model::Milliseconds calmTime{10000};
+/// Before that, targets leave while instances and targets are disturbed and the store is not: what
+/// the store acknowledged while it was disturbed binds nobody, so that nothing could be judged.
+constexpr Model::Milliseconds leaveTime{16000};
+constexpr Model::Milliseconds shortestLength = settleTime + leaveTime + calmTime;
 
 /// Returns the faults of \a seed by their starts; they come in series and overlap.
 std::vector<Fault> planOf(std::uint64_t seed, const PlanSize &size);
--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -1,7 +1,5 @@
 #include "Run.h"
 
-#include "Promises.h"
-
 #include <algorithm>
 
 namespace Soak {
@@ -86,6 +84,15 @@
     for (auto &found : promises.check())
         result.broken_.push_back(std::move(found));
     result.requests_ = promises.requests();
+    result.judged_ = promises.judged();
+    if (result.broken_.empty()) {
+        for (std::size_t i = 0; i < promiseCount; ++i) {
+            const auto promise = static_cast<Promise>(i);
+            const bool isInPlan = promise != Promise::EndingRequests || size.hasEndingRequests_;
+            if (isInPlan && result.judged_[i] == 0)
+                result.broken_.push_back(std::string("nothing was judged: ") + toText(promise));
+        }
+    }
     result.servedAtEnd_ = promises.servedSince(endAt - servedTime);
     if (result.broken_.empty() && result.servedAtEnd_ < leastServed) {
         result.broken_.push_back("what was disturbed recovers: served "
--- a/Tests/Soak/Run.h
+++ b/Tests/Soak/Run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Plan.h"
+#include "Promises.h"
 
 namespace Soak {
 
@@ -8,6 +9,7 @@
 struct RunResult
 {
     std::vector<std::string> broken_;
+    JudgedCounts judged_{};
     std::size_t requests_ = 0;
     double servedAtEnd_ = 0;
     /// Where the processes' logs are.
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -163,14 +163,24 @@
 void SoakSite::setStoreFaults(const StoreFaults &faults, int change)
 {
     fleet_.store_.setFaults(faults);
-    store_.count_ += change;
-    store_.endedAt_ = steadyNow();
+    disturb(store_, change);
+}
+
+void SoakSite::disturb(Disturbance &disturbance, int change)
+{
+    disturbance.count_ += change;
+    disturbance.endedAt_ = steadyNow();
 }
 
 void SoakSite::disturb(std::size_t instance, int change)
 {
-    instances_[instance].count_ += change;
-    instances_[instance].endedAt_ = steadyNow();
+    disturb(instances_[instance], change);
+}
+
+std::optional<SteadyTime> SoakSite::targetWayCalmSince(std::size_t target) const
+{
+    const auto found = targetWays_.find(target);
+    return found == targetWays_.end() ? Model::longAgo : found->second.calmSince();
 }
 
 std::optional<SteadyTime> SoakSite::calmSince(const Model::Address &entry) const
@@ -197,6 +207,13 @@
     return found->second;
 }
 
+bool SoakSite::isAnyGoneFor(Milliseconds duration, SteadyTime at) const
+{
+    return std::any_of(gone_.begin(), gone_.end(), [&](const auto &entry) {
+        return at > entry.second + duration;
+    });
+}
+
 /// A planned stop: the process must end by itself in time, and well.
 void SoakSite::stopInstance(std::size_t number)
 {
@@ -291,6 +308,7 @@
         disturb(subject, 1);
         return switchWays("peers-" + number, mode);
     case TargetWay:
+        disturb(targetWays_[subject], 1);
         return switchWays("target-" + number, mode);
     case TargetMisbehaves: {
         TargetFaults faults;
@@ -349,7 +367,8 @@
         switchWays("peers-" + number, "pass");
         return disturb(subject, -1);
     case TargetWay:
-        return switchWays("target-" + number, "pass");
+        switchWays("target-" + number, "pass");
+        return disturb(targetWays_[subject], -1);
     case TargetMisbehaves:
         return fleet_.targets_[subject]->setFaults(withEnds({}));
     case TargetLeaves:
--- a/Tests/Soak/SoakSite.h
+++ b/Tests/Soak/SoakSite.h
@@ -28,8 +28,12 @@
     /// something is.
     std::optional<Model::SteadyTime> calmSince(const Model::Address &entry) const;
     std::optional<Model::SteadyTime> storeCalmSince() const;
+    /// The same for the way to a target.
+    std::optional<Model::SteadyTime> targetWayCalmSince(std::size_t target) const;
     /// Since when an instance was killed or stopped; nothing while it runs.
     std::optional<Model::SteadyTime> goneSince(const std::string &entry) const;
+    /// Tells whether any instance had been gone for longer than \a duration at \a at.
+    bool isAnyGoneFor(Model::Milliseconds duration, Model::SteadyTime at) const;
 
     /// Sets who sends requests under which targets end; \a callers outlive the faults.
     void setCallers(Callers &callers) { callers_ = &callers; }
@@ -60,6 +64,7 @@
     void switchWays(const std::string &group, const std::string &mode);
     void registerTarget(std::size_t target, const std::string &state);
     void setStoreFaults(const PlatformStandIns::StoreFaults &faults, int change);
+    static void disturb(Disturbance &disturbance, int change);
     void disturb(std::size_t instance, int change);
     void stopInstance(std::size_t instance);
     void startInstance(std::size_t instance);
@@ -72,6 +77,7 @@
     Model::Address proxyControl_;
     std::map<std::size_t, Disturbance> instances_;
     Disturbance store_;
+    std::map<std::size_t, Disturbance> targetWays_;
     /// Instances that are down, by entry.
     std::map<std::string, Model::SteadyTime> gone_;
     /// Faults of one instance that overlap: it comes back with the last of them.
