--- /dev/null
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -0,0 +1,157 @@
+#include "FakePlatform.h"
+
+#include <Support/Property.h>
+
+namespace {
+
+using Fakes::Brain;
+using Model::Milliseconds;
+namespace http = Http::http;
+
+/// Two targets in r-a that answer every request, and a dispatcher that sends to them, all on one
+/// thread: what happens between two of its steps is up to the test.
+struct Bench
+{
+    Bench()
+    {
+        for (const char *id : {"a", "b"}) {
+            servers_.push_back(std::make_unique<Http::Server>(
+                context_, Http::ServerLimits(),
+                [this](Http::IncomingRequest request) -> Http::Task<Http::Response> {
+                    const std::string target(request.message_["Expected"]);
+                    reached_.push_back(target);
+                    auto answer = Http::textAnswer(http::status::ok, "text/plain", target, 11);
+                    answer.set("Id", std::string(request.message_["Id"]));
+                    co_return answer;
+                }));
+            addresses_[id] = freeAddress();
+            CPPUNIT_ASSERT(servers_.back()->listen(addresses_[id]));
+        }
+        brain_.port_.headers_.expectedTarget_ = "Expected";
+        guard_.setInformed();
+        brain_.tellOperators(3, 1);
+        brain_.tellTargets(2, {row("a", 2), row("b", 2)});
+    }
+
+    static Model::Address freeAddress()
+    {
+        Http::asio::io_context probing;
+        Http::tcp::acceptor probe(probing, {Http::asio::ip::make_address("127.0.0.1"), 0});
+        return {"127.0.0.1", probe.local_endpoint().port()};
+    }
+
+    Platform::StoredRow row(const std::string &id, std::uint64_t revision,
+                            const std::string &state = "ready") const
+    {
+        return Fakes::row(id, "gauging r-a " + toText(addresses_.at(id)) + " 4 " + state + " 0",
+                          revision);
+    }
+
+    /// Begins a request: its target is chosen and a connection to it is being opened.
+    void begin()
+    {
+        Http::IncomingRequest incoming;
+        incoming.message_ = Http::Request(http::verb::get, "/read/x", 11);
+        incoming.message_.set(http::field::host, "h");
+        incoming.message_.set("Id", "1");
+        incoming.message_.set("Key", "7");
+        incoming.arrivedAt_ = std::chrono::steady_clock::now();
+        incoming.isGone_ = [] {
+            return false;
+        };
+        Http::asio::co_spawn(context_, carry(std::move(incoming)), Http::asio::detached);
+        while (chosen().empty())
+            CPPUNIT_ASSERT(context_.poll_one() > 0);
+    }
+
+    Http::Task<void> carry(Http::IncomingRequest incoming)
+    {
+        answer_ = co_await dispatcher_.answer(std::move(incoming));
+    }
+
+    /// The target to which the request is on its way.
+    std::string chosen() const
+    {
+        for (const auto &[id, target] : brain_.book_.all()) {
+            if (target->ownInFlight_ > 0)
+                return id.value();
+        }
+        return "";
+    }
+
+    void finish()
+    {
+        const auto end = std::chrono::steady_clock::now() + Milliseconds(5000);
+        while (!answer_ && std::chrono::steady_clock::now() < end)
+            context_.run_one_for(Milliseconds(50));
+        CPPUNIT_ASSERT(answer_);
+    }
+
+    Http::asio::io_context context_;
+    Brain brain_{"r-a"};
+    Steering::CrashGuard guard_{brain_.port_, brain_.log_};
+    Steering::Dispatcher dispatcher_{context_,       brain_.port_, brain_.knowledge_,
+                                     brain_.placer_, guard_,       brain_.log_};
+    std::vector<std::unique_ptr<Http::Server>> servers_;
+    std::map<std::string, Model::Address> addresses_;
+    std::vector<std::string> reached_;
+    std::optional<Http::Response> answer_;
+};
+
+class TestDispatcher : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestDispatcher);
+    CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToATargetThatLeaves);
+    CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToATargetThatIsGone);
+    CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToADrainedDomain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static void assertSentElsewhere(Bench &bench, const std::string &left)
+    {
+        bench.finish();
+        const std::string other = left == "a" ? "b" : "a";
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.reached_.size());
+        CPPUNIT_ASSERT_EQUAL(other, bench.reached_.front());
+        CPPUNIT_ASSERT(bench.answer_->result() == http::status::ok);
+    }
+
+    // Guards against requests that are sent to a target after its leave became known, since they
+    // had chosen it before and waited for a connection.
+    void requestThatWaitsForAConnectionIsNotSentToATargetThatLeaves()
+    {
+        Bench bench;
+        bench.begin();
+        const std::string left = bench.chosen();
+        const std::string other = left == "a" ? "b" : "a";
+        bench.brain_.tellTargets(3, {bench.row(left, 3, "draining"), bench.row(other, 2)});
+        assertSentElsewhere(bench, left);
+    }
+
+    // The same for a target whose registration was removed.
+    void requestThatWaitsForAConnectionIsNotSentToATargetThatIsGone()
+    {
+        Bench bench;
+        bench.begin();
+        const std::string left = bench.chosen();
+        const std::string other = left == "a" ? "b" : "a";
+        bench.brain_.tellTargets(3, {bench.row(other, 2)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bench.brain_.book_.all().size());
+        assertSentElsewhere(bench, left);
+    }
+
+    // The same for a failure domain that an operator drains: nobody else may serve it either.
+    void requestThatWaitsForAConnectionIsNotSentToADrainedDomain()
+    {
+        Bench bench;
+        bench.begin();
+        bench.brain_.tellOperators(4, 4, {"r-a"});
+        bench.finish();
+        CPPUNIT_ASSERT(bench.reached_.empty());
+        CPPUNIT_ASSERT(bench.answer_->result() == http::status::service_unavailable);
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestDispatcher);
