--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -111,16 +111,81 @@
     co_return result;
 }
 
+/// A body of at most so many bytes goes to the system at once on a connection at rest.
+constexpr std::size_t unwatchedBytes = 16 * 1024;
+
+/// Ends the sending of a long body to somebody who may not get it any more.
+class SendWatch
+{
+public:
+    SendWatch(Connection &connection, const ExchangeOptions &options)
+        : connection_(connection)
+        , options_(options)
+        , timer_(connection.stream_.get_executor())
+    {
+        wait();
+    }
+    SendWatch(const SendWatch &) = delete;
+    SendWatch &operator=(const SendWatch &) = delete;
+
+    bool hasEnded() const { return hasEnded_; }
+
+private:
+    void wait()
+    {
+        timer_.expires_after(options_.watchPeriod_);
+        timer_.async_wait([this, alive = std::weak_ptr(alive_)](const ErrorCode &error) {
+            if (!error && !alive.expired())
+                look();
+        });
+    }
+
+    void look()
+    {
+        refusedFor_
+            = options_.maySend_() ? Model::Milliseconds(0) : refusedFor_ + options_.watchPeriod_;
+        if (refusedFor_ < options_.sendPatience_) {
+            wait();
+            return;
+        }
+        hasEnded_ = true;
+        connection_.stream_.cancel();
+    }
+
+    Connection &connection_;
+    const ExchangeOptions &options_;
+    asio::steady_timer timer_;
+    Model::Milliseconds refusedFor_{0};
+    bool hasEnded_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+/// Sends \a request; nothing if it was sent whole.
+Task<std::optional<ExchangeResult>>
+sendRequest(Connection &connection, const ExchangeOptions &options, const Request &request)
+{
+    std::optional<SendWatch> watch;
+    if (options.maySend_ && request.body().size() > unwatchedBytes)
+        watch.emplace(connection, options);
+    ErrorCode error;
+    co_await http::async_write(connection.stream_, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        co_return std::nullopt;
+    ExchangeResult result = failed(codeOf(error));
+    result.isWithdrawn_ = watch && watch->hasEnded();
+    co_return result;
+}
+
 /// Sends and reads on \a connection; the caller decides what becomes of the connection.
 Task<ExchangeResult> exchangeOn(Connection &connection, const ExchangeOptions &options,
                                 const Request &request, const AnswerCheck &isOwnAnswer)
 {
     connection.stream_.expires_at(options.deadline_);
-    ErrorCode error;
-    co_await http::async_write(connection.stream_, request,
-                               asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return failed(codeOf(error));
+    if (options.sends_)
+        options.sends_();
+    if (auto unsent = co_await sendRequest(connection, options, request))
+        co_return std::move(*unsent);
     int foreign = 0;
     while (true) {
         ExchangeResult result = co_await readAnswer(connection, options);
@@ -178,7 +243,7 @@
     std::unique_ptr<Connection> connection = std::move(connected.connection_);
     const auto connectedAt = std::chrono::steady_clock::now();
     const bool isCancelled = options.control_ && options.control_->isCancelled();
-    const bool isWithdrawn = connection && !isCancelled && !options.maySend_();
+    const bool isWithdrawn = connection && !isCancelled && options.maySend_ && !options.maySend_();
     if (!connection || isCancelled || isWithdrawn) {
         if (connection)
             pool.giveBack(options.address_, std::move(connection));
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -52,11 +52,14 @@
     int foreignAnswersSkipped_ = 0;
     /// If set, outlives the exchange.
     ExchangeControl *control_ = nullptr;
-    /// Called once there is a connection, just before the first byte is sent. If it returns false,
-    /// nothing is sent and the connection is kept.
-    std::function<bool()> maySend_ = [] {
-        return true;
-    };
+    /// Asked once there is a connection, just before the first byte is sent: if it says no, nothing
+    /// is sent and the connection is kept. While a long body is being sent it is asked again each
+    /// watchPeriod_; once it has said no for sendPatience_, the connection is closed.
+    std::function<bool()> maySend_;
+    Model::Milliseconds watchPeriod_{100};
+    Model::Milliseconds sendPatience_{200};
+    /// Called when the first byte is about to be sent.
+    std::function<void()> sends_;
 };
 
 struct ExchangeResult
@@ -72,7 +75,7 @@
     int foreignAnswers_ = 0;
     /// No connection could be made since nothing listens at the address.
     bool isRefused_ = false;
-    /// There was a connection, and ExchangeOptions::maySend_ said no.
+    /// ExchangeOptions::maySend_ said no, before the first byte or before the last.
     bool isWithdrawn_ = false;
 };
 
--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -53,6 +53,8 @@
          "The request ended without an answer of a target; it may have run.", 50},
         {RequestRetried, Info, "RequestRetried", "The request is sent to a second target."},
         {RequestAbandoned, Info, "RequestAbandoned", "The caller left before the answer."},
+        {RequestWithdrawn, Info, "RequestWithdrawn",
+         "The request's target may get nothing any more since it was chosen; another one is."},
         {RequestSentToMissing, Warning, "RequestSentToMissing",
          "The request is sent to a target whose registration is gone and may have lapsed."},
         {TargetAdded, Info, "TargetAdded", "A target registered itself.", 100},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -47,6 +47,7 @@
     RequestUnknown = 5003,
     RequestRetried = 5004,
     RequestAbandoned = 5005,
+    RequestWithdrawn = 5006,
     RequestSentToMissing = 5007,
     TargetAdded = 5101,
     TargetChanged = 5102,
--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -16,6 +16,7 @@
 #include "EntryRanking.h"
 #include "FairQueue.h"
 #include "HomePlacement.h"
+#include "LeaveSpans.h"
 #include "Liveness.h"
 #include "LoadNews.h"
 #include "OthersLoad.h"
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -168,6 +168,8 @@
         Attempt attempted = co_await attempt(job, placement);
         if (attempted.answer_)
             co_return deliver(job, placement, std::move(attempted));
+        if (attempted.isWithdrawn_ && !attempted.wasSent_)
+            continue;
         const bool mayTry = mayTryAgain(job, attempted, steadyNow());
         if (!open && attempted.outcome_ != Outcome::NotRun)
             open = attempted;
@@ -200,8 +202,12 @@
     options.foreignAnswersSkipped_ = foreignAnswersSkipped;
     options.control_ = &job.control_;
     options.maySend_ = [&] {
+        return maySendTo(target);
+    };
+    options.watchPeriod_ = Policy::tickPeriod;
+    options.sendPatience_ = Policy::sendPatience;
+    options.sends_ = [&] {
         noteSend(job, target);
-        return true;
     };
 
     ++target.ownInFlight_;
@@ -221,6 +227,7 @@
         if (result.connectTook_ >= dearConnection && !target.isPreparing_) {
             options.control_ = nullptr;
             options.maySend_ = nullptr;
+            options.sends_ = nullptr;
             options.deadline_ = now + options.connectTimeout_;
             Http::asio::co_spawn(context_, prepareSpare(placement.target_, options),
                                  Http::asio::detached);
@@ -280,6 +287,28 @@
     return message;
 }
 
+/// What became known since the target was chosen counts until the first byte is sent.
+bool Dispatcher::maySendTo(const TargetState &target) const
+{
+    return target.takesWork() && !knowledge_.drained().contains(target.record_.domain_);
+}
+
+void Dispatcher::noteWithdrawn(Job &job, const TargetState &target, bool wasSent,
+                               SteadyTime chosenAt)
+{
+    ++counters_.withdrawn_;
+    if (!wasSent)
+        job.tried_.pop_back();
+    log_.line(Event::RequestWithdrawn)
+        .add("id", job.id_)
+        .add("target", target.record_.id_.value())
+        .add("sent", wasSent ? "in part" : "no")
+        .add("chosen_ms_ago", std::chrono::duration_cast<Microseconds>(steadyNow() - chosenAt))
+        .add("knowing",
+             static_cast<std::int64_t>(knowledge_.mirror(StoreTable::Targets).position().value()))
+        .add("by", knowledge_.targetsSource());
+}
+
 void Dispatcher::noteSend(const Job &job, TargetState &target)
 {
     const auto now = steadyNow();
@@ -328,6 +357,11 @@
         const bool isSilent = result.code_ == ResultCode::TargetTimeout;
         // An attempt that was broken off says nothing; another request may probe.
         target.reachability_.isProbed_ = false;
+        if (result.isWithdrawn_) {
+            attempted.isWithdrawn_ = true;
+            noteWithdrawn(job, target, attempted.wasSent_, sentAt);
+            return attempted;
+        }
         noteCrash(job, placement, result, now);
         if (!job.isAbandoned_ && (isSilent || !attempted.wasSent_)) {
             placer_.noteSilence(placement, sentAt, attempted.wasSent_, now);
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -17,6 +17,8 @@
     std::uint64_t retried_ = 0;
     std::uint64_t abandoned_ = 0;
     std::uint64_t refusedByTargets_ = 0;
+    /// Attempts whose target left, or was drained, before the first byte was sent, or the last.
+    std::uint64_t withdrawn_ = 0;
     std::uint64_t foreignAnswers_ = 0;
     std::uint64_t toHome_ = 0;
     std::uint64_t toWarm_ = 0;
@@ -72,6 +74,7 @@
         Model::ResultCode code_ = Model::ResultCode::Ok;
         std::optional<Http::Response> answer_;
         bool wasSent_ = false;
+        bool isWithdrawn_ = false;
     };
 
     std::optional<Http::Response> readRequest(Job &job);
@@ -86,7 +89,10 @@
                              Model::SteadyTime now) const;
     Attempt judge(Job &job, const Placement &placement, Model::SteadyTime sentAt,
                   Http::ExchangeResult result);
+    bool maySendTo(const TargetState &target) const;
     void noteSend(const Job &job, TargetState &target);
+    void noteWithdrawn(Job &job, const TargetState &target, bool wasSent,
+                       Model::SteadyTime chosenAt);
     void noteLoad(TargetState &target, const Http::Response &answer);
     bool mayTryAgain(const Job &job, const Attempt &attempt, Model::SteadyTime now);
 
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -17,6 +17,8 @@
     count("cassiacrank_abandoned_total", "Requests whose caller left.", counters.abandoned_);
     count("cassiacrank_refused_by_targets_total", "Attempts that a target refused.",
           counters.refusedByTargets_);
+    count("cassiacrank_withdrawn_total", "Attempts whose target left before they were sent.",
+          counters.withdrawn_);
     count("cassiacrank_foreign_answers_total", "Answers dropped as another request's.",
           counters.foreignAnswers_);
     count("cassiacrank_to_home_total", "Answers from the object's home.", counters.toHome_);
--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -262,6 +262,7 @@
             return false;
         const auto missingFor = now - target->removed_->noticedAt_;
         log_.line(Event::TargetGone)
+        target->isDropped_ = true;
             .add("target", id.value())
             .add("after", "lapse")
             .add("missing_ms", std::chrono::duration_cast<Model::Microseconds>(missingFor));
@@ -278,6 +279,7 @@
     return dropped > 0;
 }
 
+        target->isDropped_ = true;
 void TargetBook::findPlace(TargetState &target) const
 {
     target.hasPlace_ = false;
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -76,6 +76,8 @@
     bool isReplaced_ = false;
     /// The one that registered itself at the same address later, if there is one.
     std::shared_ptr<const TargetState> successor_;
+    /// It was dropped from the book; requests that have chosen it before hold it still.
+    bool isDropped_ = false;
     /// Its registration is gone, and may only have lapsed.
     std::optional<Policy::RemovedRegistration> removed_;
     /// Requests whose connections broke before it was known whether it ended, and when the last one
@@ -95,7 +97,8 @@
     /// It may get new work, as far as registrations and its own word say.
     bool takesWork() const
     {
-        return hasPlace_ && isNamed_ && !record_.isLeaving_ && !isReplaced_ && !isSucceeded();
+        return hasPlace_ && isNamed_ && !record_.isLeaving_ && !isReplaced_ && !isDropped_
+               && !isSucceeded();
     }
 };
 
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -83,15 +83,19 @@
         target->target_.connections_, entries, static_cast<std::size_t>(settings_.entryThreads_));
 
     options.maySend_ = [&] {
+        return !target->isLeaving_.load();
+    };
+    options.watchPeriod_ = Policy::tickPeriod;
+    options.sendPatience_ = Policy::sendPatience;
+    options.sends_ = [&] {
         noteSend(*target, steadyNow());
-        return true;
     };
     const auto sentAt = steadyNow();
     const Http::Request message = messageForTarget(request, sentAt);
     Http::ExchangeResult result = co_await Http::exchange(pool_, options, message, isAnswerTo);
     const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
                           || result.code_ == ResultCode::TruncatedAnswer;
-    if (isBroken && guard_.noteLost(request, *target, steadyNow()))
+    if (isBroken && !result.isWithdrawn_ && guard_.noteLost(request, *target, steadyNow()))
         Http::asio::co_spawn(context_, askWhetherListening(target), Http::asio::detached);
     if (result.isRefused_)
         guard_.noteListening(*target, Http::Listening::No, steadyNow());
@@ -129,6 +133,12 @@
         verdict.code_ = result.code_;
         if (verdict.outcome_ == Outcome::NotRun)
             verdict.comeBack_ = Policy::leastComeBack;
+        if (result.isWithdrawn_) {
+            ++counters_.withdrawn_;
+            // Nothing of it was sent: it goes back to waiting for another target.
+            isRefusedAsFull = verdict.outcome_ == Outcome::NotRun;
+            return verdict;
+        }
         if (result.code_ == ResultCode::ForeignAnswer) {
             ++counters_.foreignAnswers_;
             Observe::logEvent(Event::ForeignAnswerDropped,
--- a/Services/Entryd/EntryCounters.h
+++ b/Services/Entryd/EntryCounters.h
@@ -23,6 +23,8 @@
     std::atomic<std::uint64_t> handedOver_{0};
     std::atomic<std::uint64_t> takenOver_{0};
     std::atomic<std::uint64_t> foreignAnswers_{0};
+    /// Attempts whose target was known to leave before the first byte was sent, or the last.
+    std::atomic<std::uint64_t> withdrawn_{0};
     Observe::DurationSummary latency_;
     Observe::DurationSummary waiting_;
     /// From a request's arrival to the moment at which its refusal is ready.
--- a/Services/Entryd/EntryThread.cpp
+++ b/Services/Entryd/EntryThread.cpp
@@ -139,6 +139,8 @@
         addCount("cassiacrank_entry_foreign_answers_total",
                  "Answers dropped because they belonged to another request.",
                  counters.foreignAnswers_);
+        addCount("cassiacrank_entry_withdrawn_total",
+                 "Attempts whose target left before they were sent.", counters.withdrawn_);
         text.addSummary("cassiacrank_entry_latency_seconds", "From request to answer.",
                         counters.latency_, labels);
         text.addSummary("cassiacrank_entry_waiting_seconds", "Waiting for a slot.",
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -127,6 +127,12 @@
         const bool isKept = held != targets_.end() && isSameTarget(held->second->target_, target);
         next[target.id_] = isKept ? held->second : std::make_shared<TargetState>(target);
     }
+    // Requests that have chosen a target which is gone from the table hold it still.
+    for (const auto &[id, state] : targets_) {
+        const auto kept = next.find(id);
+        if (kept == next.end() || kept->second != state)
+            state->isLeaving_ = true;
+    }
     targets_ = std::move(next);
     applyMarks();
 }
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -84,6 +84,8 @@
     CPPUNIT_TEST(ownAnswerBehindALateOneComesThrough);
     CPPUNIT_TEST(unframedAnswerCountsOnlyWhereItIsAsked);
     CPPUNIT_TEST(cancelledExchangeEndsAtOnce);
+    CPPUNIT_TEST(longBodyIsNotSentOnToSomebodyWhoMayNotGetIt);
+    CPPUNIT_TEST(nothingIsSentToSomebodyWhoMayNotGetIt);
     CPPUNIT_TEST(silenceEndsAtTheDeadline);
     CPPUNIT_TEST(refusedConnectionMeansNothingWasSent);
     CPPUNIT_TEST(strayBytesKeepAConnectionFromReuse);
@@ -153,29 +155,80 @@
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), result.answer_->body());
     }
 
+    /// An exchange with a peer that takes connections and reads nothing.
+    struct SilentExchange
+    {
+        SilentExchange()
+        {
+            options_.address_ = {"127.0.0.1", acceptor_.local_endpoint().port()};
+            options_.deadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+        }
+
+        void start() { Http::asio::co_spawn(context_, run(), Http::asio::detached); }
+
+        Http::Task<void> run()
+        {
+            result_ = co_await Http::exchange(pool_, options_, request_, Http::anyAnswer);
+        }
+
+        Http::asio::io_context context_;
+        tcp::acceptor acceptor_{context_, {Http::asio::ip::make_address("127.0.0.1"), 0}};
+        Http::ConnectionPool pool_{context_};
+        Http::ExchangeOptions options_;
+        Http::Request request_{Http::http::verb::get, "/", 11};
+        std::optional<Http::ExchangeResult> result_;
+    };
+
     void cancelledExchangeEndsAtOnce()
     {
-        Http::asio::io_context context;
-        tcp::acceptor acceptor(context, {Http::asio::ip::make_address("127.0.0.1"), 0});
-        Http::ConnectionPool pool(context);
+        SilentExchange exchange;
         Http::ExchangeControl control;
-        Http::ExchangeOptions options;
-        options.address_ = {"127.0.0.1", acceptor.local_endpoint().port()};
-        options.deadline_ = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-        options.control_ = &control;
-        const Http::Request request(Http::http::verb::get, "/", 11);
-        std::optional<Http::ExchangeResult> result;
-        const auto run = [&]() -> Http::Task<void> {
-            result = co_await Http::exchange(pool, options, request, Http::anyAnswer);
-        };
-        Http::asio::co_spawn(context, run(), Http::asio::detached);
-        context.run_for(Milliseconds(100));
-        CPPUNIT_ASSERT(!result);
+        exchange.options_.control_ = &control;
+        exchange.start();
+        exchange.context_.run_for(Milliseconds(100));
+        CPPUNIT_ASSERT(!exchange.result_);
         control.cancel();
-        context.run_for(std::chrono::seconds(5));
-        CPPUNIT_ASSERT(result);
-        CPPUNIT_ASSERT(!result->answer_);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), pool.openCount(options.address_));
+        exchange.context_.run_for(std::chrono::seconds(5));
+        CPPUNIT_ASSERT(exchange.result_);
+        CPPUNIT_ASSERT(!exchange.result_->answer_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), exchange.pool_.openCount(exchange.options_.address_));
+    }
+
+    // Guards against a body that goes on to a target long after its leave became known.
+    void longBodyIsNotSentOnToSomebodyWhoMayNotGetIt()
+    {
+        constexpr std::size_t moreThanSystemsHold = 64 * 1024 * 1024;
+        SilentExchange exchange;
+        exchange.request_.body() = std::string(moreThanSystemsHold, 'x');
+        exchange.request_.prepare_payload();
+        bool isAllowed = true;
+        exchange.options_.maySend_ = [&] {
+            return isAllowed;
+        };
+        exchange.start();
+        exchange.context_.run_for(Milliseconds(400));
+        CPPUNIT_ASSERT(!exchange.result_);
+        isAllowed = false;
+        exchange.context_.run_for(std::chrono::seconds(5));
+        CPPUNIT_ASSERT(exchange.result_);
+        CPPUNIT_ASSERT(exchange.result_->isWithdrawn_);
+        // Part of it was sent, so nobody can say that it has not run.
+        CPPUNIT_ASSERT(exchange.result_->stage_ == Http::ExchangeStage::Sent);
+    }
+
+    // Guards against a first byte to a target whose leave became known meanwhile.
+    void nothingIsSentToSomebodyWhoMayNotGetIt()
+    {
+        SilentExchange exchange;
+        exchange.options_.maySend_ = [] {
+            return false;
+        };
+        exchange.start();
+        exchange.context_.run_for(std::chrono::seconds(5));
+        CPPUNIT_ASSERT(exchange.result_);
+        CPPUNIT_ASSERT(exchange.result_->isWithdrawn_);
+        CPPUNIT_ASSERT(exchange.result_->stage_ == Http::ExchangeStage::NotConnected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), exchange.pool_.openCount(exchange.options_.address_));
     }
 
     void silenceEndsAtTheDeadline()
