--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -78,6 +78,8 @@
         {ClockGap, Warning, "ClockGap", "The process stood still; what it knew is old."},
         {StoreReading, Info, "StoreReading",
          "The instance follows a table of the store itself, or leaves that to others."},
+        {StoreCallAbandoned, Warning, "StoreCallAbandoned",
+         "Peers know of news that a waiting call to the store did not bring; it is asked anew."},
         {SettingsReloaded, Info, "SettingsReloaded", "The settings file was read anew."},
         {SettingsReloadRefused, Error, "SettingsReloadRefused",
          "The new settings have mistakes; the old ones stay in force."},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -61,6 +61,7 @@
     HistoryLost = 5202,
     ClockGap = 5203,
     StoreReading = 5204,
+    StoreCallAbandoned = 5205,
     SettingsReloaded = 5301,
     SettingsReloadRefused = 5302,
     LinesLeftOut = 5401,
--- a/Libraries/LibPlatform/StoreCall.cpp
+++ b/Libraries/LibPlatform/StoreCall.cpp
@@ -14,7 +14,8 @@
 } // namespace
 
 Task<Http::ExchangeResult> call(Store &store, Http::http::verb method, std::string target,
-                                std::string body, Model::Milliseconds patience)
+                                std::string body, Model::Milliseconds patience,
+                                Http::ExchangeControl *control)
 {
     Http::Request request(method, target, 11);
     request.set(Http::http::field::host, Model::toText(store.address_));
@@ -28,6 +29,7 @@
     options.deadline_ = std::chrono::steady_clock::now() + limit;
     options.longestIdle_ = longestRest;
     options.connectionLimit_ = connectionsToStore;
+    options.control_ = control;
     co_return co_await Http::exchange(*store.pool_, options, request, Http::anyAnswer);
 }
 
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-/// How often callers that have left are looked for and the log is written. Half of what a target
-/// may be left working for nobody is half a second.
-constexpr Milliseconds tickPeriod{100};
-
 /// How often spare connections are looked after: they get too old within a second.
 constexpr Milliseconds sparesPause{500};
 
@@ -131,6 +127,13 @@
         [this](const auto &news, bool isPeerReady) {
             parts_->guard_.hear(news, isPeerReady, steadyNow());
         });
+    parts_->peers_.setStoreCalls(
+        [this](StoreTable table, SteadyTime time) {
+            return parts_->follower_.hasWaitedSince(table, time);
+        },
+        [this](StoreTable table) {
+            parts_->follower_.askAnew(table);
+        });
     parts_->dispatcher_.setTargetsNews([this] {
         return TargetsNews{parts_->follower_.confirmedAt(StoreTable::Targets),
                            parts_->peers_.informedAt()};
@@ -255,10 +258,11 @@
 Task<void> Instance::tickLoop()
 {
     while (true) {
-        co_await Http::sleepFor(tickPeriod);
+        co_await Http::sleepFor(Policy::tickPeriod);
         const auto now = steadyNow();
         checkClocks();
         parts_->peers_.setStoreStanding(parts_->follower_.standing());
+        parts_->peers_.lookForNews();
         parts_->book_.dropMissing(now, parts_->peers_.storeEvidence());
         parts_->dispatcher_.sweepAbandoned();
         parts_->guard_.judge(now);
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -104,21 +104,23 @@
     const Policy::Member *peer = betterInformed(std::chrono::steady_clock::now());
     if (!peer)
         co_return;
-    isFetching_ = true;
     const Model::Instance asked = peer->instance_;
+    asked_.insert(asked.id_);
+    askedAt_ = std::chrono::steady_clock::now();
     const Model::Address &address = asked.addresses_.control_;
     const Http::ExchangeOptions options = optionsTo(dialled(address), fetchTimeout);
     const Http::Request request
         = requestTo(address, http::verb::get, knowledgeTarget(knowledge_.held()), "");
     const auto result = co_await Http::exchange(pool_, options, request, Http::anyAnswer);
-    isFetching_ = false;
+    asked_.erase(asked.id_);
     countCall(PeerCall::Knowledge, asked, request, result);
     const bool isOk = result.answer_ && result.answer_->result() == http::status::ok;
     if (!isOk) {
         fetchAgainAt_ = std::chrono::steady_clock::now() + fetchPause;
         co_return;
     }
-    if (knowledge_.takeFromPeer(result.answer_->body(), asked.id_.value()) && changed_)
+    const auto &text = result.answer_->body();
+    if (knowledge_.takeFromPeer(text, asked.id_.value()) && changed_)
         changed_();
     behindSince_.reset();
 }
@@ -159,8 +161,8 @@
     const auto held = positionsIn(std::string(request.target()));
     if (!held)
         return Http::textAnswer(http::status::not_found, "text/plain", "", request.version());
-    return Http::textAnswer(http::status::ok, messageType, knowledge_.forPeer(*held),
-                            request.version());
+    return Http::textAnswer(http::status::ok, messageType,
+                            knowledge_.forPeer(*held), request.version());
 }
 
 } // namespace Steering
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -11,10 +11,11 @@
 
 namespace {
 
-constexpr Milliseconds roundPeriod{400};
-/// An instance that reads the store waits this long for its own answer before it asks a peer that
-/// knows more. A call that hangs on a silent connection would else hide all news for eight seconds.
-constexpr Milliseconds readerPatience{700};
+/// An instance that reads the store, and gathers news or waits for a first answer, leaves peers
+/// that know more alone for this long.
+constexpr Milliseconds gatheringPatience{700};
+/// Peers that are asked for their rows at the same time.
+constexpr std::size_t mostAsked = 2;
 /// An instance that knows of newer rows and does not get them from its peers for so long reads the
 /// store itself.
 constexpr Milliseconds peerPatience{1000};
@@ -178,7 +179,7 @@
         noteChanges(now);
         if (behindSince_)
             catchUp(now);
-        co_await Http::sleepFor(roundPeriod);
+        co_await Http::sleepFor(Policy::peerRound);
         ++rounds_;
     }
 }
@@ -269,16 +270,51 @@
 {
     const auto knowsMore = [this](const Policy::Member &member) {
         const auto &pulse = member.pulse_;
-        return knowledge_.lacks(
-            {Platform::Revision(pulse.operatorsSeen_), Platform::Revision(pulse.targetsSeen_)});
+        return !asked_.contains(member.instance_.id_)
+               && knowledge_.lacks({Platform::Revision(pulse.operatorsSeen_),
+                                    Platform::Revision(pulse.targetsSeen_)});
     };
     return Policy::nearestThat(members_, ownInstance(), knowsMore, now, random_());
 }
 
+void PeerExchange::setStoreCalls(std::function<bool(StoreTable, SteadyTime)> hasWaitedSince,
+                                 std::function<void(StoreTable)> askAnew)
+{
+    hasWaitedSince_ = std::move(hasWaitedSince);
+    askAnew_ = std::move(askAnew);
+}
+
+void PeerExchange::lookForNews()
+{
+    if (behindSince_)
+        catchUp(std::chrono::steady_clock::now());
+}
+
+/// Tells whether the store should have told this instance what \a peer knows of a table.
+bool PeerExchange::isCallHanging(StoreTable table, const Policy::Member &peer, SteadyTime now) const
+{
+    const auto &pulse = peer.pulse_;
+    const auto seen = table == StoreTable::Operators ? pulse.operatorsSeen_ : pulse.targetsSeen_;
+    return Platform::Revision(seen) > knowledge_.mirror(table).position()
+           && hasWaitedSince_(table, now - Policy::readerPatience);
+}
+
+/// A second peer is asked beside the first one if that does not answer: it may have stopped since
+/// it told that it knows more.
+bool PeerExchange::mayFetch(SteadyTime now) const
+{
+    if (asked_.empty())
+        return now >= fetchAgainAt_;
+    return asked_.size() < mostAsked && now - askedAt_ >= Policy::fetchPatience;
+}
+
 /// Asks for the rows that a peer knows and this instance does not, if there are any.
 void PeerExchange::catchUp(SteadyTime now)
 {
-    if (!betterInformed(now)) {
+    const Policy::Member *peer = betterInformed(now);
+    if (!peer && !asked_.empty())
+        return;
+    if (!peer) {
         behindSince_.reset();
         informedAt_ = now;
         return;
@@ -286,8 +322,17 @@
     if (!behindSince_)
         behindSince_ = now;
     const bool isReader = store_.contact_ == Policy::StoreContact::Reached;
-    const bool isDue = !isReader || now - *behindSince_ >= readerPatience;
-    if (isDue && !isFetching_ && now >= fetchAgainAt_)
+    const auto behindFor = now - *behindSince_;
+    bool isDue = !isReader || behindFor >= gatheringPatience;
+    if (isReader && behindFor >= Policy::readerPatience) {
+        for (const auto table : {StoreTable::Operators, StoreTable::Targets}) {
+            if (!isCallHanging(table, *peer, now))
+                continue;
+            askAnew_(table);
+            isDue = true;
+        }
+    }
+    if (isDue && mayFetch(now))
         Http::asio::co_spawn(context_, fetchKnowledge(), Http::asio::detached);
 }
 
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <random>
+#include <set>
 
 namespace Steering {
 
@@ -44,6 +45,14 @@
     void setCrashNews(std::function<Policy::CrashNews()> told,
                       std::function<void(const Policy::CrashNews &, bool)> heard);
 
+    /// Sets what tells whether this instance's call for a table has waited for news since a time,
+    /// and what has the store asked anew.
+    void setStoreCalls(std::function<bool(StoreTable, Model::SteadyTime)> hasWaitedSince,
+                       std::function<void(StoreTable)> askAnew);
+
+    /// If this instance is known to lack rows, asks for them where that is due. Called every tick.
+    void lookForNews();
+
     /// If there is news of the store, tells it at once to a few peers that do not read the store.
     void announce();
 
@@ -88,6 +97,8 @@
     void noteChanges(Model::SteadyTime now);
     const Policy::Member *betterInformed(Model::SteadyTime now);
     void catchUp(Model::SteadyTime now);
+    bool isCallHanging(StoreTable table, const Policy::Member &peer, Model::SteadyTime now) const;
+    bool mayFetch(Model::SteadyTime now) const;
 
     Http::asio::io_context &context_;
     const Observe::Settings &settings_;
@@ -107,13 +118,20 @@
         return Policy::CrashNews();
     };
     std::function<void(const Policy::CrashNews &, bool)> crashesHeard_ = [](const auto &, bool) {};
+    std::function<bool(StoreTable, Model::SteadyTime)> hasWaitedSince_
+        = [](StoreTable, Model::SteadyTime) {
+              return false;
+          };
+    std::function<void(StoreTable)> askAnew_ = [](StoreTable) {};
     std::mt19937_64 random_{std::random_device()()};
     Model::Incarnation incarnation_;
     std::uint64_t rounds_ = 0;
     bool isReady_ = false;
     bool isLeaving_ = false;
     Policy::StoreStanding store_;
-    bool isFetching_ = false;
+    /// Peers that are being asked for their rows.
+    std::set<Model::InstanceId> asked_;
+    Model::SteadyTime askedAt_ = Model::longAgo;
     Model::SteadyTime fetchAgainAt_ = Model::longAgo;
     /// Since when a peer is known to know newer rows.
     std::optional<Model::SteadyTime> behindSince_;
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -82,9 +82,10 @@
     std::function<Http::Task<std::optional<Platform::StoredRows>>(StoreTable)> readAll_;
 
     /// Waits at most the given time for rows that changed after a revision; none is an answer too.
-    /// PlatformHistoryGone as the last reason means that everything has to be read anew.
-    std::function<Http::Task<std::optional<Platform::StoredRows>>(StoreTable, Platform::Revision,
-                                                                  Model::Milliseconds)>
+    /// PlatformHistoryGone as the last reason means that everything has to be read anew. The
+    /// control, which outlives the call, may end it.
+    std::function<Http::Task<std::optional<Platform::StoredRows>>(
+        StoreTable, Platform::Revision, Model::Milliseconds, Http::ExchangeControl &)>
         awaitChanges_;
 
     /// Writes what an instance says of itself, or removes it; returns whether the store took it.
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -23,15 +23,8 @@
 /// all instances ask at the same moment, at none of them. The others learn it from this one.
 constexpr Milliseconds firstReadersWait{2000};
 
-/// After news, further news of the targets are gathered for this long: a release brings a change
-/// every few hundred milliseconds, and each call is paid for. It is a fifth of the two and a half
-/// seconds in which a change must be known.
-constexpr Milliseconds gatherTargets{500};
+/// News of the operators' table is gathered for less time than that of targets: it is rare.
 constexpr Milliseconds gatherOperators{50};
-/// The same for an instance that reads the store in reserve: if the first reader of its region
-/// falls silent, what comes in this time is late by it, and still inside the two and a half
-/// seconds.
-constexpr Milliseconds gatherInReserve{1500};
 
 /// How often an instance that does not read the store asks itself whether it should.
 constexpr Milliseconds idlePause{200};
@@ -100,14 +93,43 @@
            || !knowledge_.mirror(table).isKnown();
 }
 
+StoreFollower::Progress &StoreFollower::progressOf(StoreTable table)
+{
+    return table == StoreTable::Operators ? operators_ : targets_;
+}
+
+const StoreFollower::Progress &StoreFollower::progressOf(StoreTable table) const
+{
+    return table == StoreTable::Operators ? operators_ : targets_;
+}
+
 Model::SteadyTime StoreFollower::confirmedAt(StoreTable table) const
 {
-    return table == StoreTable::Operators ? operators_.confirmedAt_ : targets_.confirmedAt_;
+    return progressOf(table).confirmedAt_;
+}
+
+bool StoreFollower::hasWaitedSince(StoreTable table, Model::SteadyTime time) const
+{
+    const Progress &progress = progressOf(table);
+    return progress.waiting_ && progress.waitingSince_ <= time;
+}
+
+void StoreFollower::askAnew(StoreTable table)
+{
+    Progress &progress = progressOf(table);
+    if (!progress.waiting_)
+        return;
+    log_.line(Event::StoreCallAbandoned)
+        .add("table", nameOf(table))
+        .add("waited_ms", std::chrono::duration_cast<Model::Microseconds>(
+                              std::chrono::steady_clock::now() - progress.waitingSince_));
+    progress.asksAnew_ = true;
+    std::exchange(progress.waiting_, nullptr)->cancel();
 }
 
 Task<void> StoreFollower::follow(StoreTable table)
 {
-    Progress &progress = table == StoreTable::Operators ? operators_ : targets_;
+    Progress &progress = progressOf(table);
     while (!isStopping_) {
         noteAsking(table, progress, shouldAsk(table, progress));
         if (!progress.isAsking_) {
@@ -131,7 +153,7 @@
 /// answered, however long it waits.
 Milliseconds StoreFollower::waitFor(const Progress &progress) const
 {
-    if (!progress.answeredSince_)
+    if (!progress.answeredSince_ || progress.asksAnew_)
         return Milliseconds(0);
     return rank_() == Policy::ReaderRank::First ? firstReadersWait : longestWait;
 }
@@ -139,8 +161,8 @@
 Milliseconds StoreFollower::gatherTime(StoreTable table) const
 {
     if (rank_() == Policy::ReaderRank::Reserve)
-        return gatherInReserve;
-    return table == StoreTable::Targets ? gatherTargets : gatherOperators;
+        return Policy::gatherInReserve;
+    return table == StoreTable::Targets ? Policy::gatherTargets : gatherOperators;
 }
 
 void StoreFollower::noteAsking(StoreTable table, Progress &progress, bool isAsking)
@@ -174,7 +196,16 @@
 Task<bool> StoreFollower::readChanges(StoreTable table, Progress &progress)
 {
     const auto position = knowledge_.mirror(table).position();
-    const auto changes = co_await port_.awaitChanges_(table, position, waitFor(progress));
+    const auto wait = waitFor(progress);
+    progress.asksAnew_ = false;
+    Http::ExchangeControl control;
+    progress.waitingSince_ = std::chrono::steady_clock::now();
+    // One that only asks whether there is news ends soon by itself.
+    progress.waiting_ = wait.count() > 0 ? &control : nullptr;
+    const auto changes = co_await port_.awaitChanges_(table, position, wait, control);
+    progress.waiting_ = nullptr;
+    if (!changes && control.isCancelled())
+        co_return true;
     if (!changes) {
         if (Model::lastReason().code_ == ResultCode::PlatformHistoryGone) {
             log_.line(Event::HistoryLost)
--- a/Libraries/LibSteering/StoreFollower.h
+++ b/Libraries/LibSteering/StoreFollower.h
@@ -25,6 +25,11 @@
     Policy::StoreContact contact() const;
     /// The same, with since when and up to where the store has told this instance.
     Policy::StoreStanding standing() const;
+    /// Tells whether the call for a table has waited for news since \a time or longer.
+    bool hasWaitedSince(StoreTable table, Model::SteadyTime time) const;
+    /// Ends the call that waits for a table's news, and asks the store anew at once: peers know of
+    /// news that the call should have brought.
+    void askAnew(StoreTable table);
     /// When a call for a table last succeeded.
     Model::SteadyTime confirmedAt(StoreTable table) const;
 
@@ -44,9 +49,16 @@
         /// Everything up to this revision was told by the store itself.
         Platform::Revision readUpTo_;
         int failures_ = 0;
+        /// The call that waits for news, and since when; nothing while none does.
+        Http::ExchangeControl *waiting_ = nullptr;
+        Model::SteadyTime waitingSince_;
+        /// The call before was taken for dead.
+        bool asksAnew_ = false;
     };
 
     Http::Task<void> follow(StoreTable table);
+    Progress &progressOf(StoreTable table);
+    const Progress &progressOf(StoreTable table) const;
     bool shouldAsk(StoreTable table, const Progress &progress) const;
     void noteAsking(StoreTable table, Progress &progress, bool isAsking);
     Model::Milliseconds waitFor(const Progress &progress) const;
--- a/Services/Entryd/Prober.cpp
+++ b/Services/Entryd/Prober.cpp
@@ -4,14 +4,8 @@
 
 namespace Entryd {
 
-using Model::Milliseconds;
-
 namespace {
 
-/// A target that leaves must get no new work after 3 s, though nobody sends it requests meanwhile
-/// and the platform's list lags: it is asked this often.
-constexpr Milliseconds probePause{500};
-constexpr Milliseconds probeTimeout{400};
 constexpr const char *healthPath = "/cassiacrank/health";
 
 Http::beast::string_view viewOf(std::string_view text)
@@ -36,7 +30,7 @@
         });
         for (const auto &target : targets)
             Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
-        co_await Http::sleepFor(probePause);
+        co_await Http::sleepFor(Policy::probePause);
     }
 }
 
@@ -47,8 +41,8 @@
     request.set(viewOf(Http::requestIdHeader), newRequestId().value());
     Http::ExchangeOptions options;
     options.address_ = Observe::dialAddress(settings_, target->target_.address_);
-    options.deadline_ = std::chrono::steady_clock::now() + probeTimeout;
-    options.connectTimeout_ = probeTimeout;
+    options.deadline_ = std::chrono::steady_clock::now() + Policy::probeTimeout;
+    options.connectTimeout_ = Policy::probeTimeout;
     const Http::ExchangeResult result
         = co_await Http::exchange(pool_, options, request, isAnswerTo);
     if (!result.answer_) {
