--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -134,6 +134,13 @@
         [this](StoreTable table) {
             parts_->follower_.askAnew(table);
         });
+    parts_->peers_.setRemovalNews(
+        [this] {
+            return parts_->book_.removalsToTell(steadyNow());
+        },
+        [this](const RemovalAges &ages) {
+            parts_->book_.hearRemovals(ages, steadyNow());
+        });
     parts_->dispatcher_.setTargetsNews([this] {
         return TargetsNews{parts_->follower_.confirmedAt(StoreTable::Targets),
                            parts_->peers_.informedAt()};
--- a/Libraries/LibSteering/Knowledge.cpp
+++ b/Libraries/LibSteering/Knowledge.cpp
@@ -12,6 +12,9 @@
 /// Since always: a drain that an operator has ordered without a time is in force at once.
 constexpr const char *longAgo = "2000-01-01T00:00:00Z";
 
+/// No peer tells of removals that are older.
+constexpr std::uint64_t longestAgeMs = 60000;
+
 json toJson(const Platform::StoredRows &rows, bool isWhole)
 {
     json list = json::array();
@@ -170,13 +173,28 @@
            || lastChanges.targets_ > targets_.position();
 }
 
-std::string Knowledge::forPeer(const HeldPositions &held) const
+RemovalAges removalsFromPeer(const std::string &text)
+{
+    const json parsed = json::from_msgpack(text, true, false);
+    RemovalAges ages;
+    if (!parsed.is_object() || !parsed.contains("removals") || !parsed["removals"].is_object())
+        return ages;
+    for (const auto &[id, age] : parsed["removals"].items()) {
+        if (age.is_number_unsigned())
+            ages[id] = Model::Milliseconds(std::min(age.get<std::uint64_t>(), longestAgeMs));
+    }
+    return ages;
+}
+
+std::string Knowledge::forPeer(const HeldPositions &held, const RemovalAges &removals) const
 {
     json text = json::object();
     if (operators_.isKnown())
         text["operators"] = jsonFor(operators_, held.operators_);
     if (targets_.isKnown())
         text["targets"] = jsonFor(targets_, held.targets_);
+    for (const auto &[id, age] : removals)
+        text["removals"][id] = static_cast<std::uint64_t>(age.count());
     // Unlike JSON, MessagePack carries any bytes: a row may hold some that are no text.
     std::string bytes;
     json::to_msgpack(text, bytes);
--- a/Libraries/LibSteering/Knowledge.h
+++ b/Libraries/LibSteering/Knowledge.h
@@ -10,6 +10,13 @@
 
 namespace Steering {
 
+/// How long ago targets' registrations were first found to be gone, by the target's id.
+using RemovalAges = std::map<std::string, Model::Milliseconds>;
+
+/// Returns the ages in a text that Knowledge::forPeer() wrote; none if it has none that can be
+/// read. Thread safety: any thread.
+RemovalAges removalsFromPeer(const std::string &text);
+
 /// Up to where an instance knows the tables; zero where it knows nothing of one.
 struct HeldPositions
 {
@@ -52,8 +59,9 @@
     /// asking the other, ten times a second, for nothing. Everything up to a position is known.
     bool lacks(const HeldPositions &lastChanges) const;
     /// Returns what a peer that holds so much lacks: a text that takeFromPeer() reads. It has the
-    /// changes alone where those are known, else all rows.
-    std::string forPeer(const HeldPositions &held) const;
+    /// changes alone where those are known, else all rows. \a removals goes with it: the time for
+    /// which a missing target may be used begins with the first that notices it, not with the last.
+    std::string forPeer(const HeldPositions &held, const RemovalAges &removals = {}) const;
     /// Takes in what a peer knows where it is newer. Returns whether anything was.
     bool takeFromPeer(const std::string &text, const std::string &peer);
 
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -120,6 +120,7 @@
         co_return;
     }
     const auto &text = result.answer_->body();
+    removalsHeard_(removalsFromPeer(text));
     if (knowledge_.takeFromPeer(text, asked.id_.value()) && changed_)
         changed_();
     behindSince_.reset();
@@ -162,7 +163,7 @@
     if (!held)
         return Http::textAnswer(http::status::not_found, "text/plain", "", request.version());
     return Http::textAnswer(http::status::ok, messageType,
-                            knowledge_.forPeer(*held), request.version());
+                            knowledge_.forPeer(*held, removalsTold_()), request.version());
 }
 
 } // namespace Steering
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -284,6 +284,13 @@
     askAnew_ = std::move(askAnew);
 }
 
+void PeerExchange::setRemovalNews(std::function<RemovalAges()> told,
+                                  std::function<void(const RemovalAges &)> heard)
+{
+    removalsTold_ = std::move(told);
+    removalsHeard_ = std::move(heard);
+}
+
 void PeerExchange::lookForNews()
 {
     if (behindSince_)
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -49,6 +49,10 @@
     /// and what has the store asked anew.
     void setStoreCalls(std::function<bool(StoreTable, Model::SteadyTime)> hasWaitedSince,
                        std::function<void(StoreTable)> askAnew);
+    /// Sets where it comes from, and where it goes, how long ago targets' registrations were first
+    /// found to be gone.
+    void setRemovalNews(std::function<RemovalAges()> told,
+                        std::function<void(const RemovalAges &)> heard);
 
     /// If this instance is known to lack rows, asks for them where that is due. Called every tick.
     void lookForNews();
@@ -123,6 +127,10 @@
               return false;
           };
     std::function<void(StoreTable)> askAnew_ = [](StoreTable) {};
+    std::function<RemovalAges()> removalsTold_ = [] {
+        return RemovalAges();
+    };
+    std::function<void(const RemovalAges &)> removalsHeard_ = [](const RemovalAges &) {};
     std::mt19937_64 random_{std::random_device()()};
     Model::Incarnation incarnation_;
     std::uint64_t rounds_ = 0;
--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -7,6 +7,13 @@
 using Model::SteadyTime;
 using Observe::Event;
 
+namespace {
+
+/// How long it is remembered when a registration was found to be gone: news takes less time.
+constexpr Model::Milliseconds removalMemory{10000};
+
+} // namespace
+
 TargetBook::TargetBook(const PlatformPort &port, const Knowledge &knowledge,
                        Observe::DecisionLog &log)
     : port_(port)
@@ -19,6 +26,11 @@
 {
     for (const auto &[key, row] : knowledge_.mirror(StoreTable::Targets).rows())
         take(row, now);
+    std::erase_if(removals_, [&](const auto &entry) {
+        const auto &[id, noticedAt] = entry;
+        const bool isBack = knowledge_.mirror(StoreTable::Targets).rows().contains(id.value());
+        return isBack || now - noticedAt > removalMemory;
+    });
     std::erase_if(unreadable_, [&](const auto &entry) {
         return !knowledge_.mirror(StoreTable::Targets).rows().contains(entry.first);
     });
@@ -231,7 +243,7 @@
             return false;
         Policy::RemovedRegistration removed;
         removed.revision_ = mirror.removedAt(id.value()).value_or(mirror.position()).value();
-        removed.noticedAt_ = now;
+        removed.noticedAt_ = removals_.try_emplace(id, now).first->second;
         removed.isOneOfMany_ = static_cast<std::size_t>(unannounced) >= Policy::manyAtOnce;
         const auto until = Policy::usableUntil(removed, evidence);
         if (until > now && !target->record_.isLeaving_) {
@@ -250,6 +262,7 @@
             .add("leaving", target->record_.isLeaving_ ? "yes" : "no");
         if (!target->record_.isLeaving_)
             logLeave(*target, "removed", Platform::Revision(removed.revision_), now);
+        target->isDropped_ = true;
         return true;
     });
 }
@@ -262,11 +275,11 @@
             return false;
         const auto missingFor = now - target->removed_->noticedAt_;
         log_.line(Event::TargetGone)
-        target->isDropped_ = true;
             .add("target", id.value())
             .add("after", "lapse")
             .add("missing_ms", std::chrono::duration_cast<Model::Microseconds>(missingFor));
         logLeave(*target, "lapsed", Platform::Revision(target->removed_->revision_), now);
+        target->isDropped_ = true;
         return true;
     });
     if (dropped > 0)
@@ -279,7 +292,6 @@
     return dropped > 0;
 }
 
-        target->isDropped_ = true;
 void TargetBook::findPlace(TargetState &target) const
 {
     target.hasPlace_ = false;
@@ -366,6 +378,26 @@
     return loads;
 }
 
+RemovalAges TargetBook::removalsToTell(SteadyTime now) const
+{
+    RemovalAges ages;
+    for (const auto &[id, noticedAt] : removals_) {
+        if (now - noticedAt <= removalMemory)
+            ages[id.value()] = std::chrono::duration_cast<Model::Milliseconds>(now - noticedAt);
+    }
+    return ages;
+}
+
+void TargetBook::hearRemovals(const RemovalAges &ages, SteadyTime now)
+{
+    for (const auto &[id, age] : ages) {
+        if (age > removalMemory)
+            continue;
+        const auto [known, isNew] = removals_.try_emplace(Model::TargetId(id), now - age);
+        known->second = std::min(known->second, now - age);
+    }
+}
+
 void TargetBook::hearLoads(const std::vector<Policy::TargetLoad> &loads, SteadyTime now)
 {
     for (const auto &load : loads) {
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -137,6 +137,12 @@
     /// Takes in what another instance told; loads of unknown targets are ignored.
     void hearLoads(const std::vector<Policy::TargetLoad> &loads, Model::SteadyTime now);
 
+    /// Returns how long ago registrations were found to be gone, here or at a peer, where that was
+    /// lately.
+    RemovalAges removalsToTell(Model::SteadyTime now) const;
+    /// Takes in what a peer told of that, before what it knows of the targets is taken in.
+    void hearRemovals(const RemovalAges &ages, Model::SteadyTime now);
+
     const std::map<Model::TargetId, std::shared_ptr<TargetState>> &all() const { return targets_; }
     /// A seed for each of the table's domains, the same on every instance.
     const std::vector<std::uint64_t> &domainSeeds() const { return domainSeeds_; }
@@ -160,6 +166,8 @@
     /// Rows that cannot be read, by key, so that each is logged once.
     std::map<std::string, Platform::Revision> unreadable_;
     std::vector<Model::Address> restarted_;
+    /// When registrations were first found to be gone, here or at a peer.
+    std::map<Model::TargetId, Model::SteadyTime> removals_;
     /// How many targets had said that they are replaced when services were arranged.
     std::size_t replaced_ = 0;
     std::unordered_map<Model::ServiceId, ServiceTargets> services_;
--- a/Tests/LibSteering/TestKnowledge.cpp
+++ b/Tests/LibSteering/TestKnowledge.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(lapsedTargetsAreUsedUntilTheyAreBack);
     CPPUNIT_TEST(lapsedTargetsThatStayAwayAreDropped);
     CPPUNIT_TEST(targetsThatLeaveTogetherOnACalmDayGetNothingInTime);
+    CPPUNIT_TEST(lateNewsOfRemovalsDoesNotProlongTheirUse);
+    CPPUNIT_TEST(registrationThatIsBackIsNoOldRemoval);
+    CPPUNIT_TEST(agesOfRemovalsReachPeersAndDamagedOnesAreIgnored);
     CPPUNIT_TEST(outageOfLongAgoIsNoLapse);
     CPPUNIT_TEST(targetThatLeavesAfterTheStoreReturnedGetsNothingInTime);
     CPPUNIT_TEST(drainedDomainGetsNothing);
@@ -229,6 +232,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable(brain, "gauging"));
     }
 
+    // Guards against a grace that begins when the news comes, where peers have noticed before.
+    void lateNewsOfRemovalsDoesNotProlongTheirUse()
+    {
+        Brain brain("r-a");
+        brain.tellOperators(7, 20);
+        auto list = fourTargets();
+        brain.tellTargets(21, list);
+        Steering::RemovalAges ages;
+        for (std::size_t i = 1; i < list.size(); ++i)
+            ages[list[i].key_] = Policy::unseenLapseGrace;
+        brain.book_.hearRemovals(ages, brain.now_);
+        list.resize(1);
+        brain.tellTargets(22, list);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable(brain, "gauging"));
+    }
+
+    // Guards against a lapse that is cut short by what was noticed of one before it.
+    void registrationThatIsBackIsNoOldRemoval()
+    {
+        Brain brain("r-a");
+        brain.tellOperators(7, 20);
+        const auto list = fourTargets();
+        brain.tellTargets(21, list);
+        brain.tellTargets(22, {list.front()});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), brain.book_.removalsToTell(brain.now_).size());
+        brain.tellTargets(23, list);
+        CPPUNIT_ASSERT(brain.book_.removalsToTell(brain.now_).empty());
+        brain.now_ += Policy::unseenLapseGrace;
+        brain.tellTargets(24, {list.front()});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), usable(brain, "gauging"));
+    }
+
+    void agesOfRemovalsReachPeersAndDamagedOnesAreIgnored()
+    {
+        Brain brain("r-a");
+        const Steering::RemovalAges ages = {{"a", Milliseconds(70)}, {"b", Milliseconds(0)}};
+        CPPUNIT_ASSERT(Steering::removalsFromPeer(brain.knowledge_.forPeer({}, ages)) == ages);
+        CPPUNIT_ASSERT(Steering::removalsFromPeer(brain.knowledge_.forPeer({})).empty());
+        CPPUNIT_ASSERT(Steering::removalsFromPeer("damaged").empty());
+    }
+
     // Symptom, sequence and cause as above, where the store failed three seconds before: by then
     // every target that lives has registered again.
     void outageOfLongAgoIsNoLapse()
