--- a/Libraries/LibObserve/Daemon.cpp
+++ b/Libraries/LibObserve/Daemon.cpp
@@ -30,6 +30,7 @@
 DaemonStart startDaemon(int argc, char **argv, const std::string &purpose, SettingUse use,
                         const std::string &usualPath)
 {
+    blockStopSignals();
     const std::string help
         = purpose + "\n\nUsage: " + std::string(argv[0])
           + " --settings FILE [--check-settings]\n\n"
@@ -94,6 +95,12 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+void takeStopSignals()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 void waitForStopSignal()
 {
     const sigset_t signals = stopSignals();
--- a/Libraries/LibObserve/Daemon.h
+++ b/Libraries/LibObserve/Daemon.h
@@ -20,8 +20,10 @@
 };
 
 /// Reads the command line (--settings, --check-settings, --help), sets up the log, and reads and
-/// checks the settings that \a use names. \a purpose is the first line of the help; \a usualPath is
-/// where the settings are if the command line does not say.
+/// checks the settings that \a use names. Stop signals are blocked from then on, as by
+/// blockStopSignals(): one that comes while a process starts would else end it with a failure. \a
+/// purpose is the first line of the help; \a usualPath is where the settings are if the command
+/// line does not say.
 ///
 /// Precondition: called once, first in main(). Thread safety: none.
 DaemonStart startDaemon(int argc, char **argv, const std::string &purpose,
@@ -33,10 +35,14 @@
 
 /// Blocks until the process is asked to stop (SIGTERM or SIGINT).
 ///
-/// Precondition: blockStopSignals() was called before any thread was started.
+/// Precondition: startDaemon() or blockStopSignals() was called before any thread was started.
 void waitForStopSignal();
 
 /// Keeps stop signals from ending the process, in this thread and those that it starts later.
 void blockStopSignals();
 
+/// Lets this thread take stop signals, for a process that handles them itself; one that came
+/// meanwhile is taken at once. Precondition: a handler is set. Thread safety: any thread.
+void takeStopSignals();
+
 } // namespace Observe
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -147,6 +147,7 @@
     });
     parts_->follower_.start();
     awaitSignal();
+    Observe::takeStopSignals();
     Http::asio::co_spawn(context_, tickLoop(), Http::asio::detached);
     Http::asio::co_spawn(context_, introduce(), Http::asio::detached);
     Http::asio::co_spawn(context_, keepQuarantines(), Http::asio::detached);
@@ -156,6 +157,8 @@
 void Instance::run()
 {
     context_.run();
+    // A second stop signal must not end the process while the first one's handler is taken down.
+    Observe::blockStopSignals();
     log_.line(Event::Stopped)
         .add("in_progress", static_cast<std::int64_t>(parts_->dispatcher_.inProgress()));
     log_.flush();
--- a/Services/Controld/main.cpp
+++ b/Services/Controld/main.cpp
@@ -103,7 +103,6 @@
 
 int main(int argc, char **argv)
 {
-    Observe::blockStopSignals();
     const auto start = Observe::startDaemon(
         argc, argv,
         "controld: follows the platform's table, exchanges state with the other instances and\n"
--- a/Services/Entryd/main.cpp
+++ b/Services/Entryd/main.cpp
@@ -171,7 +171,6 @@
 
 int main(int argc, char **argv)
 {
-    Observe::blockStopSignals();
     const auto start = Observe::startDaemon(
         argc, argv,
         "entryd: takes callers' requests, admits them, forwards each to a target and answers.");
--- a/Services/Instanced/main.cpp
+++ b/Services/Instanced/main.cpp
@@ -7,6 +7,8 @@
 int main(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // The settings are about to be read; from the start of the instance on they are read again.
+    std::signal(SIGHUP, SIG_IGN);
     const char *usualPath = std::getenv(Adapter::settingsVariable);
     const auto start = Observe::startDaemon(
         argc, argv,
--- a/Services/Lookupd/main.cpp
+++ b/Services/Lookupd/main.cpp
@@ -210,7 +210,6 @@
 
 int main(int argc, char **argv)
 {
-    Observe::blockStopSignals();
     const auto start = Observe::startDaemon(
         argc, argv, "lookupd: tells callers which entry to use, from memory alone.");
     if (!start.settings_)
--- a/Tests/Harness/Process.cpp
+++ b/Tests/Harness/Process.cpp
@@ -80,6 +80,20 @@
     wait(Model::Milliseconds(5000));
 }
 
+bool Process::minds(int number) const
+{
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string name, value; file >> name;) {
+        if (name != "SigBlk:" && name != "SigCgt:")
+            continue;
+        constexpr int hexadecimal = 16;
+        file >> value;
+        if ((std::stoull(value, nullptr, hexadecimal) >> (number - 1)) % 2 == 1)
+            return true;
+    }
+    return false;
+}
+
 double Process::cpuSeconds() const
 {
     std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
--- a/Tests/Harness/Process.h
+++ b/Tests/Harness/Process.h
@@ -25,6 +25,9 @@
     std::optional<int> wait(Model::Milliseconds patience);
     void kill();
     bool isRunning() const { return pid_ > 0; }
+    /// Tells whether it blocks or handles a signal by now: one that comes while the system still
+    /// loads the program ends it, whatever the program does.
+    bool minds(int number) const;
     /// Returns the processor time used so far, in seconds.
     double cpuSeconds() const;
     const std::string &name() const { return name_; }
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -4,7 +4,10 @@
 #include <LibPolicy/LibPolicy.h>
 #include <Support/Property.h>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <future>
+#include <sys/stat.h>
 
 namespace {
 
@@ -41,6 +44,7 @@
     CPPUNIT_TEST(freshInstanceStartsFromPeersWhileTheStoreIsDown);
     CPPUNIT_TEST(forgottenHistoryIsReadAnew);
     CPPUNIT_TEST(plannedStopFinishesWhatIsInProgress);
+    CPPUNIT_TEST(stopSignalWhileStartingEndsWell);
     CPPUNIT_TEST(killedInstanceIsNoLongerNamed);
     CPPUNIT_TEST(callerThatLeavesCancelsWhatMayBeRepeated);
     CPPUNIT_TEST_SUITE_END();
@@ -466,6 +470,30 @@
         CPPUNIT_ASSERT_EQUAL(0, stopping.process_->wait(Milliseconds(6000)).value_or(-1));
     }
 
+    // Guards against a stop signal that ends a process with a failure while it still starts.
+    void stopSignalWhileStartingEndsWell()
+    {
+        Fleet fleet;
+        fleet.configure(1);
+        fleet.start(1);
+        auto &process = *fleet.instances_[0]->process_;
+        process.kill();
+        const std::string path = fleet.directory() + "/" + fleet.instances_[0]->name_ + ".ini";
+        std::ifstream file(path);
+        const std::string settings((std::istreambuf_iterator<char>(file)), {});
+        std::filesystem::remove(path);
+        CPPUNIT_ASSERT_EQUAL(0, mkfifo(path.c_str(), S_IRUSR | S_IWUSR));
+        process.start();
+        {
+            // Opens once the process has begun to read its settings.
+            std::ofstream pipe(path);
+            process.signal(SIGTERM);
+            Harness::pause(Milliseconds(100));
+            pipe << settings;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, process.wait(Milliseconds(6000)).value_or(-1));
+    }
+
     void killedInstanceIsNoLongerNamed()
     {
         Fleet fleet;
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -29,6 +29,8 @@
 constexpr int targetDelayUs = 1000;
 /// The platform's patience with a stopped process, and a little for this program.
 constexpr Milliseconds stopPatience{6500};
+/// A process that was started a moment ago has begun by then.
+constexpr Milliseconds startPatience{2000};
 
 std::uint16_t port(int base, std::size_t number)
 {
@@ -220,6 +222,9 @@
     auto &instance = *fleet_.instances_[number];
     if (!instance.process_->isRunning())
         return;
+    Harness::waitUntil(startPatience, [&] {
+        return instance.process_->minds(SIGTERM);
+    });
     instance.process_->signal(SIGTERM);
     const bool isPaused = pauseCount_[number] > 0;
     const auto code = instance.process_->wait(isPaused ? Milliseconds(0) : stopPatience);
