--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -46,10 +46,10 @@
 {
     gflags::SetUsageMessage("Plays faults against real processes and checks the promises.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_seconds * 1000 < Soak::shortestLength.count() || FLAGS_instances == 0
+    if (FLAGS_seconds * 1000 < Soak::shortestLength.count() || FLAGS_instances < 2
         || FLAGS_targets < 4) {
         std::cerr << "a run needs at least " << Soak::shortestLength.count() / 1000
-                  << " seconds, an instance and four targets\n";
+                  << " seconds, two instances and four targets\n";
         return 2;
     }
     int kept = 0;
--- a/Tests/Soak/Plan.cpp
+++ b/Tests/Soak/Plan.cpp
@@ -85,9 +85,16 @@
                          std::size_t variant) {
         faults.push_back({kind, from, std::min(end, to), subject, variant});
     };
-    add(FaultKind::InstanceKilled, start + goneStart, start + goneEnd, drawBelow(size.instances_),
-        0);
+    // Something is judged in every run: one instance is left alone, and the ways to all targets
+    // that leave are.
+    const std::size_t spared = drawBelow(size.instances_);
+    const auto drawInstance = [&] {
+        return (spared + 1 + drawBelow(size.instances_ - 1)) % size.instances_;
+    };
+    add(FaultKind::InstanceKilled, start + goneStart, start + goneEnd, drawInstance(), 0);
     add(FaultKind::TableEdited, start + editStart, start + editStart, 0, 0);
+    if (size.hasEndingRequests_)
+        add(FaultKind::RequestEndsTargets, start + goneStart, end, mostEnding, 0);
     const bool isTogether = draw(0, 2) == 0;
     const std::size_t first = drawBelow(size.targets_);
     auto at = start + storeSettles + Milliseconds(draw(0, 300));
@@ -101,7 +108,9 @@
         const FaultKind kind = besideLeaves[drawBelow(besideLeaves.size())];
         const auto until = time + Milliseconds(draw(shortest.count(), longest.count()));
         const std::size_t subject
-            = drawBelow(concernsInstance(kind) ? size.instances_ : size.targets_);
+            = concernsInstance(kind)
+                  ? drawInstance()
+                  : (first + leaves + drawBelow(size.targets_ - leaves)) % size.targets_;
         add(kind, time, until, subject, static_cast<std::size_t>(draw(0, 3)));
     }
 }
