--- a/Tests/Soak/Run.cpp
+++ b/Tests/Soak/Run.cpp
@@ -74,6 +74,7 @@
     const auto endAt = startedAt + size.length_;
     while (std::chrono::steady_clock::now() < endAt && result.broken_.empty()) {
         const auto elapsed = std::chrono::steady_clock::now() - startedAt;
+        site.watchStops();
         player.playUntil(std::chrono::duration_cast<Milliseconds>(elapsed));
         Harness::pause(tick);
         result.broken_ = promises.check();
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -220,28 +220,58 @@
 void SoakSite::stopInstance(std::size_t number)
 {
     auto &instance = *fleet_.instances_[number];
-    if (!instance.process_->isRunning())
+    if (!instance.process_->isRunning() || stops_.contains(number))
         return;
     Harness::waitUntil(startPatience, [&] {
         return instance.process_->minds(SIGTERM);
     });
     instance.process_->signal(SIGTERM);
+    stops_[number] = {steadyNow(), false};
+}
+
+/// Tells whether a stop is over. One whose process is paused meanwhile need not end well.
+bool SoakSite::hasStopped(std::size_t number, const Stop &stop)
+{
+    auto &instance = *fleet_.instances_[number];
+    const auto code = instance.process_->wait(Milliseconds(0));
     const bool isPaused = pauseCount_[number] > 0;
-    const auto code = instance.process_->wait(isPaused ? Milliseconds(0) : stopPatience);
+    const bool isLate = steadyNow() - stop.askedAt_ > stopPatience;
+    if (!code && !isPaused && !isLate)
+        return false;
     if (!isPaused && code.value_or(-1) != 0) {
         mistakes_.push_back(instance.name_
                             + " did not end well: " + std::to_string(code.value_or(-1)));
     }
     instance.process_->kill();
+    return true;
+}
+
+void SoakSite::watchStops()
+{
+    for (auto stop = stops_.begin(); stop != stops_.end();) {
+        const std::size_t number = stop->first;
+        if (!hasStopped(number, stop->second)) {
+            ++stop;
+            continue;
+        }
+        const bool mustStart = stop->second.mustStart_;
+        stop = stops_.erase(stop);
+        if (mustStart)
+            startInstance(number);
+    }
 }
 
 void SoakSite::startInstance(std::size_t number)
 {
-    auto &instance = *fleet_.instances_[number];
-    if (--downCount_[number] > 0)
+    const auto stop = stops_.find(number);
+    if (stop != stops_.end()) {
+        stop->second.mustStart_ = true;
         return;
+    }
+    auto &instance = *fleet_.instances_[number];
     gone_.erase(toText(instance.entry()));
     pauseCount_[number] = 0;
+    disturb(number, 0);
     instance.process_->start();
 }
 
@@ -289,8 +319,10 @@
         auto &instance = *fleet_.instances_[subject];
         if (downCount_[subject]++ > 0)
             return;
-        if (fault.kind_ == InstanceKilled)
+        if (fault.kind_ == InstanceKilled) {
             instance.process_->kill();
+            stops_.erase(subject);
+        }
         stopInstance(subject);
         gone_[toText(instance.entry())] = steadyNow();
         return;
@@ -355,7 +387,8 @@
     switch (fault.kind_) {
     case InstanceKilled:
     case InstanceStopped:
-        startInstance(subject);
+        if (--downCount_[subject] == 0)
+            startInstance(subject);
         return disturb(subject, -1);
     case InstancePaused:
         if (--pauseCount_[subject] <= 0)
--- a/Tests/Soak/SoakSite.h
+++ b/Tests/Soak/SoakSite.h
@@ -20,6 +20,9 @@
     bool start();
     void begin(const Fault &fault);
     void end(const Fault &fault);
+    /// Looks whether instances that were asked to stop have ended, and starts those that are due.
+    /// Called again and again.
+    void watchStops();
 
     PlatformStandIns::Fleet &fleet() { return fleet_; }
     std::vector<Model::Address> lookups() const;
@@ -66,7 +69,16 @@
     void setStoreFaults(const PlatformStandIns::StoreFaults &faults, int change);
     static void disturb(Disturbance &disturbance, int change);
     void disturb(std::size_t instance, int change);
+    /// A planned stop that has not ended.
+    struct Stop
+    {
+        Model::SteadyTime askedAt_;
+        /// It is to be started again.
+        bool mustStart_ = false;
+    };
+
     void stopInstance(std::size_t instance);
+    bool hasStopped(std::size_t instance, const Stop &stop);
     void startInstance(std::size_t instance);
     void replaceTarget(std::size_t target);
     void leaveTarget(std::size_t target, bool isAnnounced);
@@ -83,6 +95,7 @@
     /// Faults of one instance that overlap: it comes back with the last of them.
     std::map<std::size_t, int> downCount_;
     std::map<std::size_t, int> pauseCount_;
+    std::map<std::size_t, Stop> stops_;
     std::map<std::string, Model::SteadyTime> leftAt_;
     std::set<std::size_t> leavingTargets_;
     std::map<std::string, int> drains_;
