--- /dev/null
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -0,0 +1,157 @@
+#include "Dispatcher.h"
+
+namespace Steering {
+
+using Model::Microseconds;
+using Model::ResultCode;
+using Model::SteadyTime;
+using Observe::Event;
+using Policy::Outcome;
+namespace http = Http::http;
+
+namespace {
+
+/// Targets that are tried where none could be reached: what never left counts against no budget.
+/// Half of a failure domain may be down at once, so two tries often meet two dead ones.
+constexpr std::size_t mostTries = 4;
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+Http::beast::string_view viewOf(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+void Dispatcher::noteWithdrawn(Job &job, const TargetState &target, bool wasSent,
+                               SteadyTime chosenAt)
+{
+    ++counters_.withdrawn_;
+    if (!wasSent)
+        job.tried_.pop_back();
+    log_.line(Event::RequestWithdrawn)
+        .add("id", job.id_)
+        .add("target", target.record_.id_.value())
+        .add("sent", wasSent ? "in part" : "no")
+        .add("chosen_ms_ago", std::chrono::duration_cast<Microseconds>(steadyNow() - chosenAt))
+        .add("knowing",
+             static_cast<std::int64_t>(knowledge_.mirror(StoreTable::Targets).position().value()))
+        .add("by", knowledge_.targetsSource());
+}
+
+void Dispatcher::noteLoad(TargetState &target, const Http::Response &answer)
+{
+    const auto load = port_.loadIn_(answer);
+    if (!load)
+        return;
+    Policy::learnLoad(target.sharedLoad_, static_cast<double>(load->running_ + load->waiting_),
+                      target.record_.slots_, steadyNow());
+    const std::int64_t others = load->running_ + load->waiting_ - target.ownInFlight_;
+    Policy::learnOthersLoad(target.othersLoad_, std::max<double>(0, static_cast<double>(others)),
+                            steadyNow());
+}
+
+Dispatcher::Attempt Dispatcher::judge(Job &job, const Placement &placement, SteadyTime sentAt,
+                                      Http::ExchangeResult result)
+{
+    TargetState &target = *placement.target_;
+    const auto now = steadyNow();
+    Attempt attempted;
+    attempted.wasSent_ = result.stage_ != Http::ExchangeStage::NotConnected;
+    counters_.foreignAnswers_ += static_cast<std::uint64_t>(result.foreignAnswers_);
+    if (result.foreignAnswers_ > 0) {
+        log_.line(Event::ForeignAnswerDropped)
+            .add("id", job.id_)
+            .add("target", target.record_.id_.value());
+    }
+    if (!result.answer_) {
+        attempted.code_ = result.code_;
+        attempted.outcome_ = attempted.wasSent_
+                                 ? Policy::outcomeOf(Policy::AttemptStage::Sent)
+                                 : Policy::outcomeOf(Policy::AttemptStage::NotConnected);
+        const bool isSilent = result.code_ == ResultCode::TargetTimeout;
+        // An attempt that was broken off says nothing; another request may probe.
+        target.reachability_.isProbed_ = false;
+        if (result.isWithdrawn_) {
+            attempted.isWithdrawn_ = true;
+            noteWithdrawn(job, target, attempted.wasSent_, sentAt);
+            return attempted;
+        }
+        noteCrash(job, placement, result, now);
+        if (!job.isAbandoned_ && (isSilent || !attempted.wasSent_)) {
+            placer_.noteSilence(placement, sentAt, attempted.wasSent_, now);
+        } else if (!job.isAbandoned_) {
+            placer_.noteFailure(placement, now);
+        }
+        if (!attempted.wasSent_) {
+            log_.line(Event::TargetSuspect)
+                .add("target", target.record_.id_.value())
+                .add("reason", Model::describe(result.code_));
+        }
+        return attempted;
+    }
+    target.answeredAt_ = now;
+    target.hasEnded_ = false;
+    Policy::noteReached(target.reachability_);
+    noteLoad(target, *result.answer_);
+    const auto status = result.answer_->result();
+    const bool isMisdirected = status == http::status::misdirected_request;
+    if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
+        ++counters_.refusedByTargets_;
+        job.turnedAwayWith_ = result.answer_->result_int();
+        attempted.outcome_ = Policy::outcomeOf(Policy::AttemptStage::RefusedByTarget);
+        attempted.code_ = ResultCode::TargetRefused;
+        if (isMisdirected) {
+            target.isReplaced_ = true;
+            guard_.noteEnded(target, now);
+            log_.line(Event::TargetGone)
+                .add("target", target.record_.id_.value())
+                .add("by", "another target at its address");
+        } else {
+            placer_.noteFailure(placement, now);
+        }
+        return attempted;
+    }
+    // A failure of the target's own says little of what it did with the request.
+    if (status < http::status::internal_server_error)
+        guard_.noteAnswered(job, now);
+    attempted.outcome_ = Policy::outcomeOf(Policy::AttemptStage::Answered);
+    attempted.answer_ = std::move(result.answer_);
+    return attempted;
+}
+
+void Dispatcher::noteCrash(Job &job, const Placement &placement, const Http::ExchangeResult &result,
+                           SteadyTime now)
+{
+    TargetState &target = *placement.target_;
+    if (result.stage_ == Http::ExchangeStage::NotConnected) {
+        if (result.isRefused_)
+            guard_.noteListening(target, Http::Listening::No, now);
+        return;
+    }
+    const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
+                          || result.code_ == ResultCode::TruncatedAnswer;
+    if (job.control_.isCancelled()) {
+        guard_.noteBrokenOff(job, placement.target_, now);
+    } else if (isBroken && guard_.noteLost(job, placement.target_, now)) {
+        Http::asio::co_spawn(context_, askWhetherListening(placement.target_),
+                             Http::asio::detached);
+    }
+}
+
+bool Dispatcher::mayTryAgain(const Job &job, const Attempt &attempt, SteadyTime now)
+{
+    if (job.isAbandoned_ || now >= job.deadline_)
+        return false;
+    const auto &route = *job.route_;
+    if (!attempt.wasSent_)
+        return job.tried_.size() < mostTries;
+    return Policy::mayRetry(retryBudgets_[job.service_], attempt.outcome_, route.isIdempotent_,
+                            job.attempts_, route.attempts_);
+}
+
+} // namespace Steering
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -20,27 +20,6 @@
 /// A clock that counts standstills gets ahead by more than this only while the process stood still.
 constexpr Microseconds standstill{300000};
 
-/// How long callers may keep an answer of a look-up.
-constexpr Milliseconds lookupLife{1500};
-/// A fresh instance waits this long for its peers before it names entries alone.
-constexpr Milliseconds peerPatience{1500};
-constexpr std::size_t mostEntriesNamed = 64;
-
-/// How often an instance looks whether it has to find others through the store: a round of asking
-/// seeds and its answers fit into it.
-constexpr Milliseconds introductionPause{500};
-/// Until then everybody that starts with the others takes itself for a reader.
-constexpr Milliseconds settlingTime{3000};
-/// Between two reads of the instances' records while nobody is known, and while some region is
-/// silent: regions may lose each other for an hour and find each other by these.
-constexpr Milliseconds pauseWhileAlone{2000};
-constexpr Milliseconds pauseWhileApart{30000};
-
-/// How long a fresh instance waits to hear which requests are in quarantine, where neither the
-/// store nor a ready peer tells; and the pause between two attempts to read or write it.
-constexpr Milliseconds quarantinePatience{1500};
-constexpr Milliseconds quarantinePause{300};
-
 /// A stop takes these steps; together with the longest request they stay inside the time after
 /// which a stopped process is killed.
 constexpr Milliseconds spreadTime{1700};
@@ -64,13 +43,6 @@
     return std::chrono::steady_clock::now();
 }
 
-Model::WallTime wallNow()
-{
-    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
-}
-
-constexpr std::string_view quarantinesPath = "/quarantines";
-
 } // namespace
 
 Instance::Instance(const Observe::Settings &settings, std::string settingsPath)
@@ -179,92 +151,6 @@
     });
 }
 
-/// Finds other instances through the store where the seeds do not lead to any, and makes this one
-/// known there if it is one of those that read the store: they are enough to be found by.
-Task<void> Instance::introduce()
-{
-    auto readAt = startedAt_;
-    while (!isStopping_) {
-        co_await Http::sleepFor(introductionPause);
-        const auto now = steadyNow();
-        const bool isAlone = !parts_->peers_.knowsAnyone();
-        const bool isReader = parts_->follower_.contact() == Policy::StoreContact::Reached;
-        const bool isSettled = now - startedAt_ > settlingTime;
-        if (!isIntroduced_ && isReader && (isAlone || isSettled)) {
-            isIntroduced_ = co_await writeOwnRecord();
-        }
-        const auto pause = isAlone ? pauseWhileAlone : pauseWhileApart;
-        const bool isDue = now - readAt > pause || (isAlone && readAt == startedAt_);
-        if (isDue && (isAlone || !parts_->peers_.knowsEveryRegion())) {
-            readAt = now;
-            co_await readRecords();
-        }
-    }
-}
-
-Task<bool> Instance::writeOwnRecord()
-{
-    const bool isWritten
-        = co_await port_.writeInstance_(settings_.instance_.value(), parts_->peers_.ownRecord());
-    if (!isWritten)
-        logInstancesLost();
-    co_return isWritten;
-}
-
-Task<void> Instance::readRecords()
-{
-    const auto records = co_await port_.readInstances_();
-    if (!records) {
-        logInstancesLost();
-        co_return;
-    }
-    for (const auto &record : *records)
-        parts_->peers_.addRecord(record);
-}
-
-void Instance::logInstancesLost()
-{
-    log_.line(Event::StoreLost)
-        .add("table", "instances")
-        .add("reason", toText(Model::lastReason()));
-}
-
-/// Learns which requests are in quarantine when it starts, from the store or from a ready peer, and
-/// writes what changes.
-///
-/// What goes wrong without the store: all instances are killed at the same time, none knows what
-/// ended targets before, and targets end under it again.
-Task<void> Instance::keepQuarantines()
-{
-    while (!parts_->guard_.isInformed()) {
-        const auto records = co_await port_.readQuarantines_();
-        if (records) {
-            parts_->guard_.takeRecords(*records, steadyNow(), wallNow());
-            break;
-        }
-        log_.line(Event::QuarantinesUnread).add("reason", toText(Model::lastReason()));
-        if (steadyNow() - startedAt_ > quarantinePatience)
-            parts_->guard_.setInformed();
-        co_await Http::sleepFor(quarantinePause);
-    }
-    while (!isStopping_) {
-        co_await Http::sleepFor(quarantinePause);
-        co_await writeQuarantines();
-    }
-}
-
-Task<void> Instance::writeQuarantines()
-{
-    const auto records = parts_->guard_.takeUnwritten(steadyNow(), wallNow());
-    for (const auto &record : records) {
-        const bool isWritten = co_await port_.writeQuarantine_(toText(record.print_), record.text_);
-        if (isWritten)
-            continue;
-        log_.line(Event::QuarantinesUnread).add("reason", toText(Model::lastReason()));
-        parts_->guard_.writeAgain(record.print_);
-    }
-}
-
 Task<void> Instance::tickLoop()
 {
     while (true) {
@@ -363,71 +249,6 @@
         .add("needs_restart", needsRestart ? "yes" : "no");
 }
 
-Task<Http::Response> Instance::answerLookup(Http::IncomingRequest request)
-{
-    const unsigned version = request.message_.version();
-    const auto query = port_.readLookup_(request.message_);
-    if (!query)
-        co_return Http::refusal(Model::lastReason(), version);
-    const auto now = steadyNow();
-    const bool hasHeard = parts_->peers_.hasAsked() || now - startedAt_ > peerPatience;
-    std::vector<Policy::EntryCandidate> candidates;
-    for (const auto &[id, member] : parts_->peers_.members()) {
-        candidates.push_back(
-            {member.instance_, member.pulse_.isReady_ && Policy::isAlive(member, now) && hasHeard});
-        candidates.back().instance_.isLeaving_ = member.pulse_.isLeaving_;
-    }
-    auto entries = Policy::entriesOfRegion(*query, candidates);
-    if (entries.empty())
-        co_return Http::refusal({Model::ResultCode::NotReady, ""}, version);
-    if (entries.size() > mostEntriesNamed)
-        entries.resize(mostEntriesNamed);
-    co_return port_.lookupAnswer_(entries, std::min(lookupLife, port_.terms_.longestLookupLife_));
-}
-
-Task<Http::Response> Instance::answerReady(Http::IncomingRequest request)
-{
-    const unsigned version = request.message_.version();
-    if (!port_.asksReadiness_(request.message_)) {
-        co_return Http::textAnswer(http::status::not_found, "text/plain", "", version);
-    }
-    const auto status = isReady_ ? http::status::ok : http::status::service_unavailable;
-    co_return Http::textAnswer(status, "text/plain", isReady_ ? "ready\n" : "not ready\n", version);
-}
-
-Task<Http::Response> Instance::answerAdmin(Http::IncomingRequest request)
-{
-    const unsigned version = request.message_.version();
-    if (request.message_.target().starts_with(
-            Http::beast::string_view(quarantinesPath.data(), quarantinesPath.size())))
-        co_return answerQuarantines(request.message_);
-    if (request.message_.target() != "/metrics") {
-        co_return Http::textAnswer(http::status::not_found, "text/plain",
-                                   "known here: /metrics /quarantines\n", version);
-    }
-    co_return Http::textAnswer(http::status::ok, "text/plain; version=0.0.4", metricsText(),
-                               version);
-}
-
-/// GET lists them; DELETE of /quarantines/PRINT lifts one, here and, through the peers, everywhere.
-Http::Response Instance::answerQuarantines(const Http::Request &request)
-{
-    const auto now = steadyNow();
-    const std::string target(request.target());
-    if (target == quarantinesPath && request.method() == http::verb::get) {
-        return Http::textAnswer(http::status::ok, "application/json", parts_->guard_.listText(now),
-                                request.version());
-    }
-    if (request.method() != http::verb::delete_ || target.size() <= quarantinesPath.size())
-        return Http::refusal({Model::ResultCode::MalformedRequest, ""}, request.version());
-    const auto print
-        = Policy::printFromText(std::string_view(target).substr(quarantinesPath.size() + 1));
-    if (!print || !parts_->guard_.lift(*print, now))
-        return Http::refusal(Model::lastReason(), request.version());
-    return Http::textAnswer(http::status::ok, "application/json", parts_->guard_.listText(now),
-                            request.version());
-}
-
 Task<void> Instance::stopGently()
 {
     const auto endAt = steadyNow() + port_.terms_.stopGrace_ - stopReserve;
--- /dev/null
+++ b/Libraries/LibSteering/InstanceAnswers.cpp
@@ -0,0 +1,92 @@
+#include "InstanceParts.h"
+
+namespace Steering {
+
+using Http::Task;
+using Model::Milliseconds;
+using Model::SteadyTime;
+namespace http = Http::http;
+
+namespace {
+
+/// How long callers may keep an answer of a look-up.
+constexpr Milliseconds lookupLife{1500};
+/// A fresh instance waits this long for its peers before it names entries alone.
+constexpr Milliseconds peerPatience{1500};
+constexpr std::size_t mostEntriesNamed = 64;
+
+constexpr std::string_view quarantinesPath = "/quarantines";
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+Task<Http::Response> Instance::answerLookup(Http::IncomingRequest request)
+{
+    const unsigned version = request.message_.version();
+    const auto query = port_.readLookup_(request.message_);
+    if (!query)
+        co_return Http::refusal(Model::lastReason(), version);
+    const auto now = steadyNow();
+    const bool hasHeard = parts_->peers_.hasAsked() || now - startedAt_ > peerPatience;
+    std::vector<Policy::EntryCandidate> candidates;
+    for (const auto &[id, member] : parts_->peers_.members()) {
+        candidates.push_back(
+            {member.instance_, member.pulse_.isReady_ && Policy::isAlive(member, now) && hasHeard});
+        candidates.back().instance_.isLeaving_ = member.pulse_.isLeaving_;
+    }
+    auto entries = Policy::entriesOfRegion(*query, candidates);
+    if (entries.empty())
+        co_return Http::refusal({Model::ResultCode::NotReady, ""}, version);
+    if (entries.size() > mostEntriesNamed)
+        entries.resize(mostEntriesNamed);
+    co_return port_.lookupAnswer_(entries, std::min(lookupLife, port_.terms_.longestLookupLife_));
+}
+
+Task<Http::Response> Instance::answerReady(Http::IncomingRequest request)
+{
+    const unsigned version = request.message_.version();
+    if (!port_.asksReadiness_(request.message_)) {
+        co_return Http::textAnswer(http::status::not_found, "text/plain", "", version);
+    }
+    const auto status = isReady_ ? http::status::ok : http::status::service_unavailable;
+    co_return Http::textAnswer(status, "text/plain", isReady_ ? "ready\n" : "not ready\n", version);
+}
+
+Task<Http::Response> Instance::answerAdmin(Http::IncomingRequest request)
+{
+    const unsigned version = request.message_.version();
+    if (request.message_.target().starts_with(
+            Http::beast::string_view(quarantinesPath.data(), quarantinesPath.size())))
+        co_return answerQuarantines(request.message_);
+    if (request.message_.target() != "/metrics") {
+        co_return Http::textAnswer(http::status::not_found, "text/plain",
+                                   "known here: /metrics /quarantines\n", version);
+    }
+    co_return Http::textAnswer(http::status::ok, "text/plain; version=0.0.4", metricsText(),
+                               version);
+}
+
+/// GET lists them; DELETE of /quarantines/PRINT lifts one, here and, through the peers, everywhere.
+Http::Response Instance::answerQuarantines(const Http::Request &request)
+{
+    const auto now = steadyNow();
+    const std::string target(request.target());
+    if (target == quarantinesPath && request.method() == http::verb::get) {
+        return Http::textAnswer(http::status::ok, "application/json", parts_->guard_.listText(now),
+                                request.version());
+    }
+    if (request.method() != http::verb::delete_ || target.size() <= quarantinesPath.size())
+        return Http::refusal({Model::ResultCode::MalformedRequest, ""}, request.version());
+    const auto print
+        = Policy::printFromText(std::string_view(target).substr(quarantinesPath.size() + 1));
+    if (!print || !parts_->guard_.lift(*print, now))
+        return Http::refusal(Model::lastReason(), request.version());
+    return Http::textAnswer(http::status::ok, "application/json", parts_->guard_.listText(now),
+                            request.version());
+}
+
+} // namespace Steering
--- a/Libraries/LibSteering/TargetBook.cpp
+++ b/Libraries/LibSteering/TargetBook.cpp
@@ -7,13 +7,6 @@
 using Model::SteadyTime;
 using Observe::Event;
 
-namespace {
-
-/// How long it is remembered when a registration was found to be gone: news takes less time.
-constexpr Model::Milliseconds removalMemory{10000};
-
-} // namespace
-
 TargetBook::TargetBook(const PlatformPort &port, const Knowledge &knowledge,
                        Observe::DecisionLog &log)
     : port_(port)
@@ -26,11 +19,7 @@
 {
     for (const auto &[key, row] : knowledge_.mirror(StoreTable::Targets).rows())
         take(row, now);
-    std::erase_if(removals_, [&](const auto &entry) {
-        const auto &[id, noticedAt] = entry;
-        const bool isBack = knowledge_.mirror(StoreTable::Targets).rows().contains(id.value());
-        return isBack || now - noticedAt > removalMemory;
-    });
+    forgetRemovals(now);
     std::erase_if(unreadable_, [&](const auto &entry) {
         return !knowledge_.mirror(StoreTable::Targets).rows().contains(entry.first);
     });
@@ -64,52 +53,8 @@
     return target.firstRevision_ > other.firstRevision_;
 }
 
-const char *nameOf(Policy::StoreContact contact)
-{
-    switch (contact) {
-    case Policy::StoreContact::Reached:
-        return "reached";
-    case Policy::StoreContact::Refused:
-        return "refused";
-    case Policy::StoreContact::NotAsked:
-        break;
-    }
-    return "not asked";
-}
-
-} // namespace
-
-namespace {
-
-/// The milliseconds from \a then to \a now; -1 where \a then never was.
-std::int64_t msSince(SteadyTime then, SteadyTime now)
-{
-    if (then == Model::longAgo)
-        return -1;
-    return std::chrono::duration_cast<Model::Milliseconds>(now - then).count();
-}
-
 } // namespace
 
-/// Tells what was known of the targets when the last request was sent to one that leaves: whether a
-/// request was sent by late news, or in spite of it, shows in this line alone.
-void TargetBook::logLeave(const TargetState &target, const char *how, Platform::Revision revision,
-                          SteadyTime now)
-{
-    const LastSend &last = target.lastSend_;
-    log_.line(Event::TargetLeaveKnown)
-        .add("target", target.record_.id_.value())
-        .add("how", how)
-        .add("revision", static_cast<std::int64_t>(revision.value()))
-        .add("by", knowledge_.targetsSource())
-        .add("in_progress", target.ownInFlight_)
-        .add("last_request", last.request_)
-        .add("sent_ms_ago", msSince(last.at_, now))
-        .add("sent_knowing", static_cast<std::int64_t>(last.known_.value()))
-        .add("store_said_ms_before", msSince(last.news_.fromStore_, last.at_))
-        .add("peers_said_ms_before", msSince(last.news_.fromPeers_, last.at_));
-}
-
 void TargetBook::noteUnreadable(const Platform::StoredRow &row)
 {
     const auto known = targets_.find(Model::TargetId(row.key_));
@@ -228,70 +173,6 @@
     }
 }
 
-void TargetBook::noteMissing(SteadyTime now, const Policy::StoreEvidence &evidence)
-{
-    const Mirror &mirror = knowledge_.mirror(StoreTable::Targets);
-    const auto unannounced
-        = std::count_if(targets_.begin(), targets_.end(), [&](const auto &entry) {
-              const auto &[id, target] = entry;
-              const bool isMissing = !mirror.rows().contains(id.value());
-              return isMissing && !target->record_.isLeaving_ && !target->removed_;
-          });
-    std::erase_if(targets_, [&](const auto &entry) {
-        const auto &[id, target] = entry;
-        if (mirror.rows().contains(id.value()) || target->removed_)
-            return false;
-        Policy::RemovedRegistration removed;
-        removed.revision_ = mirror.removedAt(id.value()).value_or(mirror.position()).value();
-        removed.noticedAt_ = removals_.try_emplace(id, now).first->second;
-        removed.isOneOfMany_ = static_cast<std::size_t>(unannounced) >= Policy::manyAtOnce;
-        const auto until = Policy::usableUntil(removed, evidence);
-        if (until > now && !target->record_.isLeaving_) {
-            target->removed_ = removed;
-            log_.line(Event::TargetMissing)
-                .add("target", id.value())
-                .add("revision", static_cast<std::int64_t>(removed.revision_))
-                .add("store", nameOf(evidence.own_.contact_))
-                .add("use_ms", std::chrono::duration_cast<Model::Microseconds>(until - now))
-                .add("at_once", static_cast<std::int64_t>(unannounced));
-            logLeave(*target, "missing", Platform::Revision(removed.revision_), now);
-            return false;
-        }
-        log_.line(Event::TargetGone)
-            .add("target", id.value())
-            .add("leaving", target->record_.isLeaving_ ? "yes" : "no");
-        if (!target->record_.isLeaving_)
-            logLeave(*target, "removed", Platform::Revision(removed.revision_), now);
-        target->isDropped_ = true;
-        return true;
-    });
-}
-
-bool TargetBook::dropMissing(SteadyTime now, const Policy::StoreEvidence &evidence)
-{
-    const auto dropped = std::erase_if(targets_, [&](const auto &entry) {
-        const auto &[id, target] = entry;
-        if (!target->removed_ || now < Policy::usableUntil(*target->removed_, evidence))
-            return false;
-        const auto missingFor = now - target->removed_->noticedAt_;
-        log_.line(Event::TargetGone)
-            .add("target", id.value())
-            .add("after", "lapse")
-            .add("missing_ms", std::chrono::duration_cast<Model::Microseconds>(missingFor));
-        logLeave(*target, "lapsed", Platform::Revision(target->removed_->revision_), now);
-        target->isDropped_ = true;
-        return true;
-    });
-    if (dropped > 0)
-        findSuccessors();
-    const auto replaced = std::count_if(targets_.begin(), targets_.end(), [](const auto &entry) {
-        return entry.second->isReplaced_;
-    });
-    if (dropped > 0 || static_cast<std::size_t>(replaced) != replaced_)
-        arrange();
-    return dropped > 0;
-}
-
 void TargetBook::findPlace(TargetState &target) const
 {
     target.hasPlace_ = false;
@@ -378,26 +259,6 @@
     return loads;
 }
 
-RemovalAges TargetBook::removalsToTell(SteadyTime now) const
-{
-    RemovalAges ages;
-    for (const auto &[id, noticedAt] : removals_) {
-        if (now - noticedAt <= removalMemory)
-            ages[id.value()] = std::chrono::duration_cast<Model::Milliseconds>(now - noticedAt);
-    }
-    return ages;
-}
-
-void TargetBook::hearRemovals(const RemovalAges &ages, SteadyTime now)
-{
-    for (const auto &[id, age] : ages) {
-        if (age > removalMemory)
-            continue;
-        const auto [known, isNew] = removals_.try_emplace(Model::TargetId(id), now - age);
-        known->second = std::min(known->second, now - age);
-    }
-}
-
 void TargetBook::hearLoads(const std::vector<Policy::TargetLoad> &loads, SteadyTime now)
 {
     for (const auto &load : loads) {
--- a/Libraries/LibSteering/TargetBook.h
+++ b/Libraries/LibSteering/TargetBook.h
@@ -155,6 +155,8 @@
     std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
     void findSuccessors();
     void noteMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
+    /// Forgets when registrations went that are back, or went long ago.
+    void forgetRemovals(Model::SteadyTime now);
     void findPlace(TargetState &target) const;
     void arrange();
     Policy::HomeShares homesOf(const ServiceTargets &targets) const;
