--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -90,6 +90,7 @@
     instance->host_ = host(++lastHost_);
     instance->name_ = "i" + std::to_string(lastHost_);
     const std::string &domain = domains[number % domains.size()];
+    instance->domain_ = domain;
     const std::string settings = directory_ + "/" + instance->name_ + ".ini";
     std::string seeds;
     for (std::size_t i = 0; i < std::min<std::size_t>(3, number); ++i)
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -15,6 +15,7 @@
 {
     std::string host_;
     std::string name_;
+    std::string domain_;
     std::unique_ptr<Harness::Process> process_;
 
     Model::Address entry() const { return {host_, 8144}; }
--- a/Tests/Soak/Plan.cpp
+++ b/Tests/Soak/Plan.cpp
@@ -63,6 +63,9 @@
 constexpr Milliseconds goneStart{300};
 constexpr Milliseconds goneEnd{11500};
 constexpr Milliseconds editStart{5000};
+/// All targets shed for a moment, so that callers are told that their requests have not run.
+constexpr Milliseconds shedStart{14000};
+constexpr Milliseconds shedEnd{14600};
 
 /// What disturbs instances and targets, and not the store.
 constexpr std::array<FaultKind, 8> besideLeaves
@@ -95,6 +98,8 @@
     add(FaultKind::TableEdited, start + editStart, start + editStart, 0, 0);
     if (size.hasEndingRequests_)
         add(FaultKind::RequestEndsTargets, start + goneStart, end, mostEnding, 0);
+    for (std::size_t target = 0; target < size.targets_; ++target)
+        add(FaultKind::TargetMisbehaves, start + shedStart, start + shedEnd, target, 0);
     const bool isTogether = draw(0, 2) == 0;
     const std::size_t first = drawBelow(size.targets_);
     auto at = start + storeSettles + Milliseconds(draw(0, 300));
