--- a/Libraries/LibPolicy/LeaveSpans.cpp
+++ b/Libraries/LibPolicy/LeaveSpans.cpp
@@ -29,9 +29,8 @@
 std::vector<LeaveSpan> wayOfUnannouncedLeaves()
 {
     return {
-        {"gather", gatherTargets},   LeaveSpan{"store_answer", storeAnswer},
-        {"grace", unseenLapseGrace}, LeaveSpan{"tick", tickPeriod},
-        {"watch", tickPeriod},       LeaveSpan{"send", sendPatience},
+        {"gather", gatherTargets}, {"store_answer", storeAnswer}, {"grace", unseenLapseGrace},
+        {"tick", tickPeriod},      {"watch", tickPeriod},         {"send", sendPatience},
     };
 }
 
