--- a/Tests/Soak/Callers.cpp
+++ b/Tests/Soak/Callers.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds watchStep{20};
 /// Times are judged only where this program itself was at most so late.
 constexpr Milliseconds latenessBorne{150};
+/// A caller that is told to come back late looks so often whether it is stopped.
+constexpr Milliseconds longestSleep{200};
 /// Between two requests under which targets end.
 constexpr Milliseconds endingPause{230};
 
@@ -89,6 +91,16 @@
     }
 }
 
+Task<void> Callers::pauseFor(Milliseconds duration)
+{
+    const auto end = std::chrono::steady_clock::now() + duration;
+    while (!isStopping_ && std::chrono::steady_clock::now() < end) {
+        const auto left
+            = std::chrono::duration_cast<Milliseconds>(end - std::chrono::steady_clock::now());
+        co_await Http::sleepFor(std::min(left + Milliseconds(1), longestSleep));
+    }
+}
+
 Task<std::vector<std::string>> Callers::lookUp(Http::ConnectionPool &pool)
 {
     const Model::Address &address = lookups_[random_() % lookups_.size()];
@@ -208,7 +220,7 @@
             const std::lock_guard lock(mutex_);
             records_.push_back(std::move(record));
         }
-        co_await Http::sleepFor(comeBack + Milliseconds(random_() % (2 * thinkTime.count())));
+        co_await pauseFor(comeBack + Milliseconds(random_() % (2 * thinkTime.count())));
     }
 }
 
--- a/Tests/Soak/Callers.h
+++ b/Tests/Soak/Callers.h
@@ -71,6 +71,8 @@
                             std::string endingPath);
     Http::Task<void> callEnding();
     Http::Task<void> watchTime();
+    /// Pauses a caller, for no longer than until it is stopped.
+    Http::Task<void> pauseFor(Model::Milliseconds duration);
 
     std::vector<Model::Address> lookups_;
     std::mt19937_64 random_;
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -220,7 +220,10 @@
 void SoakSite::stopInstance(std::size_t number)
 {
     auto &instance = *fleet_.instances_[number];
-    if (!instance.process_->isRunning() || stops_.contains(number))
+    const auto stop = stops_.find(number);
+    if (stop != stops_.end())
+        stop->second.mustStart_ = false;
+    if (!instance.process_->isRunning() || stop != stops_.end())
         return;
     Harness::waitUntil(startPatience, [&] {
         return instance.process_->minds(SIGTERM);
