--- a/Tests/Platform/TestLargeFleet.cpp
+++ b/Tests/Platform/TestLargeFleet.cpp
@@ -39,10 +39,7 @@
         return readers;
     }
 
-    // Symptom: each change wakes every instance's call at the store; sixty make 5,000 calls a day.
-    //   Or, where few read: an instance goes on sending to a target that left.
-    // Sequence: twenty instances in two regions; the configuration changes and a target leaves.
-    // Cause: everybody reading for itself; or news that waits for the next round.
+    // Guards against a fleet in which everybody reads the store, and against news that waits.
     void fewReadTheStoreOfALargeFleetAndAllKnow()
     {
         Fleet fleet;
