LibModel: Add workspaces, the digests of their callers' keys and their quotas

The table knew callers by name only; a deployment's callers present keys of workspaces that have a rank, a quota and home regions of their own. Rows of kind workspace hold them. Keys are kept as digests, so that the table, its audit trail and its copies disclose none.

--- a/Libraries/LibHttp/Refusal.cpp
+++ b/Libraries/LibHttp/Refusal.cpp
@@ -24,6 +24,9 @@
         return http::status::conflict;
     case ResultCode::UnsupportedExpectation:
         return http::status::expectation_failed;
+    case ResultCode::UnknownCallerKey:
+        return http::status::unauthorized;
+    case ResultCode::QuotaExceeded:
     case ResultCode::ClassLimited:
     case ResultCode::DisplacedByFairShare:
         return http::status::too_many_requests;
--- a/Libraries/LibModel/Columns.cpp
+++ b/Libraries/LibModel/Columns.cpp
@@ -136,6 +136,37 @@
     {.name_ = "home_regions",
      .type_ = Text,
      .meaning_ = "comma-separated regions in which requests must stay; empty is all"},
+    {.name_ = "public",
+     .type_ = YesNo,
+     .default_ = "no",
+     .meaning_ = "whether requests need no key of a workspace"},
+};
+
+const std::vector<Column> workspaceColumns = {
+    {.name_ = "key_digests",
+     .type_ = Text,
+     .maximum_ = 1048576,
+     .meaning_ = "comma-separated digests of the keys that the workspace's callers present"},
+    {.name_ = "priority",
+     .type_ = OptionalInteger,
+     .minimum_ = 0,
+     .maximum_ = 1000,
+     .meaning_ = "rank while slots are short; goes before the route's rank; empty is none"},
+    {.name_ = "limit_rps",
+     .type_ = Number,
+     .minimum_ = 0,
+     .maximum_ = 10000000,
+     .default_ = "0",
+     .meaning_ = "quota in requests a second over all instances; 0 is no limit"},
+    {.name_ = "burst",
+     .type_ = Number,
+     .minimum_ = 0,
+     .maximum_ = 10000000,
+     .default_ = "0",
+     .meaning_ = "requests that may exceed the quota at once"},
+    {.name_ = "home_regions",
+     .type_ = Text,
+     .meaning_ = "comma-separated regions in which requests must stay; empty is all"},
 };
 
 const std::vector<Column> limitsColumns = {
@@ -238,11 +269,20 @@
     return text;
 }
 
-bool isPrintableText(const std::string &value)
+/// Maximum length of the text in a column that states none.
+constexpr double defaultTextLength = 4096;
+
+double maxTextLength(const Column &column)
+{
+    return column.maximum_ > 0 ? column.maximum_ : defaultTextLength;
+}
+
+bool isPrintableText(const Column &column, const std::string &value)
 {
-    return value.size() <= 4096 && std::all_of(value.begin(), value.end(), [](unsigned char c) {
-               return c >= ' ' && c != 127;
-           });
+    return static_cast<double>(value.size()) <= maxTextLength(column)
+           && std::all_of(value.begin(), value.end(), [](unsigned char c) {
+                  return c >= ' ' && c != 127;
+              });
 }
 
 } // namespace
@@ -262,6 +302,8 @@
         return routeColumns;
     case RowKind::Limits:
         return limitsColumns;
+    case RowKind::Workspace:
+        return workspaceColumns;
     case RowKind::Target:
         break;
     }
@@ -274,6 +316,8 @@
     switch (column.type_) {
     case Integer:
         return "a whole number from " + range;
+    case OptionalInteger:
+        return "a whole number from " + range + ", or empty";
     case Number:
         return "a number from " + range;
     case YesNo:
@@ -281,7 +325,7 @@
     case Time:
         return "a UTC time such as 2026-12-02T18:00:00Z, or empty";
     case Text:
-        return "printable text of at most 4096 characters";
+        return "printable text of at most " + numberText(maxTextLength(column)) + " characters";
     case ColumnType::Address:
         return "IP:port";
     case Reference:
@@ -293,12 +337,14 @@
 bool isAllowed(const Column &column, const std::string &value)
 {
     if (value.empty())
-        return !column.required_ && (column.type_ == Time || column.type_ == Text);
+        return !column.required_
+               && (column.type_ == Time || column.type_ == Text || column.type_ == OptionalInteger);
 
     const auto parsed = numberFromText(value);
     const bool isInRange = parsed && *parsed >= column.minimum_ && *parsed <= column.maximum_;
     switch (column.type_) {
     case Integer:
+    case OptionalInteger:
         return isInRange && std::floor(*parsed) == *parsed;
     case Number:
         return isInRange;
@@ -307,7 +353,7 @@
     case Time:
         return timeFromText(value).has_value();
     case Text:
-        return isPrintableText(value);
+        return isPrintableText(column, value);
     case ColumnType::Address:
         return addressFromText(value).has_value();
     case Reference:
--- a/Libraries/LibModel/Columns.h
+++ b/Libraries/LibModel/Columns.h
@@ -9,13 +9,14 @@
 namespace Model {
 
 /// How the text of a cell is parsed.
-enum class ColumnType { Integer, Number, YesNo, Time, Text, Address, Reference };
+enum class ColumnType { Integer, OptionalInteger, Number, YesNo, Time, Text, Address, Reference };
 
 /// A column of the rows of one kind: the allowed values of a cell and its default.
 struct Column
 {
     std::string_view name_;
     ColumnType type_;
+    /// For numbers, the range; for Text, the maximum length, where it is not the usual one.
     double minimum_ = 0;
     double maximum_ = 0;
     /// The value of a missing cell.
--- a/Libraries/LibModel/Identifiers.h
+++ b/Libraries/LibModel/Identifiers.h
@@ -35,6 +35,7 @@
 using InstanceId = StrongId<struct InstanceTag>;
 using CallerId = StrongId<struct CallerTag>;
 using CallerClassId = StrongId<struct CallerClassTag>;
+using WorkspaceId = StrongId<struct WorkspaceTag>;
 using RequestId = StrongId<struct RequestTag>;
 using RouteId = StrongId<struct RouteTag>;
 using EditId = StrongId<struct EditTag>;
--- a/Libraries/LibModel/LibModel.h
+++ b/Libraries/LibModel/LibModel.h
@@ -4,6 +4,7 @@
 /// This is the library's only public header.
 
 #include "Address.h"
+#include "CallerKey.h"
 #include "ClientBlocks.h"
 #include "Columns.h"
 #include "Identifiers.h"
@@ -16,3 +17,5 @@
 #include "TargetRecord.h"
 #include "TimeText.h"
 #include "Units.h"
+#include "Workspace.h"
+#include "WorkspaceIndex.h"
--- a/Libraries/LibModel/ResultCode.h
+++ b/Libraries/LibModel/ResultCode.h
@@ -26,6 +26,7 @@
     UnsupportedExpectation = 112,
     BadIdempotencyKey = 113,
     UnknownRoute = 114,
+    UnknownCallerKey = 115,
 
     OverCapacity = 201,
     ShiftLimited = 202,
@@ -40,6 +41,7 @@
     TargetUnreachable = 211,
     WouldBeLate = 212,
     Quarantined = 213,
+    QuotaExceeded = 214,
 
     TargetConnectionLost = 301,
     TargetTimeout = 302,
--- a/Libraries/LibModel/Route.h
+++ b/Libraries/LibModel/Route.h
@@ -41,6 +41,8 @@
     bool hasAffinity_ = false;
     /// Regions in which requests must stay; empty allows all regions.
     std::vector<RegionId> allowedRegions_;
+    /// Whether requests need no key of a workspace.
+    bool isPublic_ = false;
 };
 
 /// Parses "a" or "a:90, b:10".
--- a/Libraries/LibModel/Row.cpp
+++ b/Libraries/LibModel/Row.cpp
@@ -12,13 +12,14 @@
     const char *name_;
 };
 
-constexpr std::array<KindName, 7> kindNames = {{{RowKind::Region, "region"},
+constexpr std::array<KindName, 8> kindNames = {{{RowKind::Region, "region"},
                                                 {RowKind::Domain, "domain"},
                                                 {RowKind::Service, "service"},
                                                 {RowKind::Class, "class"},
                                                 {RowKind::Target, "target"},
                                                 {RowKind::Route, "route"},
-                                                {RowKind::Limits, "limits"}}};
+                                                {RowKind::Limits, "limits"},
+                                                {RowKind::Workspace, "workspace"}}};
 
 bool isNameCharacter(char character)
 {
--- a/Libraries/LibModel/Row.h
+++ b/Libraries/LibModel/Row.h
@@ -12,7 +12,7 @@
 namespace Model {
 
 /// The kind of a row in the operators' table.
-enum class RowKind { Region, Domain, Service, Class, Target, Route, Limits };
+enum class RowKind { Region, Domain, Service, Class, Target, Route, Limits, Workspace };
 
 /// Identifies a row, for example "service gauging".
 struct RowKey
@@ -36,8 +36,8 @@
     bool operator==(const Row &) const = default;
 };
 
-/// Returns "region", "domain", "service", "class", "target", "route" or "limits". Thread safety:
-/// any thread.
+/// Returns "region", "domain", "service", "class", "target", "route", "limits" or "workspace".
+/// Thread safety: any thread.
 std::string toText(RowKind kind);
 /// Returns for example "service gauging". Thread safety: any thread.
 std::string toText(const RowKey &key);
--- a/Libraries/LibModel/Table.cpp
+++ b/Libraries/LibModel/Table.cpp
@@ -99,6 +99,16 @@
     }
 }
 
+void checkHomeRegions(const Row &row, const std::set<RowKey> &keys, std::vector<CellError> &errors)
+{
+    for (const auto &region : listIn(row, "home_regions")) {
+        if (!keys.contains({RowKind::Region, region})) {
+            errors.push_back({ResultCode::DanglingReference, row.key_, "home_regions", region,
+                              "the name of a region row"});
+        }
+    }
+}
+
 void checkRoute(const Row &row, const std::set<RowKey> &keys, std::vector<CellError> &errors)
 {
     if (row.key_.kind_ != RowKind::Route)
@@ -122,12 +132,50 @@
                               split.service_.value(), "the name of a service row"});
         }
     }
-    for (const auto &region : listIn(row, "home_regions")) {
-        if (!keys.contains({RowKind::Region, region})) {
-            errors.push_back({ResultCode::DanglingReference, row.key_, "home_regions", region,
-                              "the name of a region row"});
+    checkHomeRegions(row, keys, errors);
+}
+
+/// Checks the digests of a workspace's keys. \a seen holds those of the workspaces before it.
+void checkWorkspace(const Row &row, const std::set<RowKey> &keys, std::set<std::string> &seen,
+                    std::vector<CellError> &errors)
+{
+    if (row.key_.kind_ != RowKind::Workspace)
+        return;
+    for (const auto &text : listIn(row, "key_digests")) {
+        if (!callerKeyDigestFromText(text)) {
+            errors.push_back({ResultCode::BadValue, row.key_, "key_digests", text,
+                              "the digest that tablectl key-digest prints for a key"});
+        } else if (!seen.insert(text).second) {
+            errors.push_back({ResultCode::BadValue, row.key_, "key_digests", text,
+                              "a key of one workspace only"});
         }
     }
+    checkHomeRegions(row, keys, errors);
+}
+
+std::vector<RegionId> regionsIn(const Row &row, std::string_view column)
+{
+    std::vector<RegionId> regions;
+    for (const auto &region : listIn(row, column))
+        regions.push_back(RegionId(region));
+    return regions;
+}
+
+Workspace workspaceOf(const Row &row)
+{
+    Workspace workspace;
+    workspace.id_ = WorkspaceId(row.key_.name_);
+    for (const auto &text : listIn(row, "key_digests")) {
+        if (const auto digest = callerKeyDigestFromText(text))
+            workspace.keys_.push_back(*digest);
+    }
+    const std::string priority = cellOrDefault(row, "priority");
+    if (!priority.empty())
+        workspace.priority_ = std::stoi(priority);
+    workspace.limit_ = RequestsPerSecond(numberIn(row, "limit_rps"));
+    workspace.burst_ = numberIn(row, "burst");
+    workspace.allowedRegions_ = regionsIn(row, "home_regions");
+    return workspace;
 }
 
 Route routeOf(const Row &row)
@@ -144,8 +192,8 @@
     route.priority_ = std::stoi(cellOrDefault(row, "priority"));
     route.attempts_ = std::stoi(cellOrDefault(row, "attempts"));
     route.hasAffinity_ = cellOrDefault(row, "affinity") == "yes";
-    for (const auto &region : listIn(row, "home_regions"))
-        route.allowedRegions_.push_back(RegionId(region));
+    route.allowedRegions_ = regionsIn(row, "home_regions");
+    route.isPublic_ = cellOrDefault(row, "public") == "yes";
     return route;
 }
 
@@ -161,6 +209,7 @@
         if (!keys.insert(row.key_).second)
             errors.push_back({ResultCode::DuplicateRow, row.key_, "", "", "each row once"});
     }
+    std::set<std::string> callerKeys;
     for (const auto &row : rows) {
         if (row.deleted_)
             continue;
@@ -171,6 +220,7 @@
             continue;
         checkDrain(row, errors);
         checkRoute(row, keys, errors);
+        checkWorkspace(row, keys, callerKeys, errors);
     }
     return errors;
 }
@@ -249,6 +299,9 @@
     case RowKind::Route:
         routes_.add(routeOf(row));
         return;
+    case RowKind::Workspace:
+        workspaces_.add(workspaceOf(row));
+        return;
     case RowKind::Limits:
         callerLimits_.headBytes_ = std::stoull(cellOrDefault(row, "head_bytes"));
         callerLimits_.bodyBytes_ = std::stoull(cellOrDefault(row, "body_bytes"));
--- a/Libraries/LibModel/Table.h
+++ b/Libraries/LibModel/Table.h
@@ -5,6 +5,7 @@
 #include "Route.h"
 #include "Row.h"
 #include "Units.h"
+#include "WorkspaceIndex.h"
 
 #include <map>
 #include <memory>
@@ -129,6 +130,7 @@
     const std::vector<CallerClass> &classes() const { return classes_; }
     const std::vector<Target> &targets() const { return targets_; }
     const RouteIndex &routes() const { return routes_; }
+    const WorkspaceIndex &workspaces() const { return workspaces_; }
     const CallerLimits &callerLimits() const { return callerLimits_; }
     const std::vector<ShiftStart> &shiftStarts() const { return shiftStarts_; }
 
@@ -158,6 +160,7 @@
     std::vector<CallerClass> classes_;
     std::vector<Target> targets_;
     RouteIndex routes_;
+    WorkspaceIndex workspaces_;
     CallerLimits callerLimits_;
     std::vector<ShiftStart> shiftStarts_;
     std::map<std::pair<ServiceId, FailureDomainId>, Slots> slots_;
--- a/Tests/LibModel/TestTable.cpp
+++ b/Tests/LibModel/TestTable.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(longestPrefixDecidesTheClass);
     CPPUNIT_TEST(changesNameTheDifferences);
     CPPUNIT_TEST(randomTextNeverBuildsABrokenTable);
+    CPPUNIT_TEST(workspacesAreCheckedAndFound);
+    CPPUNIT_TEST(digestsOfCallersKeysAreReadAsTheyAreWritten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,6 +53,45 @@
         }
     }
 
+    void workspacesAreCheckedAndFound()
+    {
+        const std::string digest = toText(Model::digestOf("secret"));
+        const std::string text
+            = "[region r]\n[workspace w]\nkey_digests = " + digest
+              + "\npriority = 2\nlimit_rps = 50\nburst = 5\nhome_regions = r\n[workspace v]\n";
+        const auto table
+            = Model::Table::build(Model::TableVersion(1), *Model::rowsFromText(text), {});
+        CPPUNIT_ASSERT(table);
+        const auto &workspaces = table->workspaces();
+        CPPUNIT_ASSERT(workspaces.hasQuotas());
+        const auto *found = workspaces.find("secret");
+        CPPUNIT_ASSERT(found && found->id_.value() == "w" && found->priority_ == 2);
+        CPPUNIT_ASSERT(!workspaces.find(Model::WorkspaceId("v"))->priority_);
+        CPPUNIT_ASSERT(!workspaces.find("other"));
+
+        const auto twice = errorsOf(text + "key_digests = " + digest + "\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), twice.size());
+        CPPUNIT_ASSERT(twice.front().code_ == ResultCode::BadValue);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), errorsOf("[workspace w]\nkey_digests = key\n").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), errorsOf("[workspace w]\npriority = x\n").size());
+        const auto homeless = errorsOf("[workspace w]\nhome_regions = r\n");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), homeless.size());
+        CPPUNIT_ASSERT(homeless.front().code_ == ResultCode::DanglingReference);
+    }
+
+    void digestsOfCallersKeysAreReadAsTheyAreWritten()
+    {
+        // The first half of the SHA-256 of "abc", from FIPS 180-2.
+        CPPUNIT_ASSERT_EQUAL(std::string("ba7816bf8f01cfea414140de5dae2223"),
+                             toText(Model::digestOf("abc")));
+        Support::assertProperty("digests round-trip", [](const std::string &key) {
+            const auto digest = Model::digestOf(key);
+            RC_ASSERT(Model::callerKeyDigestFromText(toText(digest)) == digest);
+        });
+        CPPUNIT_ASSERT(!Model::callerKeyDigestFromText("ba7816bf8f01cfea414140de5dae222"));
+        CPPUNIT_ASSERT(!Model::callerKeyDigestFromText("BA7816BF8F01CFEA414140DE5DAE2223"));
+    }
+
     void cellErrorNamesRowColumnValueAndAllowedValues()
     {
         const auto errors = errorsOf("[service gauging]\ntimeout_ms = soon\n");
