LibPolicy: Decide on callers' keys, and on quotas in sum over all instances

A quota holds over all instances, and a workspace's requests reach few of them unevenly. Instances report their counts up a tree (failure domain, root); the root runs one token bucket for each workspace and hands out the fraction of its requests that all admit. An instance that hears nothing keeps to its recent part.

With a rate estimate of 0.4 s for small workspaces too, 4.7% of theirs were refused: it now spans ten requests.

--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -5,6 +5,7 @@
 /// This is the library's only public header.
 
 #include "Admission.h"
+#include "CallerIdentity.h"
 #include "Claims.h"
 #include "ConnectionBudget.h"
 #include "CrashEvidence.h"
@@ -21,6 +22,9 @@
 #include "OthersLoad.h"
 #include "Outcome.h"
 #include "PeerUpdate.h"
+#include "QuotaGate.h"
+#include "QuotaPool.h"
+#include "QuotaTree.h"
 #include "RegistrationExpiry.h"
 #include "RequestAdmission.h"
 #include "RequestFingerprint.h"
--- /dev/null
+++ b/Libraries/LibPolicy/QuotaGate.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Admission.h"
+
+#include <LibModel/LibModel.h>
+
+#include <cstddef>
+
+namespace Policy {
+
+/// What one instance knows of a workspace's quota.
+struct QuotaGate
+{
+    /// The fraction of the workspace's requests that the root of the quota tree has every instance
+    /// admit; above 1 means that the workspace is that far below its quota.
+    double fraction_ = 1;
+    /// The sum of the fractions of the requests so far, less those admitted. Requests are admitted
+    /// evenly, and the instances' gates start at different values.
+    double carry_ = 0;
+    /// Rate of the requests that arrived here while the fraction was up to date.
+    double offeredPerSecond_ = 0;
+    Model::SteadyTime countedAt_ = Model::distantPast;
+    /// Tokens for the time without an up-to-date fraction.
+    double tokens_ = 0;
+    Model::SteadyTime filledAt_ = Model::distantPast;
+};
+
+/// Returns a gate that starts at \a draw (0 to below 1).
+QuotaGate newQuotaGate(double draw);
+
+/// Decides whether to admit a request by an up-to-date fraction. Thread safety: \a gate belongs to
+/// the calling thread.
+bool admitByFraction(QuotaGate &gate, Model::SteadyTime now);
+
+/// Decides whether to admit a request while no fraction arrives. The instance continues to admit
+/// its recent part of the quota; one that has had no requests admits half of an equal part.
+///
+/// Without the bound, instances that are cut off from each other would admit the quota once each.
+/// Thread safety: as above.
+bool admitAlone(QuotaGate &gate, const Model::Workspace &workspace, std::size_t instances,
+                Model::SteadyTime now);
+
+/// Decides whether to admit a request where nothing tells how many arrive elsewhere: each of
+/// \a holders admits an equal part of the quota. Thread safety: \a bucket belongs to the calling
+/// thread.
+bool admitEqualPart(RateBucket &bucket, const Model::Workspace &workspace, std::size_t holders,
+                    Model::SteadyTime now);
+
+/// Returns after which delay a caller should retry whose request exceeds the quota: the smaller the
+/// admitted fraction, the longer. Thread safety: any thread.
+Model::Milliseconds quotaRetryDelay(const QuotaGate &gate);
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/QuotaPool.cpp
@@ -0,0 +1,64 @@
+#include "QuotaPool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Policy {
+
+namespace {
+
+/// Counts arrive in lumps of a reporting interval, which one step must average.
+constexpr Model::Milliseconds minUpdateInterval{100};
+/// Time constant of the estimated rate of offered requests, and the number of requests that it must
+/// span at least: the rate of a few requests is mostly chance.
+constexpr double rateSeconds = 0.4;
+constexpr double requestsInRate = 10;
+/// Time over which a surplus or a deficit of tokens is worked off.
+constexpr double correctionSeconds = 1.5;
+/// Longest deficit, in seconds of the quota.
+constexpr double maxDeficitSeconds = 2;
+/// Longest pause between two updates that fills the bucket.
+constexpr double maxStepSeconds = 1;
+/// Lowest estimated rate; below it, any request is admitted.
+constexpr double minRate = 0.1;
+/// Largest fraction that is handed out.
+constexpr double maxFraction = 10;
+/// Fraction of the instances that may be missing from the reports.
+constexpr double toleratedAbsence = 0.05;
+
+} // namespace
+
+double updateQuotaPool(QuotaPool &pool, const Model::Workspace &workspace, double coverage,
+                       const QuotaCounts &counts, Model::SteadyTime now)
+{
+    pool.pending_ = pool.pending_ + counts;
+    const auto elapsed = now - pool.updatedAt_;
+    if (elapsed < minUpdateInterval)
+        return pool.fraction_;
+    const double seconds = Model::inSeconds(elapsed);
+    const double step = std::min(seconds, maxStepSeconds);
+    const double limit = workspace.limit_.value() * coverage;
+    const bool isNew = pool.updatedAt_ == Model::distantPast;
+    const double earned = isNew ? 0 : limit * step;
+    pool.level_ += earned - static_cast<double>(pool.pending_.sent_);
+    pool.level_
+        = std::clamp(pool.level_, -maxDeficitSeconds * workspace.limit_.value(), workspace.burst_);
+    const double measured = static_cast<double>(pool.pending_.offered_) / step;
+    const double span = std::max(rateSeconds, requestsInRate / workspace.limit_.value());
+    const double weight = 1 - std::exp(-seconds / span);
+    pool.offeredPerSecond_ += weight * (measured - pool.offeredPerSecond_);
+    pool.pending_ = {};
+    pool.updatedAt_ = now;
+    const double allowed = std::max(0.0, limit + pool.level_ / correctionSeconds);
+    pool.fraction_ = std::min(maxFraction, allowed / std::max(minRate, pool.offeredPerSecond_));
+    return pool.fraction_;
+}
+
+double quotaCoverage(std::size_t reporters, std::size_t instances)
+{
+    const double part
+        = static_cast<double>(reporters) / static_cast<double>(std::max<std::size_t>(1, instances));
+    return std::min(1.0, part + toleratedAbsence);
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Tests/LibPolicy/TestQuotas.cpp
@@ -0,0 +1,160 @@
+#include "QuotaFleet.h"
+
+#include <Support/Property.h>
+
+namespace {
+
+using Fleets::QuotaFleet;
+
+constexpr double windowSeconds = 5;
+constexpr std::size_t instancesPerDomain = 10;
+
+Model::Workspace workspaceWith(double limit)
+{
+    Model::Workspace workspace;
+    workspace.id_ = Model::WorkspaceId("w");
+    workspace.limit_ = Model::RequestsPerSecond(limit);
+    workspace.burst_ = limit;
+    return workspace;
+}
+
+/// The most requests that a quota lets through in a window, with what the users tolerate above.
+std::size_t tolerated(const Model::Workspace &workspace)
+{
+    const double allowed = workspace.limit_.value() * windowSeconds + workspace.burst_;
+    return static_cast<std::size_t>(allowed * 1.1 + 20);
+}
+
+/// Constant demand, relative to the quota.
+Fleets::Demand steady(double limit, double relative)
+{
+    return [=](double) {
+        return limit * relative;
+    };
+}
+
+/// Demand that is steady before \a at and \a relative times the quota after it.
+Fleets::Demand surge(double limit, double at, double relative)
+{
+    return [=](double seconds) {
+        return limit * (seconds < at ? 0.6 : relative);
+    };
+}
+
+class TestQuotas : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TestQuotas);
+    CPPUNIT_TEST(workspaceBelowItsQuotaIsAdmitted);
+    CPPUNIT_TEST(surgeOfOneWorkspaceStaysWithinItsQuota);
+    CPPUNIT_TEST(quotaIsUsedWhileTheWorkspaceAsksForMore);
+    CPPUNIT_TEST(instancesThatAreCutOffStayWithinTheQuota);
+    CPPUNIT_TEST(lossOfTheRootNeitherExceedsNorClosesTheQuota);
+    CPPUNIT_TEST(reportsThatArriveTwiceOrAnewCountOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against refusing requests inside the quota because they reach few instances: an equal
+    // part for each instance refuses most requests of a small workspace.
+    void workspaceBelowItsQuotaIsAdmitted()
+    {
+        for (const double limit : {5.0, 25.0, 400.0}) {
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+                QuotaFleet fleet(instancesPerDomain, workspaceWith(limit), seed);
+                fleet.run(5, steady(limit, 0.6));
+                fleet.run(20, steady(limit, 0.65));
+                CPPUNIT_ASSERT(fleet.admittedFraction(5) > 0.97);
+            }
+        }
+    }
+
+    // Guards against exceeding a quota between the start of a surge and the time when all instances
+    // have learned of it.
+    void surgeOfOneWorkspaceStaysWithinItsQuota()
+    {
+        for (const double limit : {5.0, 25.0, 100.0, 400.0}) {
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+                const auto workspace = workspaceWith(limit);
+                QuotaFleet fleet(instancesPerDomain, workspace, seed);
+                fleet.run(20, surge(limit, 8, 4.7));
+                CPPUNIT_ASSERT(fleet.mostAdmittedIn(windowSeconds) <= tolerated(workspace));
+            }
+        }
+    }
+
+    // Guards against a controller that stays closed: what the quota allows must be served.
+    void quotaIsUsedWhileTheWorkspaceAsksForMore()
+    {
+        for (const double limit : {25.0, 400.0}) {
+            QuotaFleet fleet(instancesPerDomain, workspaceWith(limit), 1);
+            fleet.run(30, surge(limit, 8, 4.0));
+            const double served = fleet.admittedFraction(15) * 4.0;
+            CPPUNIT_ASSERT(served > 0.9 && served < 1.1);
+        }
+    }
+
+    // Guards against each part of a divided fleet admitting the whole quota.
+    void instancesThatAreCutOffStayWithinTheQuota()
+    {
+        for (const double limit : {25.0, 100.0, 400.0}) {
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+                const auto workspace = workspaceWith(limit);
+                QuotaFleet fleet(instancesPerDomain, workspace, seed);
+                fleet.run(8, steady(limit, 1.3));
+                fleet.cutOff(15);
+                fleet.run(8, steady(limit, 2.5));
+                fleet.cutOff(0);
+                fleet.run(8, steady(limit, 2.5));
+                CPPUNIT_ASSERT(fleet.mostAdmittedIn(windowSeconds) <= tolerated(workspace));
+            }
+        }
+    }
+
+    // Guards against a new root that hands out the burst a second time, and against instances that
+    // refuse while there is none.
+    void lossOfTheRootNeitherExceedsNorClosesTheQuota()
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            const auto workspace = workspaceWith(100);
+            QuotaFleet busy(instancesPerDomain, workspace, seed);
+            busy.run(8, steady(100, 2));
+            busy.killRoot();
+            busy.run(12, steady(100, 2));
+            CPPUNIT_ASSERT(busy.mostAdmittedIn(windowSeconds) <= tolerated(workspace));
+
+            QuotaFleet calm(instancesPerDomain, workspace, seed);
+            calm.run(8, steady(100, 0.6));
+            calm.killRoot();
+            calm.run(10, steady(100, 0.6));
+            CPPUNIT_ASSERT(calm.admittedFraction(8) > 0.9);
+        }
+    }
+
+    // Guards against counting requests twice when an answer to a report is lost, and against losing
+    // those of an instance that restarts.
+    void reportsThatArriveTwiceOrAnewCountOnce()
+    {
+        const Model::SteadyTime now{std::chrono::seconds(1000)};
+        Policy::QuotaLedger ledger;
+        Policy::QuotaReport report;
+        report.sender_ = Model::InstanceId("a");
+        report.incarnation_ = Model::Incarnation(1);
+        report.usage_ = {{Policy::WorkspaceKey(7), {10, 8}}};
+        CPPUNIT_ASSERT(!Policy::addReport(ledger, report, now));
+        report.isWhole_ = true;
+        CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
+        CPPUNIT_ASSERT(ledger.usage_[7].total_ == Policy::QuotaCounts());
+        report.isWhole_ = false;
+        report.usage_ = {{Policy::WorkspaceKey(7), {13, 9}}};
+        CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
+        CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
+        CPPUNIT_ASSERT(ledger.usage_[7].total_ == (Policy::QuotaCounts{3, 1}));
+        report.incarnation_ = Model::Incarnation(2);
+        report.usage_ = {{Policy::WorkspaceKey(7), {2, 2}}};
+        CPPUNIT_ASSERT(!Policy::addReport(ledger, report, now));
+        CPPUNIT_ASSERT(ledger.usage_[7].total_ == (Policy::QuotaCounts{3, 1}));
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestQuotas);
