LibSteering, platform: Admit callers by their workspace's key, homes and quota

The dispatcher now finds the workspace by the key, strips the key, names the workspace to the target, and charges the quota; placement keeps to the workspace's regions and rank. QuotaExchange carries the quota tree's reports over the instances' own calls; without quotas it sends nothing.

TestLibSteering 61 passed.

--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -93,12 +93,13 @@
 
 Dispatcher::Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
                        const PlatformState &knowledge, PlacementEngine &placementEngine,
-                       CrashGuard &guard, Observe::DecisionLog &log)
+                       CrashGuard &guard, QuotaExchange &quotas, Observe::DecisionLog &log)
     : context_(context)
     , port_(port)
     , platformState_(knowledge)
     , placementEngine_(placementEngine)
     , guard_(guard)
+    , quotas_(quotas)
     , log_(log)
     , pool_(context)
 {
@@ -133,6 +134,8 @@
     request.route_ = request.table_->routes().find(host, pathOf(textOf(message.target())));
     if (!request.route_)
         return refuse(request, {ResultCode::UnknownRoute, Milliseconds(0), Microseconds(0)});
+    if (auto refused = identifyCaller(request))
+        return refused;
 
     const auto callerTimeout = timeLeftIn(textOf(message[viewOf(port_.headers_.timeLeft_)]));
     const Milliseconds timeout = request.route_->timeout_;
@@ -152,6 +155,25 @@
     return std::nullopt;
 }
 
+/// Finds the caller's workspace and charges the request to its quota.
+std::optional<Http::Response> Dispatcher::identifyCaller(RequestContext &request)
+{
+    const Http::Request &message = request.incoming_.message_;
+    const auto name = viewOf(port_.headers_.callerKey_);
+    const auto use
+        = request.route_->isPublic_ ? Policy::KeyUse::Optional : Policy::KeyUse::Required;
+    const auto key = message.count(name) == 1 ? textOf(message[name]) : std::string_view();
+    const auto workspace = Policy::workspaceOfCaller(request.table_->workspaces(), use, key);
+    if (!workspace)
+        return refuse(request, {Model::lastReason().code_, Milliseconds(0), Microseconds(0)});
+    request.workspace_ = *workspace;
+    if (request.workspace_ && !quotas_.admit(*request.workspace_, steadyNow())) {
+        return refuse(request, {ResultCode::QuotaExceeded, quotas_.retryDelay(*request.workspace_),
+                                Microseconds(0)});
+    }
+    return std::nullopt;
+}
+
 Task<Http::Response> Dispatcher::sendWithRetries(RequestContext &request)
 {
     // The first attempt after which the request may have run. Its outcome stays unknown regardless
@@ -281,6 +303,10 @@
     const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now);
     message.set(viewOf(port_.headers_.timeLeft_),
                 std::to_string(std::max<long long>(1, left.count())));
+    message.erase(viewOf(port_.headers_.callerKey_));
+    message.erase(viewOf(port_.headers_.workspace_));
+    if (request.workspace_)
+        message.set(viewOf(port_.headers_.workspace_), request.workspace_->id_.value());
     // Another target may have taken over the address; it must not run the request.
     message.set(viewOf(port_.headers_.expectedTarget_), target.record_.id_.value());
     message.keep_alive(true);
@@ -295,9 +321,13 @@
     return target.takesWork() && !platformState_.drained().contains(target.record_.domain_);
 }
 
-void Dispatcher::noteSend(const RequestContext &request, TargetState &target)
+void Dispatcher::noteSend(RequestContext &request, TargetState &target)
 {
     const auto now = steadyNow();
+    if (request.workspace_ && !request.isCountedAsSent_) {
+        request.isCountedAsSent_ = true;
+        quotas_.noteSent(*request.workspace_);
+    }
     target.lastSend_
         = {request.id_, now, platformState_.replica(StoreTable::Targets).knownRevision(),
            targetsFreshness_()};
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "CrashGuard.h"
 #include "PlacementEngine.h"
+#include "QuotaExchange.h"
 
 #include <list>
 
@@ -35,7 +36,7 @@
 public:
     Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
                const PlatformState &knowledge, PlacementEngine &placementEngine, CrashGuard &guard,
-               Observe::DecisionLog &log);
+               QuotaExchange &quotas, Observe::DecisionLog &log);
 
     /// Answers one caller's request.
     Http::Task<Http::Response> answer(Http::IncomingRequest incoming);
@@ -82,6 +83,7 @@
     };
 
     std::optional<Http::Response> readRequest(RequestContext &request);
+    std::optional<Http::Response> identifyCaller(RequestContext &request);
     Http::Task<Http::Response> sendWithRetries(RequestContext &request);
     Http::Task<Attempt> attempt(RequestContext &request, const Placement &placement);
     Http::Task<void> openIdleConnection(std::shared_ptr<TargetState> target,
@@ -94,7 +96,7 @@
     Attempt judge(RequestContext &request, const Placement &placement, Model::SteadyTime sentAt,
                   Http::ExchangeResult result);
     bool maySendTo(const TargetState &target) const;
-    void noteSend(const RequestContext &request, TargetState &target);
+    void noteSend(RequestContext &request, TargetState &target);
     void noteWithdrawn(RequestContext &request, const TargetState &target, bool wasSent,
                        Model::SteadyTime chosenAt);
     void noteLoad(TargetState &target, const Http::Response &answer);
@@ -109,6 +111,7 @@
     const PlatformState &platformState_;
     PlacementEngine &placementEngine_;
     CrashGuard &guard_;
+    QuotaExchange &quotas_;
     Observe::DecisionLog &log_;
     Http::ConnectionPool pool_;
     std::list<RequestContext *> requestsInProgress_;
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -119,6 +119,7 @@
         return TargetsFreshness{parts_->follower_.confirmedAt(StoreTable::Targets),
                                 parts_->peers_.upToDateAt()};
     });
+    parts_->quotas_.start();
     parts_->follower_.start();
     waitForSignal();
     Observe::unblockStopSignals();
@@ -201,6 +202,7 @@
         all += count;
     parts_->placementEngine_.setEntries(std::move(entries));
     parts_->dispatcher_.setInstances(all);
+    parts_->quotas_.setInstances(all);
 }
 
 void Instance::platformStateChanged()
@@ -209,6 +211,7 @@
     if (seenTableChanges_ != platformState.tableChanges()) {
         seenTableChanges_ = platformState.tableChanges();
         parts_->placementEngine_.tableChanged();
+        parts_->quotas_.tableChanged();
         parts_->entry_.setLimits(entryLimits(platformState.table()->callerLimits()));
     }
     parts_->peers_.setStoreStanding(parts_->follower_.standing());
--- a/Libraries/LibSteering/InstanceParts.h
+++ b/Libraries/LibSteering/InstanceParts.h
@@ -16,8 +16,9 @@
     TargetRegistry targetRegistry_;
     PlacementEngine placementEngine_;
     CrashGuard guard_;
-    Dispatcher dispatcher_;
     PeerExchange peers_;
+    QuotaExchange quotas_;
+    Dispatcher dispatcher_;
     StoreFollower follower_;
     Http::Server entry_;
     Http::Server lookup_;
--- a/Libraries/LibSteering/LibSteering.h
+++ b/Libraries/LibSteering/LibSteering.h
@@ -11,5 +11,6 @@
 #include "PlacementEngine.h"
 #include "PlatformPort.h"
 #include "PlatformState.h"
+#include "QuotaExchange.h"
 #include "StoreFollower.h"
 #include "TargetRegistry.h"
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -99,6 +99,18 @@
     countBytes(traffic_, call, scopeOf(localInstance(), peer), request.body().size() + answered);
 }
 
+Task<Http::ExchangeResult> PeerExchange::call(Model::Instance peer, std::string path,
+                                              std::string body, Milliseconds timeout,
+                                              Http::ConnectionPool &pool)
+{
+    const Model::Address &address = peer.addresses_.control_;
+    const Http::ExchangeOptions options = optionsTo(addressToDial(address), timeout);
+    const Http::Request request = requestTo(address, http::verb::post, path, std::move(body));
+    auto result = co_await Http::exchange(pool, options, request, Http::acceptAnyAnswer);
+    countCall(PeerCall::Quota, peer, request, result);
+    co_return result;
+}
+
 Task<void> PeerExchange::fetchState()
 {
     const Policy::Member *peer = peerWithNewerRows(std::chrono::steady_clock::now());
@@ -133,6 +145,9 @@
         co_return answerGossip(request.message_);
     if (path.starts_with(statePath))
         co_return answerStateRequest(request.message_);
+    const auto handler = requestHandlers_.find(path);
+    if (handler != requestHandlers_.end())
+        co_return handler->second(request.message_);
     co_return Http::textAnswer(http::status::not_found, "text/plain", "",
                                request.message_.version());
 }
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -56,6 +56,17 @@
     void setRemovalExchange(std::function<RemovalAges()> provide,
                             std::function<void(const RemovalAges &)> receive);
 
+    /// Sets the function that answers other instances' requests to \a path.
+    void setRequestHandler(const std::string &path,
+                           std::function<Http::Response(const Http::Request &)> answer)
+    {
+        requestHandlers_[path] = std::move(answer);
+    }
+    /// Posts \a body to \a path of another instance, on a connection of \a pool.
+    Http::Task<Http::ExchangeResult> call(Model::Instance peer, std::string path, std::string body,
+                                          Model::Milliseconds timeout, Http::ConnectionPool &pool);
+    Model::Incarnation incarnation() const { return incarnation_; }
+
     /// Requests missing rows from a peer if this instance is behind and a request is due. Called
     /// every tick.
     void fetchIfBehind();
@@ -139,6 +150,7 @@
         return RemovalAges();
     };
     std::function<void(const RemovalAges &)> receiveRemovals_ = [](const RemovalAges &) {};
+    std::map<std::string, std::function<Http::Response(const Http::Request &)>> requestHandlers_;
     std::mt19937_64 random_{std::random_device()()};
     Model::Incarnation incarnation_;
     std::uint64_t rounds_ = 0;
--- a/Libraries/LibSteering/PeerTraffic.cpp
+++ b/Libraries/LibSteering/PeerTraffic.cpp
@@ -21,6 +21,8 @@
         return "gossip";
     case PeerCall::Announcement:
         return "announcement";
+    case PeerCall::Quota:
+        return "quota";
     case PeerCall::PlatformState:
         break;
     }
--- a/Libraries/LibSteering/PeerTraffic.h
+++ b/Libraries/LibSteering/PeerTraffic.h
@@ -9,7 +9,7 @@
 namespace Steering {
 
 /// The kinds of calls between instances.
-enum class PeerCall { Gossip, Announcement, PlatformState };
+enum class PeerCall { Gossip, Announcement, PlatformState, Quota };
 
 /// The smallest scope that contains both ends of a call.
 enum class CallScope { Domain, Region, Fleet };
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -72,13 +72,10 @@
         .first->second;
 }
 
-bool PlacementEngine::isAllowed(const Model::Route &route, std::size_t domain) const
+bool PlacementEngine::isAllowed(const RequestContext &request, std::size_t domain) const
 {
-    if (route.allowedRegions_.empty())
-        return true;
-    const auto &region = platformState_.table()->domains()[domain].region_;
-    return std::find(route.allowedRegions_.begin(), route.allowedRegions_.end(), region)
-           != route.allowedRegions_.end();
+    return Policy::mayRunIn(platformState_.table()->domains()[domain].region_, *request.route_,
+                            request.workspace_);
 }
 
 PlacementEngine::ObjectView PlacementEngine::viewOf(const RequestContext &request,
@@ -88,7 +85,7 @@
     view.draws_ = Policy::domainDraws(request.object_, registry_.domainSeeds());
     std::vector<double> shares = targets.homes_[localDomain_];
     for (std::size_t i = 0; i < shares.size(); ++i) {
-        if (!isAllowed(*request.route_, i))
+        if (!isAllowed(request, i))
             shares[i] = 0;
     }
     view.home_ = Policy::homeOf(view.draws_, shares);
@@ -247,7 +244,7 @@
     candidateTargets_.clear();
     const ObjectView view = viewOf(request, targets);
     for (std::size_t i = 0; i < targets.byDomain_.size(); ++i) {
-        if (targets.byDomain_[i].empty() || !isAllowed(*request.route_, i))
+        if (targets.byDomain_[i].empty() || !isAllowed(request, i))
             continue;
         const bool isHome = i == view.home_;
         // Callers close to that domain may also send the object there.
@@ -314,7 +311,7 @@
     admission.left_ = std::chrono::duration_cast<Microseconds>(request.deadline_ - now);
     admission.goalLeft_
         = std::chrono::duration_cast<Microseconds>(request.arrivedAt_ + route.latencyGoal_ - now);
-    admission.priority_ = route.priority_;
+    admission.priority_ = Policy::priorityOf(route, request.workspace_);
     const auto admitted = Policy::evaluateAdmission(admission, route.latencyGoal_);
     if (admitted != Policy::AdmissionVerdict::Take) {
         const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -111,7 +111,7 @@
                  Model::SteadyTime now) const;
     RouteWork &workOf(const Model::Route &route, const Model::ServiceId &service);
     std::size_t entriesSharing(const TargetState &target) const;
-    bool isAllowed(const Model::Route &route, std::size_t domain) const;
+    bool isAllowed(const RequestContext &request, std::size_t domain) const;
 
     const Observe::Settings &settings_;
     const PlatformState &platformState_;
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -67,8 +67,10 @@
     std::string_view expectedTarget_;
     /// In an answer: the target has not executed the request.
     std::string_view notRun_;
-    /// The caller's name, if it has one.
-    std::string_view caller_;
+    /// The key that the caller presents; it is not passed on.
+    std::string_view callerKey_;
+    /// To the target: the workspace of the caller.
+    std::string_view workspace_;
 };
 
 /// The adapter to a platform: functions that only translate. An implementation makes no decisions,
--- a/Libraries/LibSteering/RequestContext.cpp
+++ b/Libraries/LibSteering/RequestContext.cpp
@@ -12,8 +12,8 @@
 Policy::RequestText textOf(const RequestContext &request, const HeaderNames &names)
 {
     const Http::Request &message = request.incoming_.message_;
-    const auto caller
-        = textOf(message[Http::beast::string_view(names.caller_.data(), names.caller_.size())]);
+    const auto caller = textOf(
+        message[Http::beast::string_view(names.callerKey_.data(), names.callerKey_.size())]);
     Policy::RequestText text;
     text.method_ = textOf(message.method_string());
     text.host_ = textOf(message[Http::http::field::host]);
--- a/Libraries/LibSteering/RequestContext.h
+++ b/Libraries/LibSteering/RequestContext.h
@@ -16,6 +16,8 @@
     /// Keeps the route alive while the table is replaced.
     std::shared_ptr<const Model::Table> table_;
     const Model::Route *route_ = nullptr;
+    /// The caller's workspace, which table_ keeps alive; null if it needs none.
+    const Model::Workspace *workspace_ = nullptr;
     Model::ServiceId service_;
     std::string id_;
     std::uint64_t object_ = 0;
@@ -30,6 +32,8 @@
     unsigned rejectionStatus_ = 0;
     Http::ExchangeControl control_;
     bool isAbandoned_ = false;
+    /// Its first attempt has been sent and counted against the workspace's quota.
+    bool isCountedAsSent_ = false;
     /// Computed on first use.
     std::optional<std::uint32_t> cachedPrefix_;
     std::optional<Policy::RequestFingerprint> cachedFingerprint_;
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -150,6 +150,13 @@
     update();
 }
 
+void InstanceFixture::setTable(const std::string &text, std::uint64_t revision)
+{
+    platformState_.replace(Steering::StoreTable::Operators,
+                           rows(revision, {row("table", text, revision)}), "test");
+    update();
+}
+
 void InstanceFixture::setTargetRows(std::uint64_t revision, std::vector<Platform::StoredRow> list)
 {
     platformState_.replace(Steering::StoreTable::Targets, rows(revision, std::move(list)), "test");
--- a/Tests/LibSteering/FakePlatform.h
+++ b/Tests/LibSteering/FakePlatform.h
@@ -39,6 +39,8 @@
 
     void setOperatorRows(int version, std::uint64_t revision,
                          const std::vector<std::string> &drained = {});
+    /// Replaces the operators' row by \a text, in the form of operatorsText().
+    void setTable(const std::string &text, std::uint64_t revision);
     void setTargetRows(std::uint64_t revision, std::vector<Platform::StoredRow> list);
     void update();
 
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -20,6 +20,7 @@
                 [this](Http::IncomingRequest request) -> Http::Task<Http::Response> {
                     const std::string target(request.message_["Expected"]);
                     receivingTargets_.push_back(target);
+                    received_.push_back(request.message_);
                     auto answer = Http::textAnswer(http::status::ok, "text/plain", target, 11);
                     answer.set("Id", std::string(request.message_["Id"]));
                     co_return answer;
@@ -28,6 +29,8 @@
             CPPUNIT_ASSERT(servers_.back()->listen(addresses_[id]));
         }
         instance_.port_.headers_.expectedTarget_ = "Expected";
+        instance_.port_.headers_.callerKey_ = "Secret";
+        instance_.port_.headers_.workspace_ = "Workspace";
         guard_.setInformed();
         instance_.setOperatorRows(3, 1);
         instance_.setTargetRows(2, {row("a", 2), row("b", 2)});
@@ -47,12 +50,23 @@
                           revision);
     }
 
-    /// Starts a request, and returns once its target is chosen and a connection to it is being
-    /// opened.
-    void startRequest()
+    /// Starts a request with a header field, and returns when it is answered.
+    http::status answerTo(const std::string &path, const std::string &field,
+                          const std::string &value)
+    {
+        answer_.reset();
+        auto incoming = incomingRequest(path);
+        incoming.message_.set(field, value);
+        incoming.message_.set("Workspace", "forged");
+        Http::asio::co_spawn(context_, answerRequest(std::move(incoming)), Http::asio::detached);
+        waitForAnswer();
+        return answer_->result();
+    }
+
+    static Http::IncomingRequest incomingRequest(const std::string &path)
     {
         Http::IncomingRequest incoming;
-        incoming.message_ = Http::Request(http::verb::get, "/read/x", 11);
+        incoming.message_ = Http::Request(http::verb::get, path, 11);
         incoming.message_.set(http::field::host, "h");
         incoming.message_.set("Id", "1");
         incoming.message_.set("Key", "7");
@@ -60,7 +74,15 @@
         incoming.hasPeerClosed_ = [] {
             return false;
         };
-        Http::asio::co_spawn(context_, answerRequest(std::move(incoming)), Http::asio::detached);
+        return incoming;
+    }
+
+    /// Starts a request, and returns once its target is chosen and a connection to it is being
+    /// opened.
+    void startRequest()
+    {
+        Http::asio::co_spawn(context_, answerRequest(incomingRequest("/read/x")),
+                             Http::asio::detached);
         while (chosenTarget().empty())
             CPPUNIT_ASSERT(context_.poll_one() > 0);
     }
@@ -91,12 +113,17 @@
     Http::asio::io_context context_;
     InstanceFixture instance_{"r-a"};
     Steering::CrashGuard guard_{instance_.port_, instance_.log_};
+    Steering::PeerExchange peers_{context_, instance_.settings_, instance_.platformState_,
+                                  instance_.log_};
+    Steering::QuotaExchange quotas_{context_, instance_.settings_, instance_.platformState_,
+                                    peers_};
     Steering::Dispatcher dispatcher_{
-        context_, instance_.port_, instance_.platformState_, instance_.placementEngine_,
-        guard_,   instance_.log_};
+        context_, instance_.port_, instance_.platformState_, instance_.placementEngine_, guard_,
+        quotas_,  instance_.log_};
     std::vector<std::unique_ptr<Http::Server>> servers_;
     std::map<std::string, Model::Address> addresses_;
     std::vector<std::string> receivingTargets_;
+    std::vector<Http::Request> received_;
     std::optional<Http::Response> answer_;
 };
 
@@ -106,6 +133,10 @@
     CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToATargetThatLeaves);
     CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToATargetThatIsGone);
     CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToADrainedDomain);
+    CPPUNIT_TEST(requestWithoutAKnownKeyReachesNoTarget);
+    CPPUNIT_TEST(targetGetsTheWorkspaceAndNotTheKey);
+    CPPUNIT_TEST(publicRouteNeedsNoKey);
+    CPPUNIT_TEST(requestBeyondTheQuotaReachesNoTarget);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +162,71 @@
         assertSentElsewhere(fixture, left);
     }
 
+    /// Adds workspaces to the table: "w", whose quota admits nothing before it is earned, and
+    /// "free" without a quota.
+    static void addWorkspaces(DispatcherFixture &fixture)
+    {
+        fixture.instance_.setTable(Fakes::operatorsText(5) + "[workspace free]\nkey_digests = "
+                                       + toText(Model::digestOf("free-key"))
+                                       + "\n[workspace w]\nkey_digests = "
+                                       + toText(Model::digestOf("w-key")) + "\nlimit_rps = 1\n",
+                                   5);
+        fixture.quotas_.tableChanged();
+    }
+
+    // Guards against serving a caller whose key no workspace holds.
+    void requestWithoutAKnownKeyReachesNoTarget()
+    {
+        DispatcherFixture fixture;
+        addWorkspaces(fixture);
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Other", "") == http::status::unauthorized);
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Secret", "x") == http::status::unauthorized);
+        CPPUNIT_ASSERT(fixture.receivingTargets_.empty());
+    }
+
+    // Guards against passing a caller's key on, and against a caller that names a workspace itself.
+    void targetGetsTheWorkspaceAndNotTheKey()
+    {
+        DispatcherFixture fixture;
+        addWorkspaces(fixture);
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Secret", "free-key") == http::status::ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.received_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.received_.front().count("Secret"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.received_.front().count("Workspace"));
+        CPPUNIT_ASSERT(fixture.received_.front()["Workspace"] == "free");
+    }
+
+    // Guards against demanding a key where the table asks for none, and against passing on the name
+    // of a workspace that a caller without a key has made up.
+    void publicRouteNeedsNoKey()
+    {
+        DispatcherFixture fixture;
+        addWorkspaces(fixture);
+        fixture.instance_.setTable(
+            Fakes::operatorsText(6)
+                + "[route open]\nhost = h\nprefix = /open/\nservices = gauging\npublic = yes\n"
+                  "[workspace w]\n",
+            6);
+        fixture.quotas_.tableChanged();
+        CPPUNIT_ASSERT(fixture.answerTo("/open/x", "Secret", "x") == http::status::ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.received_.front().count("Workspace"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.received_.front().count("Secret"));
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Secret", "x") == http::status::unauthorized);
+    }
+
+    // Guards against a refusal beyond the quota that is not one of a request that has not run.
+    void requestBeyondTheQuotaReachesNoTarget()
+    {
+        DispatcherFixture fixture;
+        addWorkspaces(fixture);
+        http::status last = http::status::ok;
+        for (int i = 0; i < 5; ++i)
+            last = fixture.answerTo("/read/x", "Secret", "w-key");
+        CPPUNIT_ASSERT(last == http::status::too_many_requests);
+        CPPUNIT_ASSERT(fixture.answer_->count(http::field::retry_after) == 1);
+        CPPUNIT_ASSERT(fixture.receivingTargets_.size() <= 1);
+    }
+
     // The same for a target whose registration was removed.
     void requestThatWaitsForAConnectionIsNotSentToATargetThatIsGone()
     {
--- a/Tests/LibSteering/TestIdleConnections.cpp
+++ b/Tests/LibSteering/TestIdleConnections.cpp
@@ -21,8 +21,11 @@
         InstanceFixture instance("r-a");
         Http::asio::io_context context;
         Steering::CrashGuard guard(instance.port_, instance.log_);
+        Steering::PeerExchange peers(context, instance.settings_, instance.platformState_,
+                                     instance.log_);
+        Steering::QuotaExchange quotas(context, instance.settings_, instance.platformState_, peers);
         Steering::Dispatcher dispatcher(context, instance.port_, instance.platformState_,
-                                        instance.placementEngine_, guard, instance.log_);
+                                        instance.placementEngine_, guard, quotas, instance.log_);
         instance.setTargetRows(2, {Fakes::target("a", "gauging", "s-a", 2)});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), instance.targetRegistry_.all().size());
         dispatcher.refreshIdleConnections(instance.targetRegistry_);
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -32,6 +32,7 @@
 {
     CPPUNIT_TEST_SUITE(TestTranslation);
     CPPUNIT_TEST(configurationBecomesRowsOfTheTable);
+    CPPUNIT_TEST(callersOfWorkspacesAreFoundByKey);
     CPPUNIT_TEST(evacuationsBecomeDrains);
     CPPUNIT_TEST(unreadableConfigurationsAreRefused);
     CPPUNIT_TEST(registrationsBecomeTargets);
@@ -71,6 +72,37 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(67108864), table->callerLimits().bodyBytes_);
     }
 
+    void callersOfWorkspacesAreFoundByKey()
+    {
+        auto text = json::parse(config);
+        text["tenants"] = json::parse(R"([
+            {"name":"t1","apiKeys":["key-a","key-b"],"priority":1,"ratePerS":424,"burst":40.5,
+             "homeRegions":["r"]},
+            {"name":"t2","apiKeys":["key-c"]},
+            {"name":"t3","apiKeys":[]}])");
+        text["hosts"][0]["paths"][1]["public"] = true;
+        const auto rows = Adapter::decodeOperators({row("config", text.dump())});
+        CPPUNIT_ASSERT(rows);
+        auto all = rows->rows_;
+        all.push_back({{Model::RowKind::Region, "r"}, {}, {}, false});
+        const auto table = Model::Table::build(rows->version_, all, {});
+        CPPUNIT_ASSERT_MESSAGE(toText(Model::lastReason()), table.has_value());
+        const auto *first = table->workspaces().find("key-b");
+        CPPUNIT_ASSERT(first && first->id_.value() == "t1" && first->priority_ == 1);
+        CPPUNIT_ASSERT(first->limit_.value() == 424 && first->burst_ == 40.5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first->allowedRegions_.size());
+        const auto *second = table->workspaces().find("key-c");
+        CPPUNIT_ASSERT(second && !second->priority_ && !second->isLimited());
+        CPPUNIT_ASSERT(!table->workspaces().find("key-d"));
+        CPPUNIT_ASSERT(!table->routes().find("h.example", "/a/x")->isPublic_);
+        CPPUNIT_ASSERT(table->routes().find("h.example", "/a/b/x")->isPublic_);
+        // Guards against keys that anyone who may read the table, a log or an audit trail can use.
+        for (const auto &item : all) {
+            for (const auto &[column, value] : item.cells_)
+                CPPUNIT_ASSERT(value.find("key-") == std::string::npos);
+        }
+    }
+
     void evacuationsBecomeDrains()
     {
         const auto rows
