Entryd, Tablectl: Demand the keys of workspaces and keep their quotas

The daemons take part in the workspaces: they demand a key once the table has workspaces, name the workspace to the target, hand it to the entry of another region, and admit an equal part of the quota for each of their threads. 'tablectl key-digest' prints what the table holds of a key.

--- a/Libraries/LibHttp/HeaderNames.h
+++ b/Libraries/LibHttp/HeaderNames.h
@@ -13,6 +13,7 @@
 constexpr std::string_view loadHeader = "Cassiacrank-Load";
 constexpr std::string_view incarnationHeader = "Cassiacrank-Incarnation";
 constexpr std::string_view drainingHeader = "Cassiacrank-Draining";
+constexpr std::string_view workspaceHeader = "Cassiacrank-Workspace";
 constexpr std::string_view notStartedHeader = "Cassiacrank-Not-Started";
 
 // From an entry to an entry of another region.
@@ -29,6 +30,7 @@
 
 // From a caller to an entry. These are public, so they lack the prefix.
 constexpr std::string_view callerNameHeader = "Caller";
+constexpr std::string_view callerKeyHeader = "Caller-Key";
 constexpr std::string_view callerDeadlineHeader = "Request-Timeout-Ms";
 constexpr std::string_view idempotencyKeyHeader = "Idempotency-Key";
 /// The number of times the caller has sent the request under its key, including this one.
--- a/Services/Entryd/CallerRequest.cpp
+++ b/Services/Entryd/CallerRequest.cpp
@@ -116,10 +116,28 @@
     return request;
 }
 
+/// Finds the workspace by the caller's key, and removes the key. Returns false, with
+/// UnknownCallerKey as the last reason, if a key is needed and missing or unknown.
+bool identifyWorkspace(const Model::WorkspaceIndex &workspaces, CallerRequest &request)
+{
+    const auto name = viewOf(Http::callerKeyHeader);
+    const bool isOneKey = request.message_.count(name) == 1;
+    const std::string key = isOneKey ? header(request.message_, Http::callerKeyHeader) : "";
+    request.message_.erase(name);
+    const auto workspace = Policy::workspaceOfCaller(workspaces, Policy::KeyUse::Required, key);
+    if (!workspace)
+        return false;
+    if (*workspace)
+        request.workspace_ = (*workspace)->id_;
+    return true;
+}
+
 void setCommonHeaders(Http::Request &message, const CallerRequest &request, Model::SteadyTime now)
 {
     const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now);
     message.set(viewOf(Http::requestIdHeader), request.id_.value());
+    if (!request.workspace_.isEmpty())
+        message.set(viewOf(Http::workspaceHeader), request.workspace_.value());
     message.set(viewOf(Http::deadlineHeader), std::to_string(std::max<long long>(1, left.count())));
     message.keep_alive(true);
     message.prepare_payload();
@@ -143,6 +161,8 @@
         return Model::fail(ResultCode::MalformedRequest, "Caller name is too long or unprintable");
     request->caller_ = Model::CallerId(caller.empty() ? remoteHost : std::move(caller));
     request->class_ = classFor(*snapshot.table_, request->caller_);
+    if (!identifyWorkspace(snapshot.table_->workspaces(), *request))
+        return std::nullopt;
 
     const auto keyName = viewOf(Http::idempotencyKeyHeader);
     if (request->isIdempotent_ || request->message_.count(keyName) == 0)
@@ -165,6 +185,7 @@
     const std::string caller = header(incoming.message_, Http::callerHeader);
     const std::string origin = header(incoming.message_, Http::originHeader);
     const std::string domain = header(incoming.message_, Http::domainHeader);
+    const std::string workspace = header(incoming.message_, Http::workspaceHeader);
     const auto left = millisecondsFromText(header(incoming.message_, Http::deadlineHeader));
     auto request = readCommon(snapshot, std::move(incoming));
     if (!request || !left)
@@ -172,6 +193,7 @@
     strip(request->message_);
     request->id_ = Model::RequestId(id);
     request->caller_ = Model::CallerId(caller);
+    request->workspace_ = Model::WorkspaceId(workspace);
     request->class_ = classFor(*snapshot.table_, request->caller_);
     request->deadline_ = request->arrivedAt_ + *left;
     const auto region = snapshot.regionIndex_.find(Model::RegionId(origin));
--- a/Services/Entryd/CallerRequest.h
+++ b/Services/Entryd/CallerRequest.h
@@ -15,6 +15,8 @@
     Model::RequestId id_;
     Model::CallerId caller_;
     Model::CallerClass class_;
+    /// The caller's workspace; empty if the table has no workspaces.
+    Model::WorkspaceId workspace_;
     Model::ServiceId service_;
     std::size_t serviceIndex_ = 0;
     /// Index into Table::regions().
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -101,6 +101,16 @@
     return *queue;
 }
 
+bool Dispatcher::isWithinQuota(const EntrySnapshot &snapshot, const CallerRequest &request)
+{
+    const auto *workspace = snapshot.table_->workspaces().find(request.workspace_);
+    if (!workspace)
+        return true;
+    const std::size_t holders
+        = snapshot.fleetSize_ * static_cast<std::size_t>(settings_.entryThreads_);
+    return Policy::admitEqualPart(quotaBuckets_[workspace->id_], *workspace, holders, steadyNow());
+}
+
 Http::Response Dispatcher::refuse(unsigned version, Outcome outcome)
 {
     auto &counter = outcome == Outcome::NotRun ? counters_.notRun_ : counters_.unknown_;
@@ -119,7 +129,10 @@
     auto request = cell_.read([&](const EntrySnapshot *snapshot) -> std::optional<CallerRequest> {
         if (!snapshot || !snapshot->takesCallers_)
             return Model::fail(ResultCode::NotReady, "");
-        return readCallerRequest(*snapshot, std::move(incoming), newRequestId());
+        auto read = readCallerRequest(*snapshot, std::move(incoming), newRequestId());
+        if (read && !isWithinQuota(*snapshot, *read))
+            return Model::fail(ResultCode::QuotaExceeded, "");
+        return read;
     });
     if (!request)
         co_return refuse(version, refused);
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -70,6 +70,7 @@
     Http::Response toAnswer(RequestResult requestResult, const CallerRequest &request,
                             unsigned version);
     Http::Response refuse(unsigned version, Policy::Outcome outcome);
+    bool isWithinQuota(const EntrySnapshot &snapshot, const CallerRequest &request);
     void release(SlotHold slot, std::size_t serviceIndex);
     void noteWaiting(std::size_t serviceIndex, const ServiceQueue &queue);
     ServiceQueue &queueFor(const CallerRequest &request);
@@ -92,6 +93,8 @@
     std::map<Model::ServiceId, std::unique_ptr<ServiceQueue>> queues_;
     Policy::RetryBudget retryBudget_;
     Policy::EntryFailures entryFailures_;
+    /// The tokens of this thread's equal part of each workspace's quota.
+    std::map<Model::WorkspaceId, Policy::RateBucket> quotaBuckets_;
     EntryCounters counters_;
     int threadNumber_;
     std::string idPrefix_;
--- a/Tests/Integration/Load.h
+++ b/Tests/Integration/Load.h
@@ -58,4 +58,30 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE("not run, but ran", 0.0, result.judged("not_run_but_run"));
 }
 
+/// Sends a request and returns its answer; fails the test if there is none. Thread safety: any
+/// thread.
+inline Http::Response send(const Model::Address &address, Http::http::verb method,
+                           const std::string &target,
+                           const std::vector<std::pair<std::string, std::string>> &headers = {})
+{
+    Http::asio::io_context context;
+    Http::ConnectionPool pool(context);
+    Http::Request request(method, target, 11);
+    request.set(Http::http::field::host, "test");
+    for (const auto &[name, value] : headers)
+        request.set(name, value);
+    request.prepare_payload();
+    Http::ExchangeOptions options;
+    options.address_ = address;
+    options.deadline_ = std::chrono::steady_clock::now() + Model::Milliseconds(5000);
+    Http::ExchangeResult result;
+    const auto run = [&]() -> Http::Task<void> {
+        result = co_await Http::exchange(pool, options, request, Http::acceptAnyAnswer);
+    };
+    Http::asio::co_spawn(context, run(), Http::asio::detached);
+    context.run();
+    CPPUNIT_ASSERT(result.answer_);
+    return *result.answer_;
+}
+
 } // namespace Integration
--- a/Tests/Integration/TestEdits.cpp
+++ b/Tests/Integration/TestEdits.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(editNeverReverts);
     CPPUNIT_TEST(concurrentEditsOfOneCellNeverLoseAnEditSilently);
     CPPUNIT_TEST(lostConfirmationDoesNotApplyAnEditTwice);
+    CPPUNIT_TEST(callersOfWorkspacesNeedTheirKeyAndKeepTheirQuota);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,6 +57,35 @@
         }
     }
 
+    // Guards against serving callers without a key, or beyond their workspace's quota, once the
+    // table has workspaces.
+    void callersOfWorkspacesNeedTheirKeyAndKeepTheirQuota()
+    {
+        Site site({});
+        site.start();
+        const auto entry = site.instances().front().row_.addresses_.entry_;
+        const auto codeWith = [&](const std::vector<std::pair<std::string, std::string>> &fields) {
+            const auto answer
+                = Integration::send(entry, Http::http::verb::get, "/gauging/x", fields);
+            return std::string(answer["Cassiacrank-Code"]);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), codeWith({}));
+        const std::string digests = "key_digests=" + toText(Model::digestOf("pilot-key"));
+        std::string output;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            output, 0,
+            site.tablectl({"--operator=test", "set", "workspace pilots", digests, "limit_rps=0.1"},
+                          &output));
+        CPPUNIT_ASSERT(secondsUntilInForce(site, 2, Milliseconds(5000)) <= 2.0);
+        CPPUNIT_ASSERT_EQUAL(std::string("115"), codeWith({}));
+        CPPUNIT_ASSERT_EQUAL(std::string("115"), codeWith({{"Caller-Key", "other-key"}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), codeWith({{"Caller-Key", "pilot-key"}}));
+        std::string last;
+        for (int i = 0; i < 10; ++i)
+            last = codeWith({{"Caller-Key", "pilot-key"}});
+        CPPUNIT_ASSERT_EQUAL(std::string("214"), last);
+    }
+
     // Guards against a region that keeps an old table after a partition heals: Primorska is cut off
     // from the other regions and from the store while an edit is made. Updates that flow in one
     // direction only, or a retry delay that is too long, keep it behind.
--- a/Tests/Integration/TestWholePath.cpp
+++ b/Tests/Integration/TestWholePath.cpp
@@ -3,32 +3,10 @@
 namespace {
 
 using Harness::Site;
+using Integration::send;
 using Model::Milliseconds;
 namespace http = Http::http;
 
-Http::Response send(const Model::Address &address, http::verb method, const std::string &target,
-                    const std::vector<std::pair<std::string, std::string>> &headers = {})
-{
-    Http::asio::io_context context;
-    Http::ConnectionPool pool(context);
-    Http::Request request(method, target, 11);
-    request.set(http::field::host, "test");
-    for (const auto &[name, value] : headers)
-        request.set(name, value);
-    request.prepare_payload();
-    Http::ExchangeOptions options;
-    options.address_ = address;
-    options.deadline_ = std::chrono::steady_clock::now() + Milliseconds(5000);
-    Http::ExchangeResult result;
-    const auto run = [&]() -> Http::Task<void> {
-        result = co_await Http::exchange(pool, options, request, Http::acceptAnyAnswer);
-    };
-    Http::asio::co_spawn(context, run(), Http::asio::detached);
-    context.run();
-    CPPUNIT_ASSERT(result.answer_);
-    return *result.answer_;
-}
-
 class TestWholePath : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestWholePath);
--- a/Utilities/Tablectl/Commands.cpp
+++ b/Utilities/Tablectl/Commands.cpp
@@ -306,6 +306,16 @@
     return ExitCode::Ok;
 }
 
+/// Reads the key from standard input: the command line is visible to other users of the system.
+ExitCode printKeyDigest(const Options &options)
+{
+    std::string key;
+    if (options.arguments_.size() != 1 || !std::getline(std::cin, key) || key.empty())
+        return usage("key-digest, with the key on standard input");
+    std::cout << toText(Model::digestOf(key)) << "\n";
+    return ExitCode::Ok;
+}
+
 struct Command
 {
     std::string_view name_;
@@ -334,6 +344,8 @@
      explainCommand},
     {"quarantines", "quarantines --ask ADDRESSES  list the quarantined requests", listQuarantines},
     {"lift", "lift PRINT --ask ADDRESSES  release a request from quarantine", releaseQuarantine},
+    {"key-digest", "key-digest                  the digest of a caller's key from standard input",
+     printKeyDigest},
     {"status", "status [--ask ADDRESSES]    table versions in use, and drains", status},
 };
 
--- a/Utilities/Tablectl/main.cpp
+++ b/Utilities/Tablectl/main.cpp
@@ -3,8 +3,9 @@
 #include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(platform, "",
-              "IP:port of the platform's table service (required except by validate)");
+DEFINE_string(
+    platform, "",
+    "IP:port of the platform's table service (required except by validate and key-digest)");
 DEFINE_string(operator, "", "your name, for the audit trail (required for edits)");
 DEFINE_string(edit_id, "",
               "id of the edit; pass the same id to retry an edit whose outcome is unknown");
@@ -46,7 +47,8 @@
     const std::string command = options.arguments_.empty() ? "" : options.arguments_.front();
     const bool usesAdminAddresses = (command == "status" && !options.adminAddresses_.empty())
                                     || command == "quarantines" || command == "lift";
-    const bool needsPlatform = command != "validate" && !usesAdminAddresses;
+    const bool usesNoPlatform = command == "validate" || command == "key-digest";
+    const bool needsPlatform = !usesNoPlatform && !usesAdminAddresses;
     const auto platform = Model::addressFromText(FLAGS_platform);
     if (needsPlatform && !platform) {
         std::cerr << "--platform IP:port is required; see --help\n";
