--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -36,6 +36,8 @@
     RequestQuarantined = 3009,
     QuarantineLifted = 3010,
     QuarantinesUnread = 3011,
+    QuotaReached = 3012,
+    QuotaFree = 3013,
 
     SnapshotApplied = 4001,
     ControlLost = 4002,
--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -39,6 +39,7 @@
         .add("code", static_cast<std::int64_t>(Model::number(refusal.code_)))
         .add("route", request.route_ ? request.route_->id_.value() : "")
         .add("service", request.service_.value())
+        .add("workspace", request.workspace_ ? request.workspace_->id_.value() : "")
         .add("expected_ms", refusal.expected_)
         .add("goal_ms",
              request.route_ ? static_cast<std::int64_t>(request.route_->latencyGoal_.count()) : 0)
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -33,6 +33,10 @@
           guard.kept());
     text.add("cassiacrank_quarantined", "Requests in quarantine.", "gauge",
              static_cast<double>(guard.quarantined(std::chrono::steady_clock::now())));
+    text.add("cassiacrank_workspaces_limited", "Workspaces over their quota.", "gauge",
+             static_cast<double>(parts_->quotas_.limitedWorkspaces()));
+    text.add("cassiacrank_quota_root", "Whether this instance is the root of the quota tree.",
+             "gauge", parts_->quotas_.isRoot() ? 1 : 0);
     count("cassiacrank_store_reads_total", "Read calls to the store.", store_.reads_);
     count("cassiacrank_store_writes_total", "Write calls to the store.", store_.writes_);
     count("cassiacrank_log_lines_total", "Lines of the decision log.", log_.written());
--- a/Libraries/LibSteering/InstanceParts.cpp
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -31,7 +31,7 @@
     , placementEngine_(instance.settings_, platformState_, targetRegistry_)
     , guard_(instance.port_, instance.log_)
     , peers_(instance.context_, instance.settings_, platformState_, instance.log_)
-    , quotas_(instance.context_, instance.settings_, platformState_, peers_)
+    , quotas_(instance.context_, instance.settings_, platformState_, peers_, instance.log_)
     , dispatcher_(instance.context_, instance.port_, platformState_, placementEngine_, guard_,
                   quotas_, instance.log_)
     , follower_(
--- a/Libraries/LibSteering/QuotaExchange.cpp
+++ b/Libraries/LibSteering/QuotaExchange.cpp
@@ -7,6 +7,7 @@
 using Http::Task;
 using Model::Milliseconds;
 using Model::SteadyTime;
+using Observe::Event;
 namespace http = Http::http;
 
 namespace {
@@ -41,11 +42,13 @@
 } // namespace
 
 QuotaExchange::QuotaExchange(Http::asio::io_context &context, const Observe::Settings &settings,
-                             const PlatformState &platformState, PeerExchange &peers)
+                             const PlatformState &platformState, PeerExchange &peers,
+                             Observe::DecisionLog &log)
     : context_(context)
     , settings_(settings)
     , platformState_(platformState)
     , peers_(peers)
+    , log_(log)
     , pool_(context)
 {
 }
@@ -233,10 +236,31 @@
         usage.pooled_ = usage.total_;
         gateOf(key).fraction_
             = Policy::updateQuotaPool(pools_[key], *workspace->second, coverage, counts, now);
+        logLimit(*workspace->second, key);
     }
     fractionsAt_ = now;
 }
 
+void QuotaExchange::logLimit(const Model::Workspace &workspace, std::uint64_t key)
+{
+    const double fraction = gateOf(key).fraction_;
+    const bool wasOver = overQuota_.contains(key);
+    const bool isOver = fraction < (wasOver ? freeFraction : 1);
+    if (isOver == wasOver)
+        return;
+    if (isOver) {
+        overQuota_.insert(key);
+    } else {
+        overQuota_.erase(key);
+    }
+    log_.line(isOver ? Event::QuotaReached : Event::QuotaFree)
+        .add("workspace", workspace.id_.value())
+        .add("limit_per_s", static_cast<std::int64_t>(workspace.limit_.value()))
+        .add("offered_per_s", static_cast<std::int64_t>(pools_[key].offeredPerSecond_))
+        .add("admitted_percent", static_cast<std::int64_t>(fraction * 100))
+        .add("reporters", static_cast<std::int64_t>(ledger_.reporters_.size()));
+}
+
 std::vector<Policy::QuotaFraction>
 QuotaExchange::fractionsFor(const Policy::QuotaReport &report) const
 {
--- a/Libraries/LibSteering/QuotaExchange.h
+++ b/Libraries/LibSteering/QuotaExchange.h
@@ -18,7 +18,8 @@
 {
 public:
     QuotaExchange(Http::asio::io_context &context, const Observe::Settings &settings,
-                  const PlatformState &platformState, PeerExchange &peers);
+                  const PlatformState &platformState, PeerExchange &peers,
+                  Observe::DecisionLog &log);
 
     /// Begins to report and to answer reports.
     void start();
@@ -46,6 +47,7 @@
     std::optional<Policy::QuotaParent> parent(Model::SteadyTime now) const;
     void becomeRoot();
     void updateFractions(Model::SteadyTime now);
+    void logLimit(const Model::Workspace &workspace, std::uint64_t key);
     void applyAnswer(const Policy::QuotaAnswer &answer, Model::SteadyTime sentAt);
     std::vector<Policy::QuotaFraction> fractionsFor(const Policy::QuotaReport &report) const;
     bool isUpToDate(Model::SteadyTime now) const;
@@ -56,12 +58,15 @@
     const Observe::Settings &settings_;
     const PlatformState &platformState_;
     PeerExchange &peers_;
+    Observe::DecisionLog &log_;
     Http::ConnectionPool pool_;
     Policy::QuotaLedger ledger_;
     std::unordered_map<std::uint64_t, Policy::QuotaPool> pools_;
     std::unordered_map<std::uint64_t, Policy::QuotaGate> gates_;
     /// The table's workspaces that have a quota, by key.
     std::unordered_map<std::uint64_t, const Model::Workspace *> limited_;
+    /// Workspaces that this instance, as the root, last found over their quota.
+    std::set<std::uint64_t> overQuota_;
     /// Keeps the workspaces in limited_ alive.
     std::shared_ptr<const Model::Table> table_;
     /// Instances that did not answer a report, with the time until which they are skipped.
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -115,8 +115,8 @@
     Steering::CrashGuard guard_{instance_.port_, instance_.log_};
     Steering::PeerExchange peers_{context_, instance_.settings_, instance_.platformState_,
                                   instance_.log_};
-    Steering::QuotaExchange quotas_{context_, instance_.settings_, instance_.platformState_,
-                                    peers_};
+    Steering::QuotaExchange quotas_{context_, instance_.settings_, instance_.platformState_, peers_,
+                                    instance_.log_};
     Steering::Dispatcher dispatcher_{
         context_, instance_.port_, instance_.platformState_, instance_.placementEngine_, guard_,
         quotas_,  instance_.log_};
--- a/Tests/LibSteering/TestIdleConnections.cpp
+++ b/Tests/LibSteering/TestIdleConnections.cpp
@@ -23,7 +23,8 @@
         Steering::CrashGuard guard(instance.port_, instance.log_);
         Steering::PeerExchange peers(context, instance.settings_, instance.platformState_,
                                      instance.log_);
-        Steering::QuotaExchange quotas(context, instance.settings_, instance.platformState_, peers);
+        Steering::QuotaExchange quotas(context, instance.settings_, instance.platformState_, peers,
+                                       instance.log_);
         Steering::Dispatcher dispatcher(context, instance.port_, instance.platformState_,
                                         instance.placementEngine_, guard, quotas, instance.log_);
         instance.setTargetRows(2, {Fakes::target("a", "gauging", "s-a", 2)});
