LibPolicy: Hold quotas through the loss of a root and through cuts; urgent requests first

A root keeps its bucket for five seconds, and an instance that is cut off admits at most 1.2 equal parts: those above it hand out all but the equal parts of the missing ones.

Within a workspace over its quota, requests of the first rank use the fraction up before the next: they are worth most to the callers, and at random each kind lost alike.

--- a/Libraries/LibPolicy/QuotaGate.h
+++ b/Libraries/LibPolicy/QuotaGate.h
@@ -5,6 +5,7 @@
 #include <LibModel/LibModel.h>
 
 #include <cstddef>
+#include <map>
 
 namespace Policy {
 
@@ -14,9 +15,19 @@
     /// The fraction of the workspace's requests that the root of the quota tree has every instance
     /// admit; above 1 means that the workspace is that far below its quota.
     double fraction_ = 1;
-    /// The sum of the fractions of the requests so far, less those admitted. Requests are admitted
-    /// evenly, and the instances' gates start at different values.
-    double carry_ = 0;
+    /// The requests of one rank.
+    struct Rank
+    {
+        /// Recent requests; older ones count less.
+        double weight_ = 0;
+        /// The sum of the admitted fractions so far, less the requests admitted.
+        double carry_ = 0;
+    };
+    /// By rank; 0 goes first.
+    std::map<int, Rank> ranks_;
+    /// Initial carry_ (0 to below 1). Instances have different ones, so that they admit a small
+    /// fraction of the requests at different times.
+    double firstCarry_ = 0;
     /// Rate of the requests that arrived here while the fraction was up to date.
     double offeredPerSecond_ = 0;
     Model::SteadyTime countedAt_ = Model::distantPast;
@@ -28,9 +39,12 @@
 /// Returns a gate that starts at \a draw (0 to below 1).
 QuotaGate newQuotaGate(double draw);
 
-/// Decides whether to admit a request by an up-to-date fraction. Thread safety: \a gate belongs to
-/// the calling thread.
-bool admitByFraction(QuotaGate &gate, Model::SteadyTime now);
+/// Decides whether to admit a request of \a rank by an up-to-date fraction: requests of the first
+/// rank use it up before those of the next.
+///
+/// Without ranks, a workspace over its quota loses its urgent requests as often as the others.
+/// Thread safety: \a gate belongs to the calling thread.
+bool admitByFraction(QuotaGate &gate, int rank, Model::SteadyTime now);
 
 /// Why an instance has no up-to-date fraction.
 enum class AloneBecause {
@@ -42,8 +56,9 @@
 };
 
 /// Decides whether to admit a request while no fraction arrives. An instance that is cut off
-/// continues to admit its recent part of the quota; one that has had no requests admits half of an
-/// equal part. One that starts admits several equal parts.
+/// continues to admit its recent part of the quota, between half of an equal part and little more
+/// than one: those above it hand out all but the equal parts of the missing instances. One that
+/// starts admits several equal parts.
 ///
 /// Without the bound, instances that are cut off from each other would admit the quota once each.
 /// Thread safety: as above.
--- a/Libraries/LibPolicy/QuotaPool.cpp
+++ b/Libraries/LibPolicy/QuotaPool.cpp
@@ -21,6 +21,8 @@
 constexpr double maxStepSeconds = 1;
 /// Time that passes at least between the last fraction of a pool and the first of its successor.
 constexpr double handoverSeconds = 0.5;
+/// A root that was another one's reporter for less time continues its pools.
+constexpr Model::Milliseconds poolRetention{5000};
 /// Lowest estimated rate; below it, any request is admitted.
 constexpr double minRate = 0.1;
 /// Largest fraction that is handed out.
@@ -56,6 +58,11 @@
     return pool.fraction_;
 }
 
+bool mayContinue(const QuotaPool &pool, Model::SteadyTime now)
+{
+    return now - pool.updatedAt_ < poolRetention;
+}
+
 double quotaCoverage(std::size_t reporters, std::size_t instances)
 {
     const double part
--- a/Libraries/LibPolicy/QuotaPool.h
+++ b/Libraries/LibPolicy/QuotaPool.h
@@ -48,6 +48,11 @@
 double updateQuotaPool(QuotaPool &pool, const Model::Workspace &workspace, double coverage,
                        const QuotaCounts &counts, Model::SteadyTime now);
 
+/// Returns whether an instance that is the root again may continue \a pool, because it was the root
+/// a short time ago. Otherwise it must start with a new pool, whose first tokens would be handed
+/// out once more each time. Thread safety: any thread.
+bool mayContinue(const QuotaPool &pool, Model::SteadyTime now);
+
 /// Returns the fraction of all instances that report to a pool, given that \a reporters of
 /// \a instances do. A few missing ones are within what a quota tolerates. Thread safety: any
 /// thread.
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -167,7 +167,10 @@
     if (!workspace)
         return refuse(request, {Model::lastReason().code_, Milliseconds(0), Microseconds(0)});
     request.workspace_ = *workspace;
-    if (request.workspace_ && !quotas_.admit(*request.workspace_, steadyNow())) {
+    if (!request.workspace_)
+        return std::nullopt;
+    const int rank = request.route_->priority_;
+    if (!quotas_.admit(*request.workspace_, rank, steadyNow())) {
         return refuse(request, {ResultCode::QuotaExceeded, quotas_.retryDelay(*request.workspace_),
                                 Microseconds(0)});
     }
--- a/Libraries/LibSteering/QuotaExchange.cpp
+++ b/Libraries/LibSteering/QuotaExchange.cpp
@@ -103,7 +103,7 @@
     return peers_.hasContactedPeers() ? instances_ : std::max(instances_, instancesBeforeContact);
 }
 
-bool QuotaExchange::admit(const Model::Workspace &workspace, SteadyTime now)
+bool QuotaExchange::admit(const Model::Workspace &workspace, int rank, SteadyTime now)
 {
     if (!workspace.isLimited())
         return true;
@@ -111,7 +111,7 @@
     ++ledger_.usage_[key].total_.offered_;
     Policy::QuotaGate &gate = gateOf(key);
     if (isUpToDate(now))
-        return Policy::admitByFraction(gate, now);
+        return Policy::admitByFraction(gate, rank, now);
     const bool isStarting
         = fractionsAt_ == Model::distantPast && now - limitedSince_ < startingTime;
     return Policy::admitAlone(
@@ -150,13 +150,17 @@
         now);
 }
 
-void QuotaExchange::becomeRoot()
+void QuotaExchange::becomeRoot(SteadyTime now)
 {
     isRoot_ = true;
-    pools_.clear();
+    std::erase_if(pools_, [now](const auto &entry) {
+        return !Policy::mayContinue(entry.second, now);
+    });
     // Earlier requests were counted by the previous root.
-    for (auto &[workspace, usage] : ledger_.usage_)
-        usage.pooled_ = usage.total_;
+    for (auto &[workspace, usage] : ledger_.usage_) {
+        if (!pools_.contains(workspace))
+            usage.pooled_ = usage.total_;
+    }
 }
 
 Task<void> QuotaExchange::reportLoop()
@@ -173,7 +177,7 @@
                 co_await reportTo(above->instance_);
             } else {
                 if (!isRoot_)
-                    becomeRoot();
+                    becomeRoot(startedAt);
                 updateFractions(startedAt);
             }
         }
--- a/Libraries/LibSteering/QuotaExchange.h
+++ b/Libraries/LibSteering/QuotaExchange.h
@@ -28,8 +28,9 @@
     /// Sets how many instances share the quotas.
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
-    /// Counts a request of \a workspace and returns whether its quota admits it.
-    bool admit(const Model::Workspace &workspace, Model::SteadyTime now);
+    /// Counts a request of \a workspace and returns whether its quota admits it. Requests of a
+    /// lower \a rank go first.
+    bool admit(const Model::Workspace &workspace, int rank, Model::SteadyTime now);
     /// Counts a request of \a workspace that is sent to a target for the first time.
     void noteSent(const Model::Workspace &workspace);
     /// Returns after which delay a caller should retry whose request was not admitted.
@@ -45,7 +46,7 @@
     Http::Task<void> reportTo(Model::Instance parent);
     Http::Response answerReport(const Http::Request &request);
     std::optional<Policy::QuotaParent> parent(Model::SteadyTime now) const;
-    void becomeRoot();
+    void becomeRoot(Model::SteadyTime now);
     void updateFractions(Model::SteadyTime now);
     void logLimit(const Model::Workspace &workspace, std::uint64_t key);
     void applyAnswer(const Policy::QuotaAnswer &answer, Model::SteadyTime sentAt);
--- a/Tests/LibPolicy/QuotaFleet.cpp
+++ b/Tests/LibPolicy/QuotaFleet.cpp
@@ -122,15 +122,16 @@
 
 void QuotaFleet::arrive(Instance &instance)
 {
+    const int rank = rankOfRequest_(random_);
     auto &usage = instance.ledger_.usage_[key_];
     ++usage.total_.offered_;
     const bool isUpToDate = now_ - instance.fractionAt_ <= Policy::maxQuotaFractionAge;
     const bool isAdmitted = isUpToDate
-                                ? Policy::admitByFraction(instance.gate_, now_)
+                                ? Policy::admitByFraction(instance.gate_, rank, now_)
                                 : Policy::admitAlone(instance.gate_, workspace_, instances_.size(),
                                                      whyAlone(instance), now_);
     usage.total_.sent_ += isAdmitted ? 1 : 0;
-    arrivals_.push_back({now_, isAdmitted});
+    arrivals_.push_back({now_, rank, isAdmitted});
 }
 
 void QuotaFleet::updateRoot(Instance &instance)
@@ -157,7 +158,7 @@
         now_);
     instance.reportAt_ = now_ + Policy::quotaReportInterval(parent ? parent->siblings_ : 1);
     if (!parent) {
-        if (!instance.isRoot_) {
+        if (!instance.isRoot_ && !Policy::mayContinue(instance.pool_, now_)) {
             instance.pool_ = {};
             auto &usage = instance.ledger_.usage_[key_];
             usage.pooled_ = usage.total_;
@@ -232,12 +233,13 @@
     return most;
 }
 
-double QuotaFleet::admittedFraction(double from) const
+double QuotaFleet::admittedFraction(double from, std::optional<int> rank) const
 {
     std::size_t admitted = 0;
     std::size_t all = 0;
     for (const auto &arrival : arrivals_) {
-        if (Model::inSeconds(arrival.at_ - start) < from)
+        const bool isCounted = !rank || arrival.rank_ == *rank;
+        if (!isCounted || Model::inSeconds(arrival.at_ - start) < from)
             continue;
         ++all;
         admitted += arrival.isAdmitted_ ? 1 : 0;
--- a/Tests/LibPolicy/QuotaFleet.h
+++ b/Tests/LibPolicy/QuotaFleet.h
@@ -30,8 +30,9 @@
 
     /// Returns the largest number of admitted requests in any window of \a seconds.
     std::size_t mostAdmittedIn(double seconds) const;
-    /// Returns the fraction of the requests since \a from that were admitted.
-    double admittedFraction(double from) const;
+    /// Returns the fraction of the requests since \a from, of all ranks or of one, that were
+    /// admitted.
+    double admittedFraction(double from, std::optional<int> rank = std::nullopt) const;
     double seconds() const { return Model::inSeconds(now_ - start); }
 
 private:
@@ -68,6 +69,7 @@
     struct Arrival
     {
         Model::SteadyTime at_;
+        int rank_ = 0;
         bool isAdmitted_ = false;
     };
 
@@ -88,6 +90,8 @@
     std::vector<Message> messages_;
     std::vector<Arrival> arrivals_;
     std::discrete_distribution<std::size_t> instanceOfRequest_;
+    /// One request in eight has rank 0, four have rank 1, three rank 2.
+    std::discrete_distribution<int> rankOfRequest_{1, 4, 3};
     std::size_t cutOff_ = 0;
     Model::SteadyTime now_ = start;
 };
--- a/Tests/LibPolicy/TestQuotas.cpp
+++ b/Tests/LibPolicy/TestQuotas.cpp
@@ -8,7 +8,7 @@
 
 constexpr double windowSeconds = 5;
 constexpr std::size_t instancesPerDomain = 10;
-constexpr std::uint64_t seeds = 5;
+constexpr std::uint64_t seeds = 10;
 /// Of the requests inside the quota, the part that must be admitted at least.
 constexpr double admittedOnACalmDay = 0.995;
 constexpr double admittedOnTheWorstDay = 0.98;
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(instancesThatAreCutOffStayWithinTheQuota);
     CPPUNIT_TEST(lossOfTheRootNeitherExceedsNorClosesTheQuota);
     CPPUNIT_TEST(commonRestartNeitherExceedsNorClosesTheQuota);
+    CPPUNIT_TEST(urgentRequestsOfAWorkspaceOverItsQuotaGoFirst);
     CPPUNIT_TEST(reportsThatArriveTwiceOrAnewCountOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -162,6 +163,19 @@
         }
     }
 
+    // Guards against a workspace over its quota that loses its urgent requests as often as the
+    // rest.
+    void urgentRequestsOfAWorkspaceOverItsQuotaGoFirst()
+    {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            QuotaFleet fleet(instancesPerDomain, workspaceWith(400), seed);
+            fleet.run(20, surge(400, 5, 2.5));
+            CPPUNIT_ASSERT(fleet.admittedFraction(8, 0) > 0.95);
+            CPPUNIT_ASSERT(fleet.admittedFraction(8, 1) < 0.7);
+            CPPUNIT_ASSERT(fleet.admittedFraction(8, 2) < 0.05);
+        }
+    }
+
     // Guards against counting requests twice when an answer to a report is lost, and against losing
     // those of an instance that restarts.
     void reportsThatArriveTwiceOrAnewCountOnce()
