--- a/Libraries/LibModel/Columns.cpp
+++ b/Libraries/LibModel/Columns.cpp
@@ -336,9 +336,11 @@
 
 bool isAllowed(const Column &column, const std::string &value)
 {
-    if (value.empty())
-        return !column.required_
-               && (column.type_ == Time || column.type_ == Text || column.type_ == OptionalInteger);
+    if (value.empty()) {
+        const bool mayBeEmpty
+            = column.type_ == Time || column.type_ == Text || column.type_ == OptionalInteger;
+        return mayBeEmpty && !column.required_;
+    }
 
     const auto parsed = numberFromText(value);
     const bool isInRange = parsed && *parsed >= column.minimum_ && *parsed <= column.maximum_;
--- a/Libraries/LibSteering/QuotaExchange.cpp
+++ b/Libraries/LibSteering/QuotaExchange.cpp
@@ -17,8 +17,6 @@
 /// Several round trips between regions.
 constexpr Milliseconds reportTimeout{400};
 constexpr Milliseconds minReportPause{50};
-constexpr std::size_t maxConnectionsToParent = 2;
-constexpr Milliseconds maxIdleTime{5000};
 /// An instance that did not answer a report is skipped for this long.
 constexpr Milliseconds unreachableTime{2000};
 /// Fractions below this are sent to all instances, since any may get the workspace's next request.
