--- a/Tests/LibSteering/TestPlacementEngine.cpp
+++ b/Tests/LibSteering/TestPlacementEngine.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(withoutTargetsARequestIsRefusedAtOnce);
     CPPUNIT_TEST(instanceThatKnowsNoTargetsYetIsNotReady);
     CPPUNIT_TEST(homeRegionsBind);
+    CPPUNIT_TEST(homeRegionsOfTheWorkspaceBindToo);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,16 +155,45 @@
         CPPUNIT_ASSERT(refusal.retryAfter_ > Milliseconds(0));
     }
 
-    void homeRegionsBind()
+    /// Sets the table, and a target of "transfers" in each region.
+    static void setUpRegions(InstanceFixture &instance, const std::string &table)
     {
-        InstanceFixture instance("r-a");
-        const std::string text = Fakes::operatorsText(3) + "home_regions = t\n";
-        instance.platformState_.replace(Steering::StoreTable::Operators,
-                                        Fakes::rows(1, {Fakes::row("table", text, 1)}), "test");
+        instance.setTable(table, 1);
         std::vector<Platform::StoredRow> list;
         for (const char *domain : {"r-a", "s-a", "t-a"})
             list.push_back(Fakes::target(domain, "transfers", domain, 2));
         instance.setTargetRows(2, list);
+    }
+
+    // Guards against running a request outside the regions of its workspace: at first, when its
+    // target there was tried before, and where route and workspace have no region in common.
+    void homeRegionsOfTheWorkspaceBindToo()
+    {
+        InstanceFixture instance("r-a");
+        setUpRegions(instance, Fakes::operatorsText(3) + "home_regions = s, t\n"
+                                   + "[workspace w]\nhome_regions = r, t\n"
+                                   + "[workspace v]\nhome_regions = r\n");
+        const auto &workspaces = instance.platformState_.table()->workspaces();
+        for (std::uint64_t object = 0; object < 50; ++object) {
+            auto request = Fakes::requestContext(instance, "order", object);
+            request.workspace_ = workspaces.find(Model::WorkspaceId("w"));
+            const auto placed = instance.placementEngine_.place(request, instance.now_);
+            CPPUNIT_ASSERT_EQUAL(std::string("t-a"),
+                                 std::get<Placement>(placed).target_->record_.id_.value());
+            request.tried_.push_back(Model::TargetId("t-a"));
+            const auto again = instance.placementEngine_.place(request, instance.now_);
+            CPPUNIT_ASSERT(std::get<Refusal>(again).code_ == Model::ResultCode::NoTarget);
+            request.tried_.clear();
+            request.workspace_ = workspaces.find(Model::WorkspaceId("v"));
+            const auto nowhere = instance.placementEngine_.place(request, instance.now_);
+            CPPUNIT_ASSERT(std::get<Refusal>(nowhere).code_ == Model::ResultCode::NoTarget);
+        }
+    }
+
+    void homeRegionsBind()
+    {
+        InstanceFixture instance("r-a");
+        setUpRegions(instance, Fakes::operatorsText(3) + "home_regions = t\n");
         for (std::uint64_t object = 0; object < 50; ++object) {
             const auto placed = instance.placementEngine_.place(
                 Fakes::requestContext(instance, "order", object), instance.now_);
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -66,10 +66,12 @@
     if (!extra.empty())
         add(extra, "safe");
     const json service = {{"name", "s"}, {"maxConns", 390}, {"coldPerS", 11.0}};
-    const json config = {{"version", text},
+    json config = {{"version", text},
                          {"services", {service}},
                          {"limits", {{"idleTimeoutMs", 15000}}},
                          {"hosts", {{{"host", "h.example"}, {"paths", paths}}}}};
+    if (!workspaces_.empty())
+        config["tenants"] = json::parse(workspaces_);
     store_.put("op", "config", config.dump());
 }
 
@@ -175,6 +177,16 @@
     return Http::sendAndWait(requestFor(instance, "/" + route + "/x", id, timeoutMs, object));
 }
 
+std::optional<Http::Response> Fleet::sendWithKey(const FleetInstance &instance,
+                                                 const std::string &route, const std::string &id,
+                                                 const std::string &key)
+{
+    constexpr int timeoutMs = 2000;
+    auto request = requestFor(instance, "/" + route + "/x", id, timeoutMs, id);
+    request.fields_.emplace_back("X-Cassiacrank-Key", key);
+    return Http::sendAndWait(request);
+}
+
 std::optional<Http::Response> Fleet::sendTo(const FleetInstance &instance, const std::string &path,
                                             const std::string &id, const std::string &body,
                                             const std::string &object)
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -34,6 +34,8 @@
     /// Writes a configuration of one host with two routes to service s: /read/, which is safe to
     /// repeat, and /order/, which is not. Adds a safe route named \a extra if it is not empty.
     void configure(int version, const std::string &extra = "");
+    /// Sets the workspaces of the next configuration, as the platform writes them.
+    void setWorkspaces(const std::string &text) { workspaces_ = text; }
     /// Starts \a count instances, round robin over the domains, and waits until all are ready.
     void start(std::size_t count);
     /// Starts one more instance, which calls \a store instead of the fleet's store if it is given.
@@ -52,6 +54,10 @@
     std::optional<Http::Response> send(const FleetInstance &instance, const std::string &route,
                                        const std::string &id, int timeoutMs = 2000,
                                        const std::string &object = "7");
+    /// The same for a caller that presents a key.
+    std::optional<Http::Response> sendWithKey(const FleetInstance &instance,
+                                              const std::string &route, const std::string &id,
+                                              const std::string &key);
     /// Sends a request to a complete path, with a body.
     std::optional<Http::Response> sendTo(const FleetInstance &instance, const std::string &path,
                                          const std::string &id, const std::string &body = "",
@@ -71,6 +77,7 @@
     std::vector<std::unique_ptr<FleetInstance>> instances_;
 
 private:
+    std::string workspaces_;
     std::string net_;
     std::string directory_;
     int lastHost_ = 1;
