--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -67,9 +67,9 @@
         add(extra, "safe");
     const json service = {{"name", "s"}, {"maxConns", 390}, {"coldPerS", 11.0}};
     json config = {{"version", text},
-                         {"services", {service}},
-                         {"limits", {{"idleTimeoutMs", 15000}}},
-                         {"hosts", {{{"host", "h.example"}, {"paths", paths}}}}};
+                   {"services", {service}},
+                   {"limits", {{"idleTimeoutMs", 15000}}},
+                   {"hosts", {{{"host", "h.example"}, {"paths", paths}}}}};
     if (!workspaces_.empty())
         config["tenants"] = json::parse(workspaces_);
     store_.put("op", "config", config.dump());
--- a/Tests/Slopes/Slopes.cpp
+++ b/Tests/Slopes/Slopes.cpp
@@ -330,6 +330,67 @@
 }
 BENCHMARK(tellCrashes)->Apply(crashRuns)->Unit(benchmark::kMicrosecond);
 
+void workspaces(benchmark::internal::Benchmark *benchmark)
+{
+    benchmark->ArgName("workspaces")->Arg(73)->Arg(600)->Arg(5000);
+}
+
+Model::WorkspaceIndex workspacesWithTwoKeys(std::int64_t count)
+{
+    Model::WorkspaceIndex index;
+    for (std::int64_t i = 0; i < count; ++i) {
+        Model::Workspace workspace;
+        const std::string name = "w" + std::to_string(i);
+        workspace.id_ = Model::WorkspaceId(name);
+        workspace.keys_ = {Model::digestOf(name + "-a"), Model::digestOf(name + "-b")};
+        workspace.limit_ = Model::RequestsPerSecond(50);
+        workspace.burst_ = 50;
+        index.add(std::move(workspace));
+    }
+    return index;
+}
+
+void findWorkspace(benchmark::State &state)
+{
+    const auto index = workspacesWithTwoKeys(state.range(0));
+    std::int64_t i = 0;
+    for (auto _ : state) {
+        const std::string key = "w" + std::to_string(i++ % state.range(0)) + "-b";
+        benchmark::DoNotOptimize(Policy::workspaceOfCaller(index, Policy::KeyUse::Required, key));
+    }
+}
+BENCHMARK(findWorkspace)->Apply(workspaces);
+
+void admitByQuota(benchmark::State &state)
+{
+    std::vector<Policy::QuotaGate> gates(static_cast<std::size_t>(state.range(0)));
+    Model::SteadyTime now{std::chrono::seconds(1)};
+    std::size_t i = 0;
+    for (auto _ : state) {
+        now += Model::Microseconds(100);
+        benchmark::DoNotOptimize(
+            Policy::admitByFraction(gates[i % gates.size()], static_cast<int>(i % 3), now));
+        ++i;
+    }
+}
+BENCHMARK(admitByQuota)->Apply(workspaces);
+
+/// One update of every pool, as the root of the quota tree does when a report arrives.
+void updateQuotaPools(benchmark::State &state)
+{
+    const auto index = workspacesWithTwoKeys(state.range(0));
+    std::vector<Policy::QuotaPool> pools(index.all().size());
+    Model::SteadyTime now{std::chrono::seconds(1)};
+    for (auto _ : state) {
+        now += Model::Milliseconds(200);
+        for (std::size_t i = 0; i < pools.size(); ++i) {
+            benchmark::DoNotOptimize(
+                Policy::updateQuotaPool(pools[i], index.all()[i], 1, {10, 10}, now));
+        }
+    }
+}
+BENCHMARK(updateQuotaPools)->Apply(workspaces)->Unit(benchmark::kMicrosecond);
+
 } // namespace
 
 BENCHMARK_MAIN();
