LibPolicy: Count a workspace that had no quota for a while from zero again

An instance drops the counts of a workspace whose quota is taken away. When it gets one again, the counts begin at zero, below those that its receiver knows: the difference wrapped around, and the workspace's requests would have been refused everywhere. Found by reading.

--- a/Libraries/LibPolicy/QuotaTree.cpp
+++ b/Libraries/LibPolicy/QuotaTree.cpp
@@ -65,6 +65,9 @@
     }
     for (const auto &item : report.usage_) {
         QuotaCounts &known = reporter.counts_[item.workspace_.value()];
+        // A workspace that had no quota for a while is counted from zero again.
+        if (item.counts_.offered_ < known.offered_ || item.counts_.sent_ < known.sent_)
+            known = {};
         // Counts that may have reached another instance before are only the base of later ones.
         if (isKnown || report.isFirst_) {
             auto &total = ledger.usage_[item.workspace_.value()].total_;
--- a/Tests/LibPolicy/TestQuotas.cpp
+++ b/Tests/LibPolicy/TestQuotas.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(commonRestartNeitherExceedsNorClosesTheQuota);
     CPPUNIT_TEST(urgentRequestsOfAWorkspaceOverItsQuotaGoFirst);
     CPPUNIT_TEST(reportsThatArriveTwiceOrAnewCountOnce);
+    CPPUNIT_TEST(countsThatBeginAgainAreAdded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,22 @@
         CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
         CPPUNIT_ASSERT(ledger.usage_[7].total_ == (Policy::QuotaCounts{5, 3}));
     }
+
+    // Guards against counts that wrap around below zero: a workspace loses its quota and gets one
+    // again, so that an instance counts its requests from zero.
+    void countsThatBeginAgainAreAdded()
+    {
+        const Model::SteadyTime now{std::chrono::seconds(1000)};
+        Policy::QuotaLedger ledger;
+        Policy::QuotaReport report;
+        report.sender_ = Model::InstanceId("a");
+        report.isWhole_ = true;
+        report.usage_ = {{Policy::WorkspaceKey(7), {50, 40}}};
+        CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
+        report.usage_ = {{Policy::WorkspaceKey(7), {3, 2}}};
+        CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
+        CPPUNIT_ASSERT(ledger.usage_[7].total_ == (Policy::QuotaCounts{3, 2}));
+    }
 };
 
 } // namespace
