LibPolicy: Ignore quota reports that arrive after later ones

Reports have numbers now, and one that is not the latest is ignored.

Measured: reportsThatArriveLateAreIgnored is red without the check; TestQuotas 10 passed, TestLibSteering 62 passed.

--- a/Libraries/LibPolicy/QuotaTree.cpp
+++ b/Libraries/LibPolicy/QuotaTree.cpp
@@ -54,8 +54,11 @@
     auto &reporter = ledger.reporters_[report.sender_];
     const bool isKnown
         = reporter.heardAt_ != Model::distantPast && reporter.incarnation_ == report.incarnation_;
+    if (isKnown && report.number_ <= reporter.number_)
+        return true;
     if (!isKnown)
         reporter.counts_.clear();
+    reporter.number_ = report.number_;
     reporter.incarnation_ = report.incarnation_;
     reporter.reporters_ = report.reporters_;
     reporter.heardAt_ = now;
--- a/Libraries/LibPolicy/QuotaTree.h
+++ b/Libraries/LibPolicy/QuotaTree.h
@@ -31,6 +31,8 @@
 {
     Model::InstanceId sender_;
     Model::Incarnation incarnation_;
+    /// Increases with each report of an incarnation.
+    std::uint64_t number_ = 0;
     /// Instances whose counts it has: the sender and those below it.
     std::uint32_t reporters_ = 1;
     /// The report has every workspace, not only those that changed.
@@ -63,6 +65,8 @@
     struct Reporter
     {
         Model::Incarnation incarnation_;
+        /// Number of the last report.
+        std::uint64_t number_ = 0;
         std::uint32_t reporters_ = 1;
         Model::SteadyTime heardAt_ = Model::distantPast;
         std::unordered_map<std::uint64_t, QuotaCounts> counts_;
@@ -102,11 +106,13 @@
               Model::SteadyTime now);
 
 /// Adds the increase of the counts in \a report since the sender's last one. Returns false if the
-/// ledger lacks the base of the counts and needs a whole report. Thread safety: \a ledger belongs
-/// to the calling thread.
+/// ledger lacks the base of the counts and needs a whole report.
+///
+/// A report that arrives after a later one is ignored: a partition that ends delivers reports that
+/// their senders gave up long ago. Thread safety: \a ledger belongs to the calling thread.
 bool addReport(QuotaLedger &ledger, const QuotaReport &report, Model::SteadyTime now);
 
-/// Returns the number of instances whose counts the ledger receives, the own one included.
+/// Returns the number of instances whose counts are in the ledger, including its own instance.
 /// Reporters that are silent are forgotten. Thread safety: as above.
 std::uint32_t countReporters(QuotaLedger &ledger, Model::SteadyTime now);
 
--- a/Libraries/LibSteering/QuotaExchange.cpp
+++ b/Libraries/LibSteering/QuotaExchange.cpp
@@ -191,6 +191,7 @@
     Policy::QuotaReport report;
     report.sender_ = settings_.instance_;
     report.incarnation_ = peers_.incarnation();
+    report.number_ = ++reportsSent_;
     report.reporters_ = Policy::countReporters(ledger_, sentAt);
     report.isWhole_ = needsWholeReport_ || lastParent_ != parent.id_;
     report.isFirst_ = !hasReported_;
--- a/Libraries/LibSteering/QuotaExchange.h
+++ b/Libraries/LibSteering/QuotaExchange.h
@@ -76,6 +76,7 @@
     std::size_t instances_ = 1;
     Model::InstanceId lastParent_;
     bool needsWholeReport_ = true;
+    std::uint64_t reportsSent_ = 0;
     /// Some instance has received a report of this one.
     bool hasReported_ = false;
     /// When the table first had a workspace with a quota.
--- a/Libraries/LibSteering/QuotaMessage.cpp
+++ b/Libraries/LibSteering/QuotaMessage.cpp
@@ -48,8 +48,8 @@
     json usage = json::array();
     for (const auto &item : report.usage_)
         usage.push_back({item.workspace_.value(), item.counts_.offered_, item.counts_.sent_});
-    return packed({report.sender_.value(), report.incarnation_.value(), report.reporters_,
-                   report.isWhole_, report.isFirst_, std::move(usage)});
+    return packed({report.sender_.value(), report.incarnation_.value(), report.number_,
+                   report.reporters_, report.isWhole_, report.isFirst_, std::move(usage)});
 }
 
 std::string toBytes(const QuotaAnswer &answer)
@@ -68,10 +68,11 @@
         QuotaReport report;
         report.sender_ = Model::InstanceId(fields.at(0).get<std::string>());
         report.incarnation_ = Model::Incarnation(fields.at(1).get<std::uint64_t>());
-        report.reporters_ = std::max(1U, fields.at(2).get<std::uint32_t>());
-        report.isWhole_ = fields.at(3).get<bool>();
-        report.isFirst_ = fields.at(4).get<bool>();
-        for (const auto &item : fields.at(5)) {
+        report.number_ = fields.at(2).get<std::uint64_t>();
+        report.reporters_ = std::max(1U, fields.at(3).get<std::uint32_t>());
+        report.isWhole_ = fields.at(4).get<bool>();
+        report.isFirst_ = fields.at(5).get<bool>();
+        for (const auto &item : fields.at(6)) {
             report.usage_.push_back(
                 {Policy::WorkspaceKey(item.at(0).get<std::uint64_t>()),
                  {item.at(1).get<std::uint64_t>(), item.at(2).get<std::uint64_t>()}});
--- a/Tests/LibPolicy/QuotaFleet.cpp
+++ b/Tests/LibPolicy/QuotaFleet.cpp
@@ -182,6 +182,7 @@
     message.sentAt_ = now_;
     message.report_.sender_ = instance.identity_.id_;
     message.report_.incarnation_ = instance.incarnation_;
+    message.report_.number_ = ++instance.reportsSent_;
     message.report_.isFirst_ = !instance.hasReported_;
     message.report_.isWhole_ = instance.needsWhole_ || instance.parent_ != parent->instance_.id_;
     message.report_.reporters_ = Policy::countReporters(instance.ledger_, now_);
--- a/Tests/LibPolicy/QuotaFleet.h
+++ b/Tests/LibPolicy/QuotaFleet.h
@@ -52,6 +52,7 @@
         bool isRoot_ = false;
         bool isDead_ = false;
         bool hasReported_ = false;
+        std::uint64_t reportsSent_ = 0;
         Model::Incarnation incarnation_;
         Model::SteadyTime startedAt_ = start;
     };
--- a/Tests/LibPolicy/TestQuotas.cpp
+++ b/Tests/LibPolicy/TestQuotas.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(urgentRequestsOfAWorkspaceOverItsQuotaGoFirst);
     CPPUNIT_TEST(reportsThatArriveTwiceOrAnewCountOnce);
     CPPUNIT_TEST(countsThatBeginAgainAreAdded);
+    CPPUNIT_TEST(reportsThatArriveLateAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,11 +190,14 @@
         report.usage_ = {{Policy::WorkspaceKey(7), {10, 8}}};
         CPPUNIT_ASSERT(!Policy::addReport(ledger, report, now));
         report.isWhole_ = true;
+        report.number_ = 1;
         CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
         CPPUNIT_ASSERT(ledger.usage_[7].total_ == Policy::QuotaCounts());
         report.isWhole_ = false;
+        report.number_ = 2;
         report.usage_ = {{Policy::WorkspaceKey(7), {13, 9}}};
         CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
+        report.number_ = 3;
         CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
         CPPUNIT_ASSERT(ledger.usage_[7].total_ == (Policy::QuotaCounts{3, 1}));
         report.incarnation_ = Model::Incarnation(2);
@@ -218,9 +222,30 @@
         report.usage_ = {{Policy::WorkspaceKey(7), {50, 40}}};
         CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
         report.usage_ = {{Policy::WorkspaceKey(7), {3, 2}}};
+        report.number_ = 1;
         CPPUNIT_ASSERT(Policy::addReport(ledger, report, now));
         CPPUNIT_ASSERT(ledger.usage_[7].total_ == (Policy::QuotaCounts{3, 2}));
     }
+
+    // Guards against refusing nearly all requests after a partition: reports that were on the way
+    // when it began arrive at its end, after later ones, and their lower counts were taken for new
+    // requests.
+    void reportsThatArriveLateAreIgnored()
+    {
+        const Model::SteadyTime now{std::chrono::seconds(1000)};
+        Policy::QuotaLedger ledger;
+        Policy::QuotaReport late;
+        late.sender_ = Model::InstanceId("a");
+        late.isWhole_ = true;
+        late.number_ = 4;
+        late.usage_ = {{Policy::WorkspaceKey(7), {50, 40}}};
+        Policy::QuotaReport later = late;
+        later.number_ = 5;
+        later.usage_ = {{Policy::WorkspaceKey(7), {60, 45}}};
+        CPPUNIT_ASSERT(Policy::addReport(ledger, later, now));
+        CPPUNIT_ASSERT(Policy::addReport(ledger, late, now));
+        CPPUNIT_ASSERT(ledger.usage_[7].total_ == Policy::QuotaCounts());
+    }
 };
 
 } // namespace
