LibSteering: Log what tells a late grace from a replacing call that hangs too

StoreCallAbandoned now names the peer that knew more and for how long that was known, StoreCallRepeated (5206) says whether and when the replacing call ended, and TargetMissing says how long ago any instance first noticed the removal.

Measured: TestLibSteering and TestLibObserve pass; no change of logic.

--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -86,6 +86,8 @@
          "The instance starts or stops reading a table of the store itself."},
         {StoreCallAbandoned, Warning, "StoreCallAbandoned",
          "Peers have a newer revision than a waiting call to the store; the call is repeated."},
+        {StoreCallRepeated, Info, "StoreCallRepeated",
+         "The call that replaced an abandoned one ended."},
         {SettingsReloaded, Info, "SettingsReloaded", "The settings file was reloaded."},
         {SettingsReloadRefused, Error, "SettingsReloadRefused",
          "The new settings are invalid; the previous ones stay in force."},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -64,6 +64,7 @@
     ClockGap = 5203,
     StoreReading = 5204,
     StoreCallAbandoned = 5205,
+    StoreCallRepeated = 5206,
     SettingsReloaded = 5301,
     SettingsReloadRefused = 5302,
     LinesLeftOut = 5401,
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -105,8 +105,8 @@
         [this](StoreTable table, SteadyTime time) {
             return parts_->follower_.hasWaitedSince(table, time);
         },
-        [this](StoreTable table) {
-            parts_->follower_.restartWaitingCall(table);
+        [this](StoreTable table, const Model::InstanceId &peer, Microseconds behindFor) {
+            parts_->follower_.restartWaitingCall(table, peer, behindFor);
         });
     parts_->peers_.setRemovalExchange(
         [this] {
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -298,7 +298,7 @@
 }
 
 void PeerExchange::setStoreCalls(std::function<bool(StoreTable, SteadyTime)> hasWaitedSince,
-                                 std::function<void(StoreTable)> restartWaitingCall)
+                                 StoreCallRestart restartWaitingCall)
 {
     hasWaitedSince_ = std::move(hasWaitedSince);
     restartWaitingCall_ = std::move(restartWaitingCall);
@@ -356,7 +356,8 @@
         for (const auto table : {StoreTable::Operators, StoreTable::Targets}) {
             if (!isCallHanging(table, *peer, now))
                 continue;
-            restartWaitingCall_(table);
+            restartWaitingCall_(table, peer->instance_.id_,
+                                std::chrono::duration_cast<Model::Microseconds>(behindFor));
             isDue = true;
         }
     }
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -10,6 +10,11 @@
 
 namespace Steering {
 
+/// Restarts the call that waits for a table's changes. The peer has newer rows, and the instance
+/// has known that for the given time.
+using StoreCallRestart
+    = std::function<void(StoreTable, const Model::InstanceId &, Model::Microseconds)>;
+
 /// Gossips with other instances about all members, loads and crashes.
 ///
 /// Each round exchanges messages with a few instances chosen at random, most of them in the local
@@ -50,7 +55,7 @@
     /// Sets the function that tells whether this instance's call for a table has waited for changes
     /// since a time, and the one that restarts that call.
     void setStoreCalls(std::function<bool(StoreTable, Model::SteadyTime)> hasWaitedSince,
-                       std::function<void(StoreTable)> restartWaitingCall);
+                       StoreCallRestart restartWaitingCall);
     /// Sets the source of the ages of expired or removed target registrations, and the sink for
     /// those of peers.
     void setRemovalExchange(std::function<RemovalAges()> provide,
@@ -147,7 +152,8 @@
         = [](StoreTable, Model::SteadyTime) {
               return false;
           };
-    std::function<void(StoreTable)> restartWaitingCall_ = [](StoreTable) {};
+    StoreCallRestart restartWaitingCall_
+        = [](StoreTable, const Model::InstanceId &, Model::Microseconds) {};
     std::function<RemovalAges()> provideRemovals_ = [] {
         return RemovalAges();
     };
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -115,7 +115,8 @@
     return progress.waitingCall_ && progress.waitingSince_ <= time;
 }
 
-void StoreFollower::restartWaitingCall(StoreTable table)
+void StoreFollower::restartWaitingCall(StoreTable table, const Model::InstanceId &peer,
+                                       Model::Microseconds behindFor)
 {
     Progress &progress = progressOf(table);
     if (!progress.waitingCall_)
@@ -123,7 +124,9 @@
     log_.line(Event::StoreCallAbandoned)
         .add("table", nameOf(table))
         .add("waited_ms", std::chrono::duration_cast<Model::Microseconds>(
-                              std::chrono::steady_clock::now() - progress.waitingSince_));
+                              std::chrono::steady_clock::now() - progress.waitingSince_))
+        .add("peer", peer.value())
+        .add("behind_ms", behindFor);
     progress.isRestarted_ = true;
     std::exchange(progress.waitingCall_, nullptr)->cancel();
 }
@@ -198,13 +201,15 @@
 {
     const auto knownRevision = platformState_.replica(table).knownRevision();
     const auto wait = waitTimeout(progress);
-    progress.isRestarted_ = false;
+    const bool isRepeated = std::exchange(progress.isRestarted_, false);
     Http::ExchangeControl control;
     progress.waitingSince_ = std::chrono::steady_clock::now();
     // A call that does not wait ends soon by itself.
     progress.waitingCall_ = wait.count() > 0 ? &control : nullptr;
     const auto changes = co_await port_.awaitChanges_(table, knownRevision, wait, control);
     progress.waitingCall_ = nullptr;
+    if (isRepeated)
+        logRepeatedCall(table, progress, changes.has_value());
     if (!changes && control.isCancelled())
         co_return true;
     if (!changes) {
@@ -254,4 +259,13 @@
     progress.isReached_ = false;
 }
 
+void StoreFollower::logRepeatedCall(StoreTable table, const Progress &progress, bool isAnswered)
+{
+    log_.line(Event::StoreCallRepeated)
+        .add("table", nameOf(table))
+        .add("answered", isAnswered ? "yes" : "no")
+        .add("took_ms", std::chrono::duration_cast<Model::Microseconds>(
+                            std::chrono::steady_clock::now() - progress.waitingSince_));
+}
+
 } // namespace Steering
--- a/Libraries/LibSteering/StoreFollower.h
+++ b/Libraries/LibSteering/StoreFollower.h
@@ -29,8 +29,9 @@
     /// Tells whether the call for a table has waited for changes since \a time or longer.
     bool hasWaitedSince(StoreTable table, Model::SteadyTime time) const;
     /// Cancels the call that waits for a table's changes and sends a new one at once. Called when
-    /// peers have changes that the waiting call should have returned.
-    void restartWaitingCall(StoreTable table);
+    /// \a peer has had changes for \a behindFor that the waiting call should have returned.
+    void restartWaitingCall(StoreTable table, const Model::InstanceId &peer,
+                            Model::Microseconds behindFor);
     /// When a call for a table last succeeded.
     Model::SteadyTime confirmedAt(StoreTable table) const;
 
@@ -68,6 +69,7 @@
     Http::Task<bool> readChanges(StoreTable table, Progress &progress);
     void recordSuccess(StoreTable table, Progress &progress, Platform::Revision readUpTo);
     void recordFailure(StoreTable table, Progress &progress);
+    void logRepeatedCall(StoreTable table, const Progress &progress, bool isAnswered);
 
     Http::asio::io_context &context_;
     const PlatformPort &port_;
--- a/Libraries/LibSteering/TargetRemovals.cpp
+++ b/Libraries/LibSteering/TargetRemovals.cpp
@@ -80,6 +80,7 @@
                 .add("revision", static_cast<std::int64_t>(removed.revision_))
                 .add("store", nameOf(evidence.own_.contact_))
                 .add("use_ms", std::chrono::duration_cast<Model::Microseconds>(until - now))
+                .add("noticed_ms_ago", msSince(removed.noticedAt_, now))
                 .add("at_once", static_cast<std::int64_t>(unannounced));
             logLeave(*target, "missing", Platform::Revision(removed.revision_), now);
             return false;
