Tests: Reproduce leaves that come into force late beside a hanging store call

- TestTargetRegistry: the store's rows arrive, then a peer's earlier notice of the same removals; the grace period still counts from the rows.
- TestLeaves, real processes: three targets remove their registration while one instance's store call hangs.
- TestLeaveSpans: with the way to another region and a wait for the processor the sums come to 2,555 ms of 2,500.

--- a/Tests/LibPolicy/TestLeaveSpans.cpp
+++ b/Tests/LibPolicy/TestLeaveSpans.cpp
@@ -7,10 +7,16 @@
 
 using Model::Milliseconds;
 
+/// The way between the regions farthest apart.
+constexpr Milliseconds wayToTarget{55};
+/// A process whose processor share is a quota may wait this long for the next period.
+constexpr Milliseconds processorWait{100};
+
 class TestLeaveSpans : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestLeaveSpans);
     CPPUNIT_TEST(leaveIsInForceInTimeOnEveryPath);
+    CPPUNIT_TEST(requestArrivesInTimeOnEveryPath);
     CPPUNIT_TEST(pageHasTheLimitsOfTheCode);
     CPPUNIT_TEST_SUITE_END();
 
@@ -30,6 +36,22 @@
         assertWithin(Policy::leaveBound, Policy::totalLimit(Policy::leavePathByProbes()));
     }
 
+    // Guards against sums that leave no time for the request to reach a target in another region,
+    // nor for a process that waits for its share of the processor.
+    void requestArrivesInTimeOnEveryPath()
+    {
+        const auto assertArrives
+            = [](Milliseconds bound, const std::vector<Policy::LeaveSpan> &path) {
+                  const auto sum = Policy::totalLimit(path) + wayToTarget + processorWait;
+                  CPPUNIT_ASSERT_MESSAGE(std::to_string(sum.count()), sum <= bound);
+              };
+        assertArrives(Policy::leaveBound, Policy::leavePathByLocalCall());
+        assertArrives(Policy::leaveBound, Policy::leavePathByNewCall());
+        assertArrives(Policy::leaveBound, Policy::leavePathWithoutAnnouncement());
+        assertArrives(Policy::leaveBoundInLargeFleet, Policy::leavePathByPeers());
+        assertArrives(Policy::leaveBound, Policy::leavePathByProbes());
+    }
+
     // Guards against a page whose limits differ from those of the code.
     void pageHasTheLimitsOfTheCode()
     {
--- a/Tests/LibSteering/TestTargetRegistry.cpp
+++ b/Tests/LibSteering/TestTargetRegistry.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(laterRegistrationAtAnAddressReplacesTheEarlierOne);
     CPPUNIT_TEST(registrationAtAForeignAddressIsDisprovedByARejection);
     CPPUNIT_TEST(fullTargetIsKnownToOthersAndUnknownOnesAreIgnored);
+    CPPUNIT_TEST(graceOfRemovalsCountsFromTheFirstNoticeOfAnyInstance);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -238,6 +239,29 @@
         CPPUNIT_ASSERT(!placement || placement->load_ >= 9);
     }
 
+    // Guards against a grace period that starts with a late update: the store's rows arrive first,
+    // and only then a peer reports that it noticed the removals much earlier.
+    void graceOfRemovalsCountsFromTheFirstNoticeOfAnyInstance()
+    {
+        const std::vector<std::string> removed = {"a", "b", "c"};
+        InstanceFixture instance("r-a");
+        instance.setOperatorRows(3, 1);
+        std::vector<Platform::StoredRow> registrations;
+        for (const auto &target : removed)
+            registrations.push_back(Fakes::target(target, "gauging", "r-a", 4));
+        instance.setTargetRows(4, registrations);
+        instance.setTargetRows(5, {});
+        CPPUNIT_ASSERT(takesWork(instance, "a"));
+        const Milliseconds noticedBefore = Policy::unobservedExpiryGrace - Milliseconds(100);
+        Steering::RemovalAges ages;
+        for (const auto &target : removed)
+            ages[target] = noticedBefore;
+        instance.targetRegistry_.receiveRemovals(ages, instance.now_);
+        instance.now_ += Milliseconds(100);
+        CPPUNIT_ASSERT(instance.dropMissing());
+        CPPUNIT_ASSERT(instance.targetRegistry_.all().empty());
+    }
+
     void anyOrderOfRegistrationsEndsAtTheLatestIncarnation()
     {
         Support::assertProperty("the latest run is in force, unless it is leaving", [] {
--- a/Tests/Soak/TestLeaves.cpp
+++ b/Tests/Soak/TestLeaves.cpp
@@ -1,7 +1,9 @@
 #include "Callers.h"
 #include "SoakSite.h"
 
+#include <LibPolicy/LibPolicy.h>
 #include <Support/Property.h>
+#include <regex>
 
 namespace {
 
@@ -15,6 +17,8 @@
 /// Instances batch target updates for this long before they query the store again.
 constexpr Milliseconds batchTime{600};
 constexpr Milliseconds freezeTime{100};
+/// A tick of the instance and the time that a process may wait for its share of the processor.
+constexpr Milliseconds graceSlack{200};
 
 /// Eight instances, two in each failure domain. The two below share a domain without its region's
 /// first store reader; their store calls wait longest for updates.
@@ -22,11 +26,23 @@
 constexpr std::size_t hanging = 2;
 constexpr std::size_t partner = 6;
 
+/// Returns the times, in milliseconds, at which an instance logged \a name, by target.
+std::map<std::string, long long> timesOf(const std::string &name, const std::string &log)
+{
+    const std::regex line("t=([0-9]+) event=[0-9]+ name=" + name + " target=([^ ]+)");
+    std::map<std::string, long long> times;
+    for (std::sregex_iterator found(log.begin(), log.end(), line); found != std::sregex_iterator();
+         ++found)
+        times.emplace((*found)[2], std::stoll((*found)[1]));
+    return times;
+}
+
 class TestLeaves : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestLeaves);
     CPPUNIT_TEST(leaveIsInForceWhereTheStoreCallHangsAndThePeerThatKnowsStops);
     CPPUNIT_TEST(targetsThatLeaveTogetherGetNothingInTimeWhereTheStoreCallHangs);
+    CPPUNIT_TEST(graceOfRemovedTargetsEndsInTimeWhereTheStoreCallHangs);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +115,41 @@
     {
         assertLeaveIsInForce(3, 0);
     }
+
+    // Guards against a grace period that starts anew at an instance whose store call hangs, when it
+    // reads the removals later than its peers.
+    void graceOfRemovedTargetsEndsInTimeWhereTheStoreCallHangs()
+    {
+        Soak::PlanSize size;
+        size.instances_ = instances;
+        Soak::SoakSite site(size);
+        startHanging(site);
+        for (std::size_t target = 0; target < Policy::minSimultaneousRemovals; ++target)
+            site.begin({FaultKind::TargetLeaves, {}, {}, target, 0});
+        Harness::pause(propagationLimit + Policy::unobservedExpiryGrace);
+
+        auto &fleet = site.fleet();
+        std::map<std::string, long long> noticedAt;
+        for (const auto &instance : fleet.instances_) {
+            for (const auto &[target, time] : timesOf("TargetMissing", instance->process_->log())) {
+                if (!site.leftAt().contains(target))
+                    continue;
+                const auto [known, isNew] = noticedAt.emplace(target, time);
+                known->second = std::min(known->second, time);
+            }
+        }
+        const std::string log = fleet.instances_[hanging]->process_->log();
+        const bool isJudged = log.find("name=StoreCallAbandoned") != std::string::npos;
+        CPPUNIT_ASSERT_MESSAGE(fleet.directory() + ": no call hung", isJudged);
+        const auto goneAt = timesOf("TargetGone", log);
+        CPPUNIT_ASSERT_EQUAL(Policy::minSimultaneousRemovals, noticedAt.size());
+        for (const auto &[target, time] : noticedAt) {
+            CPPUNIT_ASSERT(goneAt.contains(target));
+            const Milliseconds used(goneAt.at(target) - time);
+            CPPUNIT_ASSERT_MESSAGE(target + " used for " + std::to_string(used.count()) + " ms",
+                                   used <= Policy::unobservedExpiryGrace + graceSlack);
+        }
+    }
 };
 
 } // namespace
