LibSteering: Count the grace of removed targets from the first notice of any instance

Three registrations that go together look like an expiry, so their targets stay in use for 1.2 s from the first notice. Peers sent the age of their notice only with their rows. An instance whose store call hangs reads the rows from the store again, without ages, and began the grace period anew: late news (up to 2.1 s) and grace (1.2 s) in series, 3.3 s.

Gossip messages now carry the ages of removals of the last 2.5 s, so the message by which an instance learns that it is behind has them too. Ages are kept until the removal is read, and they shorten a grace period that has begun.

--- a/Libraries/LibSteering/LibSteering.h
+++ b/Libraries/LibSteering/LibSteering.h
@@ -12,5 +12,6 @@
 #include "PlatformPort.h"
 #include "PlatformState.h"
 #include "QuotaExchange.h"
+#include "RemovalAges.h"
 #include "StoreFollower.h"
 #include "TargetRegistry.h"
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -70,6 +70,7 @@
     PeerMessage message{members_.at(settings_.instance_), {}, {}, provideCrashes_()};
     if (!isAnnouncement) {
         message.loads_ = provideLoads_();
+        message.removals_ = recentRemovals();
         message.update_.heartbeatRecords_ = Policy::heartbeatRecordsForRequest(
             members_, localInstance(), peer.region_, now, random_());
     }
@@ -92,6 +93,19 @@
     }
 }
 
+/// Returns the ages of removals that an instance with a hanging store call may still have to learn.
+///
+/// Such an instance reads the removals from the store again, without their ages. If its grace
+/// period started then, the targets would get requests for longer than the bound on a leave.
+RemovalAges PeerExchange::recentRemovals() const
+{
+    RemovalAges ages = provideRemovals_();
+    std::erase_if(ages, [](const auto &entry) {
+        return entry.second > Policy::leaveBound;
+    });
+    return ages;
+}
+
 void PeerExchange::countCall(PeerCall call, const Model::Instance &peer,
                              const Http::Request &request, const Http::ExchangeResult &result)
 {
@@ -167,6 +181,7 @@
         return Http::textAnswer(http::status::no_content, "text/plain", "", request.version());
     PeerMessage update{members_.at(settings_.instance_), {}, {}, provideCrashes_()};
     update.loads_ = provideLoads_();
+    update.removals_ = recentRemovals();
     update.update_ = Policy::peerUpdateFor(members_, localInstance(), received->sender_.instance_,
                                            received->update_.heartbeatRecords_, now, random_());
     return Http::textAnswer(http::status::ok, messageType, toBytes(update), request.version());
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -245,6 +245,7 @@
             Policy::mergeHeartbeatRecord(members_, heartbeatRecord, now);
     }
     receiveLoads_(message.loads_);
+    receiveRemovals_(message.removals_);
     receiveCrashes_(message.crashes_, message.sender_.heartbeatRecord_.isReady_);
     catchUp(now);
     if (!behindSince_)
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -112,6 +112,7 @@
     Http::Task<void> gossipLoop();
     Http::Task<void> gossipTo(Model::Instance peer, bool isAnnouncement);
     Http::Task<void> fetchState();
+    RemovalAges recentRemovals() const;
     void countCall(PeerCall call, const Model::Instance &peer, const Http::Request &request,
                    const Http::ExchangeResult &result);
     Http::Task<Http::Response> answer(Http::IncomingRequest request);
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -199,6 +199,7 @@
                 {"loads", std::move(loads)}};
     if (!message.crashes_.isEmpty())
         all["crashes"] = toJson(message.crashes_);
+    addRemovalAges(all, message.removals_);
     std::string bytes;
     json::to_msgpack(all, bytes);
     return bytes;
@@ -222,6 +223,7 @@
             message.loads_.push_back(loadFromJson(load));
         if (all.contains("crashes"))
             message.crashes_ = crashesFromJson(all["crashes"]);
+        message.removals_ = removalAgesIn(all);
         return message;
     } catch (const std::exception &error) {
         return unreadable(error.what());
--- a/Libraries/LibSteering/PeerMessage.h
+++ b/Libraries/LibSteering/PeerMessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "RemovalAges.h"
+
 #include <LibPolicy/LibPolicy.h>
 
 #include <optional>
@@ -7,14 +9,15 @@
 
 namespace Steering {
 
-/// A gossip message: the sender's record and its updates on other members, on loads and on crashes.
-/// Request and answer have the same form.
+/// A gossip message: the sender's record and its updates on other members, on loads, on crashes and
+/// on removed registrations. Request and answer have the same form.
 struct PeerMessage
 {
     Policy::Member sender_;
     Policy::PeerUpdate update_;
     std::vector<Policy::TargetLoad> loads_;
     Policy::CrashUpdate crashes_;
+    RemovalAges removals_;
 };
 
 /// Encodes \a message as MessagePack: a full member record takes 150 bytes and a heartbeat record
--- a/Libraries/LibSteering/PlatformState.cpp
+++ b/Libraries/LibSteering/PlatformState.cpp
@@ -12,9 +12,6 @@
 /// Start time of a drain that an operator has requested without a time: it is in force at once.
 constexpr const char *alwaysInForce = "2000-01-01T00:00:00Z";
 
-/// Upper limit for the age of a removal that a peer reports.
-constexpr std::uint64_t maxRemovalAgeMs = 60000;
-
 json toJson(const Platform::StoredRows &rows, bool isWhole)
 {
     json list = json::array();
@@ -176,15 +173,7 @@
 
 RemovalAges parseRemovalAges(const std::string &text)
 {
-    const json parsed = json::from_msgpack(text, true, false);
-    RemovalAges ages;
-    if (!parsed.is_object() || !parsed.contains("removals") || !parsed["removals"].is_object())
-        return ages;
-    for (const auto &[id, age] : parsed["removals"].items()) {
-        if (age.is_number_unsigned())
-            ages[id] = Model::Milliseconds(std::min(age.get<std::uint64_t>(), maxRemovalAgeMs));
-    }
-    return ages;
+    return removalAgesIn(json::from_msgpack(text, true, false));
 }
 
 std::string PlatformState::encodeForPeer(const KnownRevisions &known,
@@ -195,8 +184,7 @@
         text["operators"] = jsonFor(operators_, known.operators_);
     if (targets_.isKnown())
         text["targets"] = jsonFor(targets_, known.targets_);
-    for (const auto &[id, age] : removals)
-        text["removals"][id] = static_cast<std::uint64_t>(age.count());
+    addRemovalAges(text, removals);
     // Unlike JSON, MessagePack carries any bytes: a row may hold bytes that are not valid text.
     std::string bytes;
     json::to_msgpack(text, bytes);
--- a/Libraries/LibSteering/PlatformState.h
+++ b/Libraries/LibSteering/PlatformState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PlatformPort.h"
+#include "RemovalAges.h"
 #include "TableReplica.h"
 
 #include <LibObserve/LibObserve.h>
@@ -10,10 +11,6 @@
 
 namespace Steering {
 
-/// The time since each target's registration was first found to have expired or to have been
-/// removed, by target id.
-using RemovalAges = std::map<std::string, Model::Milliseconds>;
-
 /// Returns the ages in a text that PlatformState::encodeForPeer() wrote; empty if there are none or
 /// they cannot be parsed. Thread safety: any thread.
 RemovalAges parseRemovalAges(const std::string &text);
--- a/Libraries/LibSteering/TargetRegistry.cpp
+++ b/Libraries/LibSteering/TargetRegistry.cpp
@@ -95,9 +95,12 @@
     const auto known = targets_.find(id);
     const bool isNew = known == targets_.end();
     if (!isNew && row.revision_ <= known->second->revision_) {
+        if (known->second->removedRegistration_)
+            removals_.erase(id);
         known->second->removedRegistration_.reset();
         return;
     }
+    removals_.erase(id);
     const auto refused = unreadable_.find(row.key_);
     if (refused != unreadable_.end() && refused->second == row.revision_)
         return;
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -143,8 +143,8 @@
     /// Returns how long ago registrations were found to be removed, locally or at a peer. Covers
     /// recent removals only.
     RemovalAges removalsToSend(Model::SteadyTime now) const;
-    /// Records the removal ages that a peer sent. Precondition: the peer's target rows have not
-    /// been applied yet.
+    /// Records the removal ages that a peer sent. They also shorten grace periods that have begun
+    /// here, and apply to removals that this instance has not read yet.
     void receiveRemovals(const RemovalAges &ages, Model::SteadyTime now);
 
     const std::map<Model::TargetId, std::shared_ptr<TargetState>> &all() const { return targets_; }
@@ -159,7 +159,7 @@
     std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
     void findSuccessors();
     void noteMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
-    /// Forgets the removal times of registrations that have returned, and old ones.
+    /// Forgets old removal times.
     void forgetRemovals(Model::SteadyTime now);
     void resolveDomain(TargetState &target) const;
     void rebuildServices();
--- a/Libraries/LibSteering/TargetRemovals.cpp
+++ b/Libraries/LibSteering/TargetRemovals.cpp
@@ -139,15 +139,18 @@
             continue;
         const auto [known, isNew] = removals_.try_emplace(Model::TargetId(id), now - age);
         known->second = std::min(known->second, now - age);
+        const auto target = targets_.find(known->first);
+        if (target == targets_.end() || !target->second->removedRegistration_)
+            continue;
+        auto &noticedAt = target->second->removedRegistration_->noticedAt_;
+        noticedAt = std::min(noticedAt, known->second);
     }
 }
 
 void TargetRegistry::forgetRemovals(SteadyTime now)
 {
     std::erase_if(removals_, [&](const auto &entry) {
-        const auto &[id, noticedAt] = entry;
-        const bool isBack = platformState_.replica(StoreTable::Targets).rows().contains(id.value());
-        return isBack || now - noticedAt > removalRetention;
+        return now - entry.second > removalRetention;
     });
 }
 
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -189,6 +189,7 @@
         message.update_.fullRecords_.push_back(makeMember("front-koper-a-2"));
         message.update_.heartbeatRecords_.push_back(makeMember("front-koper-a-3").heartbeatRecord_);
         message.loads_.push_back({0xfedcba98, 9, Milliseconds(120)});
+        message.removals_["t1"] = Milliseconds(700);
         const auto read = Steering::peerMessageFromBytes(toBytes(message), now);
         CPPUNIT_ASSERT(read);
         CPPUNIT_ASSERT(read->sender_.instance_ == message.sender_.instance_);
@@ -206,6 +207,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(0xfedcba98), read->loads_[0].target_);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(9), read->loads_[0].inProgress_);
         CPPUNIT_ASSERT(read->loads_[0].age_ == Milliseconds(120));
+        CPPUNIT_ASSERT(read->removals_ == message.removals_);
 
         const auto record = Steering::memberFromText(Steering::toText(makeMember("x")), now);
         CPPUNIT_ASSERT(record);
--- a/Tests/LibSteering/TestPlatformState.cpp
+++ b/Tests/LibSteering/TestPlatformState.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(targetsThatUnregisterTogetherAreDroppedInTime);
     CPPUNIT_TEST(lateRemovalUpdateDoesNotExtendTheGracePeriod);
     CPPUNIT_TEST(newRegistrationResetsTheRemovalAge);
+    CPPUNIT_TEST(removalAgeIsKeptUntilTheRemovalIsRead);
     CPPUNIT_TEST(removalAgesReachPeersAndInvalidOnesAreIgnored);
     CPPUNIT_TEST(removalLongAfterAnOutageHasNoGracePeriod);
     CPPUNIT_TEST(targetThatLeavesAfterTheStoreReturnsIsDroppedInTime);
@@ -251,6 +252,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable(instance, "gauging"));
     }
 
+    // Guards against a grace period that starts with a late read, because the age that a peer sent
+    // before was forgotten at another update.
+    void removalAgeIsKeptUntilTheRemovalIsRead()
+    {
+        InstanceFixture instance("r-a");
+        instance.setOperatorRows(7, 20);
+        auto list = fourTargets();
+        instance.setTargetRows(21, list);
+        Steering::RemovalAges ages;
+        for (std::size_t i = 1; i < list.size(); ++i)
+            ages[list[i].key_] = Policy::unobservedExpiryGrace;
+        instance.targetRegistry_.receiveRemovals(ages, instance.now_);
+        instance.update();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), usable(instance, "gauging"));
+        list.resize(1);
+        instance.setTargetRows(22, list);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), usable(instance, "gauging"));
+    }
+
     // Guards against a grace period that is shortened by the age of an earlier removal.
     void newRegistrationResetsTheRemovalAge()
     {
