LibHttp: Discard what a given-up exchange has left in the system

Besides the late request, the target worked for a caller who had gone, and a request told as unknown ran much later.

Cause: an orderly close. Setting SO_LINGER when the exchange has failed comes too late, because the stream closes the socket itself when the deadline expires. The option is set when the connection is established now, so any close is a reset.

Ruled out: TCP_USER_TIMEOUT, which is 5 s and was set all along.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -32,6 +32,15 @@
     return isBodyless || parser.chunked() || parser.content_length().has_value();
 }
 
+/// Makes closing \a socket reset the connection. After an orderly close the system resends what the
+/// peer has not acknowledged, so a request that was given up during a partition would arrive after
+/// it. Must be set in advance: an expired deadline closes the socket at once.
+void resetOnClose(tcp::socket &socket)
+{
+    const linger noTime{1, 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &noTime, sizeof noTime);
+}
+
 /// The result of connect().
 struct Connected
 {
@@ -75,6 +84,7 @@
         co_return result;
     }
     tuneSocket(connection->stream_.socket());
+    resetOnClose(connection->stream_.socket());
     result.connection_ = std::move(connection);
     co_return result;
 }
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(longBodyStopsWhenSendingIsWithdrawn);
     CPPUNIT_TEST(nothingIsSentWhenSendingIsWithdrawn);
     CPPUNIT_TEST(silentPeerTimesOutAtTheDeadline);
+    CPPUNIT_TEST(requestThatWasGivenUpIsNotDeliveredLater);
     CPPUNIT_TEST(refusedConnectionMeansNothingWasSent);
     CPPUNIT_TEST(connectionWithUnreadBytesIsNotReused);
     CPPUNIT_TEST_SUITE_END();
@@ -236,6 +237,22 @@
         CPPUNIT_ASSERT(result.stage_ == Http::ExchangeStage::Sent);
     }
 
+    // Guards against requests that the system delivers seconds after they were given up, when a
+    // partition ends: an orderly close keeps resending what was sent.
+    void requestThatWasGivenUpIsNotDeliveredLater()
+    {
+        SilentExchange exchange;
+        exchange.options_.deadline_ = std::chrono::steady_clock::now() + Milliseconds(200);
+        exchange.start();
+        exchange.context_.run_for(std::chrono::seconds(5));
+        CPPUNIT_ASSERT(exchange.result_ && !exchange.result_->answer_);
+        tcp::socket peer = exchange.acceptor_.accept();
+        std::string received;
+        Http::ErrorCode error;
+        Http::asio::read(peer, Http::asio::dynamic_buffer(received), error);
+        CPPUNIT_ASSERT_EQUAL(Http::ErrorCode(Http::asio::error::connection_reset), error);
+    }
+
     void refusedConnectionMeansNothingWasSent()
     {
         Model::Address address;
