--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -412,6 +412,8 @@
     response.set("X-Cassiacrank-Request-Id", faults.isForeign_ ? "another" : id);
     response.set("X-Cassiacrank-Server-Stamp", "stamp-" + this->id());
     response.set("X-Cassiacrank-Server-Load", "1,0,6");
+    if (!faults.limit_.empty())
+        response.set("X-Cassiacrank-Server-Limit", faults.limit_);
     if (faults.isTruncating_) {
         response.set(http::field::content_length, std::to_string(response.body().size() + 100));
         response.keep_alive(false);
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -110,6 +110,8 @@
     /// Answers with the id of another request.
     bool isForeign_ = false;
     Model::Milliseconds work_{5};
+    /// The rate limit that it names in its answers, in requests per second; none if empty.
+    std::string limit_;
     /// Crashes after it begins to run a request whose path has this prefix. Empty: never crashes.
     std::string crashPathPrefix_;
     Model::Milliseconds crashDelay_{20};
