LibPolicy, LibSteering, platform: Keep to the rate limits that targets name

Each instance reads it from the target's answers and uses a part. Without a coordinator: about one instance of the target's region for each request per second, plus two, chosen by rendezvous rank, share the limit equally; each sends one request per interval of its part, the first after a whole interval. So a window of 4 s has at most 5 x limit + 2 requests, 6 x limit + 5 are allowed, at any size of the fleet. An equal part for all instances was ruled out: each may have saved one request, and 200 instances would send 200 at once. Gossip carries limits and their ends for 3 s, so instances that may not use a limit learn both. An answer without the limit ends it, unless its request was sent before the latest report.

--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -59,6 +59,8 @@
     TargetRestarted = 5106,
     TargetOutdated = 5107,
     TargetLeaveKnown = 5108,
+    TargetLimited = 5109,
+    TargetLimitEnded = 5110,
     KnowledgeFromPeer = 5201,
     HistoryLost = 5202,
     ClockGap = 5203,
--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -34,6 +34,7 @@
 #include "SpillMeter.h"
 #include "StoreReaders.h"
 #include "TargetChoice.h"
+#include "TargetLimit.h"
 #include "TargetPicker.h"
 #include "WeightedRoundRobin.h"
 #include "WorkTimes.h"
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -100,6 +100,10 @@
     noteLoad(target, *result.answer_);
     const auto status = result.answer_->result();
     const bool isMisdirected = status == http::status::misdirected_request;
+    if (!isMisdirected) {
+        recordLimit(target, port_.parseLimit_(*result.answer_), sentAt, now,
+                    target.record_.id_.value(), log_);
+    }
     if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
         ++counters_.refusedByTargets_;
         request.rejectionStatus_ = result.answer_->result_int();
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -94,6 +94,13 @@
         [this](const auto &loads) {
             parts_->targetRegistry_.receiveLoads(loads, steadyNow());
         });
+    parts_->peers_.setLimitExchange(
+        [this] {
+            return parts_->targetRegistry_.limitsToSend(steadyNow());
+        },
+        [this](const auto &reports, const std::string &peer) {
+            parts_->targetRegistry_.receiveLimits(reports, peer, steadyNow());
+        });
     parts_->peers_.setCrashExchange(
         [this] {
             return parts_->guard_.news(steadyNow());
@@ -163,6 +170,8 @@
         parts_->peers_.setStoreStanding(parts_->follower_.standing());
         parts_->peers_.fetchIfBehind();
         parts_->targetRegistry_.dropMissing(now, parts_->peers_.storeEvidence());
+        parts_->targetRegistry_.updateLimits(parts_->peers_.localInstance(),
+                                             parts_->peers_.members(), now);
         parts_->dispatcher_.sweepAbandoned();
         parts_->guard_.judge(now);
         if (now - idleRefreshedAt_ >= idleRefreshInterval) {
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -71,6 +71,7 @@
     if (!isAnnouncement) {
         message.loads_ = provideLoads_();
         message.removals_ = recentRemovals();
+        message.limits_ = provideLimits_();
         message.update_.heartbeatRecords_ = Policy::heartbeatRecordsForRequest(
             members_, localInstance(), peer.region_, now, random_());
     }
@@ -182,6 +183,7 @@
     PeerMessage update{members_.at(settings_.instance_), {}, {}, provideCrashes_()};
     update.loads_ = provideLoads_();
     update.removals_ = recentRemovals();
+    update.limits_ = provideLimits_();
     update.update_ = Policy::peerUpdateFor(members_, localInstance(), received->sender_.instance_,
                                            received->update_.heartbeatRecords_, now, random_());
     return Http::textAnswer(http::status::ok, messageType, toBytes(update), request.version());
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -246,6 +246,7 @@
     }
     receiveLoads_(message.loads_);
     receiveRemovals_(message.removals_);
+    receiveLimits_(message.limits_, message.sender_.instance_.id_.value());
     receiveCrashes_(message.crashes_, message.sender_.heartbeatRecord_.isReady_);
     catchUp(now);
     if (!behindSince_)
@@ -260,6 +261,15 @@
     receiveLoads_ = std::move(receive);
 }
 
+void PeerExchange::setLimitExchange(
+    std::function<std::vector<Policy::TargetLimitReport>()> provide,
+    std::function<void(const std::vector<Policy::TargetLimitReport> &, const std::string &)>
+        receive)
+{
+    provideLimits_ = std::move(provide);
+    receiveLimits_ = std::move(receive);
+}
+
 void PeerExchange::setCrashExchange(std::function<Policy::CrashUpdate()> provide,
                                     std::function<void(const Policy::CrashUpdate &, bool)> receive)
 {
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -47,6 +47,13 @@
     void setLoadExchange(std::function<std::vector<Policy::TargetLoad>()> provide,
                          std::function<void(const std::vector<Policy::TargetLoad> &)> receive);
 
+    /// Sets the source of the reports on targets' rate limits that are sent to peers, and the sink
+    /// for theirs; the sink also gets the peer's name.
+    void setLimitExchange(
+        std::function<std::vector<Policy::TargetLimitReport>()> provide,
+        std::function<void(const std::vector<Policy::TargetLimitReport> &, const std::string &)>
+            receive);
+
     /// Sets the source of updates on crashed targets and quarantined requests, and the sink for
     /// those of peers; the sink also gets whether the peer is ready.
     void setCrashExchange(std::function<Policy::CrashUpdate()> provide,
@@ -159,6 +166,11 @@
         return RemovalAges();
     };
     std::function<void(const RemovalAges &)> receiveRemovals_ = [](const RemovalAges &) {};
+    std::function<std::vector<Policy::TargetLimitReport>()> provideLimits_ = [] {
+        return std::vector<Policy::TargetLimitReport>();
+    };
+    std::function<void(const std::vector<Policy::TargetLimitReport> &, const std::string &)>
+        receiveLimits_ = [](const auto &, const std::string &) {};
     std::map<std::string, std::function<Http::Response(const Http::Request &)>> requestHandlers_;
     std::mt19937_64 random_{std::random_device()()};
     Model::Incarnation incarnation_;
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -114,6 +114,11 @@
     return member;
 }
 
+Model::Milliseconds ageFromJson(const json &text)
+{
+    return std::max(Model::Milliseconds(0), Model::Milliseconds(text.get<long long>()));
+}
+
 Policy::TargetLoad loadFromJson(const json &text)
 {
     Policy::TargetLoad load;
@@ -123,6 +128,22 @@
     return load;
 }
 
+json toJson(const Policy::TargetLimitReport &report)
+{
+    const json rate = report.rate_ ? json(report.rate_->value()) : json(nullptr);
+    return {report.target_, rate, report.age_.count()};
+}
+
+Policy::TargetLimitReport limitFromJson(const json &text)
+{
+    Policy::TargetLimitReport report;
+    report.target_ = text.at(0).get<std::uint32_t>();
+    if (!text.at(1).is_null())
+        report.rate_ = Model::RequestsPerSecond(text.at(1).get<double>());
+    report.age_ = ageFromJson(text.at(2));
+    return report;
+}
+
 // Crashed incarnations and quarantines are encoded as arrays of numbers, like heartbeat records.
 json toJson(const Policy::CrashUpdate &update)
 {
@@ -144,11 +165,6 @@
     return {std::move(runs), std::move(quarantines)};
 }
 
-Model::Milliseconds ageFromJson(const json &text)
-{
-    return std::max(Model::Milliseconds(0), Model::Milliseconds(text.get<long long>()));
-}
-
 Policy::CrashUpdate crashesFromJson(const json &text)
 {
     constexpr std::size_t suspectsAt = 2;
@@ -200,6 +216,8 @@
     if (!message.crashes_.isEmpty())
         all["crashes"] = toJson(message.crashes_);
     addRemovalAges(all, message.removals_);
+    for (const auto &report : message.limits_)
+        all["limits"].push_back(toJson(report));
     std::string bytes;
     json::to_msgpack(all, bytes);
     return bytes;
@@ -224,6 +242,8 @@
         if (all.contains("crashes"))
             message.crashes_ = crashesFromJson(all["crashes"]);
         message.removals_ = removalAgesIn(all);
+        for (const auto &report : all.value("limits", json::array()))
+            message.limits_.push_back(limitFromJson(report));
         return message;
     } catch (const std::exception &error) {
         return unreadable(error.what());
--- a/Libraries/LibSteering/PeerMessage.h
+++ b/Libraries/LibSteering/PeerMessage.h
@@ -9,8 +9,8 @@
 
 namespace Steering {
 
-/// A gossip message: the sender's record and its updates on other members, on loads, on crashes and
-/// on removed registrations. Request and answer have the same form.
+/// A gossip message: the sender's record and its updates on other members, on loads, on crashes, on
+/// removed registrations and on targets' rate limits. Request and answer have the same form.
 struct PeerMessage
 {
     Policy::Member sender_;
@@ -18,6 +18,7 @@
     std::vector<Policy::TargetLoad> loads_;
     Policy::CrashUpdate crashes_;
     RemovalAges removals_;
+    std::vector<Policy::TargetLimitReport> limits_;
 };
 
 /// Encodes \a message as MessagePack: a full member record takes 150 bytes and a heartbeat record
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -110,6 +110,8 @@
     if (std::find(request.tried_.begin(), request.tried_.end(), target.record_.id_)
         != request.tried_.end())
         return false;
+    if (!Policy::isWithinLimit(target.limit_, now))
+        return false;
     if (!target.isCold(now))
         return true;
     // A cold target's rate limit is divided among the entries of its region only.
@@ -333,6 +335,7 @@
     Policy::noteUse(placement.target_->use_, now);
     Policy::countRequest(spillOver_, chosen.leavesHomeRegion_, now);
     TargetState &target = *placement.target_;
+    target.limit_.usedAt_ = now;
     if (target.isCold(now)) {
         const auto *service = request.table_->service(request.service_);
         Policy::takeSlowStartToken(target.slowStart_, service->coldLimit_, entriesSharing(target),
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -122,6 +122,11 @@
 
     /// Parses the load report in a target's answer, if there is one.
     std::function<std::optional<LoadReport>(const Http::Response &)> parseLoad_;
+    /// Parses the rate limit in a target's answer, for all instances together, if there is one.
+    std::function<std::optional<Model::RequestsPerSecond>(const Http::Response &)> parseLimit_
+        = [](const Http::Response &) {
+              return std::nullopt;
+          };
 
     HeaderNames headers_;
     PlatformTerms terms_;
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -64,6 +64,7 @@
 
     Policy::TargetPace pace_;
     Policy::SlowStart slowStart_;
+    Policy::TargetLimit limit_;
     Model::SteadyTime coldUntil_;
     Policy::Reachability reachability_;
     /// When it last answered any request.
@@ -103,6 +104,13 @@
     }
 };
 
+/// Records the limit that a target named in an answer to a request that was sent at \a sentAt, or
+/// that \a by, a peer, reported; std::nullopt for an answer without one. Logs when a limit begins
+/// or ends. Thread safety: \a target belongs to the calling thread.
+void recordLimit(TargetState &target, std::optional<Model::RequestsPerSecond> rate,
+                 Model::SteadyTime sentAt, Model::SteadyTime reportedAt, const std::string &by,
+                 Observe::DecisionLog &log);
+
 /// The targets of one service, and the shares of the failure domains as home domains of its
 /// callers' objects.
 struct ServiceTargets
@@ -147,6 +155,15 @@
     /// here, and apply to removals that this instance has not read yet.
     void receiveRemovals(const RemovalAges &ages, Model::SteadyTime now);
 
+    /// Returns the reports on targets' rate limits to send to other instances.
+    std::vector<Policy::TargetLimitReport> limitsToSend(Model::SteadyTime now) const;
+    /// Records the reports that another instance sent; those on unknown targets are ignored.
+    void receiveLimits(const std::vector<Policy::TargetLimitReport> &reports,
+                       const std::string &peer, Model::SteadyTime now);
+    /// Updates this instance's part of each limit, and forgets old limits. Called every tick.
+    void updateLimits(const Model::Instance &own, const Policy::Members &members,
+                      Model::SteadyTime now);
+
     const std::map<Model::TargetId, std::shared_ptr<TargetState>> &all() const { return targets_; }
     /// A seed for each of the table's domains, the same on every instance.
     const std::vector<std::uint64_t> &domainSeeds() const { return domainSeeds_; }
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -190,6 +190,8 @@
         message.update_.heartbeatRecords_.push_back(makeMember("front-koper-a-3").heartbeatRecord_);
         message.loads_.push_back({0xfedcba98, 9, Milliseconds(120)});
         message.removals_["t1"] = Milliseconds(700);
+        message.limits_ = {{0xfedcba98, Model::RequestsPerSecond(5.8), Milliseconds(300)},
+                           {7, std::nullopt, Milliseconds(0)}};
         const auto read = Steering::peerMessageFromBytes(toBytes(message), now);
         CPPUNIT_ASSERT(read);
         CPPUNIT_ASSERT(read->sender_.instance_ == message.sender_.instance_);
@@ -208,6 +210,11 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(9), read->loads_[0].inProgress_);
         CPPUNIT_ASSERT(read->loads_[0].age_ == Milliseconds(120));
         CPPUNIT_ASSERT(read->removals_ == message.removals_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read->limits_.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(0xfedcba98), read->limits_[0].target_);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(5.8, read->limits_[0].rate_->value(), 1e-9);
+        CPPUNIT_ASSERT(read->limits_[0].age_ == Milliseconds(300));
+        CPPUNIT_ASSERT(!read->limits_[1].rate_);
 
         const auto record = Steering::memberFromText(Steering::toText(makeMember("x")), now);
         CPPUNIT_ASSERT(record);
--- a/Tests/Platform/TestTargetLimits.cpp
+++ b/Tests/Platform/TestTargetLimits.cpp
@@ -58,6 +58,8 @@
         Harness::pause(window);
         const auto limited = static_cast<double>(target.takeArrivals().size());
         target.setFaults({});
+        // The other target has loaded the objects meanwhile, and would keep them.
+        fleet.registerTarget(*fleet.targets_[1], "r-a", "draining");
         Harness::pause(limitedFrom);
         target.takeArrivals();
         Harness::pause(window);
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(malformedRegistrationsAreRefused);
     CPPUNIT_TEST(mutatedRegistrationsAreReadWholeOrRefused);
     CPPUNIT_TEST(loadReportsAreRead);
+    CPPUNIT_TEST(limitsOfTargetsAreRead);
     CPPUNIT_TEST(lookupsAreReadAndAnswered);
     CPPUNIT_TEST(termsAreReadAndUnknownOnesIgnored);
     CPPUNIT_TEST(randomRowsNeverThrow);
@@ -221,6 +222,20 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2), load->waiting_);
     }
 
+    void limitsOfTargetsAreRead()
+    {
+        for (const std::string name : {"X-Cassiacrank-Server-Limit", "Server-Limit"}) {
+            Http::Response answer;
+            CPPUNIT_ASSERT(!Adapter::limitIn(answer));
+            answer.set(name, "5.8");
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(5.8, Adapter::limitIn(answer)->value(), 1e-9);
+            for (const std::string text : {"", "nan", "inf", "-1", "5.8x", "x"}) {
+                answer.set(name, text);
+                CPPUNIT_ASSERT_MESSAGE(text, !Adapter::limitIn(answer));
+            }
+        }
+    }
+
     void lookupsAreReadAndAnswered()
     {
         Http::Request request(Http::http::verb::get, "/-/resolve?name=h&region=r&zone=z-a", 11);
