--- a/Libraries/LibHttp/HeaderNames.h
+++ b/Libraries/LibHttp/HeaderNames.h
@@ -11,6 +11,7 @@
 constexpr std::string_view requestIdHeader = "Cassiacrank-Request-Id";
 constexpr std::string_view deadlineHeader = "Cassiacrank-Deadline-Ms";
 constexpr std::string_view loadHeader = "Cassiacrank-Load";
+constexpr std::string_view rateLimitHeader = "Cassiacrank-Rate-Limit";
 constexpr std::string_view incarnationHeader = "Cassiacrank-Incarnation";
 constexpr std::string_view drainingHeader = "Cassiacrank-Draining";
 constexpr std::string_view workspaceHeader = "Cassiacrank-Workspace";
--- a/Libraries/LibPolicy/TargetPicker.cpp
+++ b/Libraries/LibPolicy/TargetPicker.cpp
@@ -9,7 +9,7 @@
 
 bool canTake(const TargetView &target)
 {
-    if (target.isLeaving_ || target.isSuspect_)
+    if (target.isLeaving_ || target.isSuspect_ || target.isOverLimit_)
         return false;
     return likelyInFlight(target) < usableSlots(target);
 }
--- a/Libraries/LibPolicy/TargetPicker.h
+++ b/Libraries/LibPolicy/TargetPicker.h
@@ -29,6 +29,8 @@
     /// The target recently failed or stopped answering and has not answered since.
     bool isSuspect_ = false;
     bool isLeaving_ = false;
+    /// The target has named a rate limit, which allows this entry no request now.
+    bool isOverLimit_ = false;
 };
 
 /// A report decays within the target's usual latency, clamped to these bounds.
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -204,9 +204,31 @@
         snapshot->serviceIndex_[service.id_] = snapshot->services_.size();
         snapshot->services_.push_back(planService(service, now, elapsed));
     }
+    divideLimits(*snapshot);
     return snapshot;
 }
 
+/// Targets are called by the entries of their region only, which share the targets' rate limits.
+void Planner::divideLimits(const EntrySnapshot &snapshot) const
+{
+    std::vector<std::uint64_t> peers;
+    for (const auto &peer : snapshot.localPeerEntries_)
+        peers.push_back(Policy::seedOf(peer.id_.value()));
+    const std::uint64_t own = Policy::seedOf(settings_.instance_.value());
+    for (const auto &service : snapshot.services_) {
+        for (const auto &domain : service.targets_) {
+            for (const auto &target : domain) {
+                const Model::RequestsPerSecond limit(target->limit_);
+                if (limit.value() <= 0)
+                    continue;
+                const std::uint64_t seed = Policy::seedOf(target->target_.id_.value());
+                setLimitPart(*target,
+                             Policy::limitPart(limit, seed, own, peers, snapshot.entriesInRegion_));
+            }
+        }
+    }
+}
+
 std::uint64_t Planner::pairRank(const Model::InstanceId &other) const
 {
     const auto &[first, second] = std::minmax(settings_.instance_, other);
--- a/Services/Entryd/Planner.h
+++ b/Services/Entryd/Planner.h
@@ -60,6 +60,7 @@
                           Model::Milliseconds elapsed);
     std::unique_ptr<EntrySnapshot> makeSnapshot(Model::Milliseconds elapsed);
     Model::Instance localInstance() const;
+    void divideLimits(const EntrySnapshot &snapshot) const;
     std::uint64_t pairRank(const Model::InstanceId &other) const;
     cassiacrank::ProcessReport makeReport();
     void reportIfDue(const cassiacrank::ProcessReport &report);
--- a/Services/Entryd/ServiceQueue.cpp
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -262,6 +262,8 @@
     const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now);
     if (!Policy::canFinish(left, views[*chosen].latency_))
         return Placement(reject(ResultCode::DeadlineTooShort));
+    if (!takeFromLimit(*targets[*chosen], now))
+        return std::nullopt;
     return Placement(ToTarget{SlotHold(targets[*chosen])});
 }
 
--- a/Services/Entryd/TargetAnswer.cpp
+++ b/Services/Entryd/TargetAnswer.cpp
@@ -3,6 +3,7 @@
 #include <LibObserve/LibObserve.h>
 
 #include <charconv>
+#include <cmath>
 
 namespace Entryd {
 
@@ -10,12 +11,24 @@
 
 namespace {
 
+std::optional<Model::RequestsPerSecond> limitIn(const Http::Response &answer)
+{
+    const auto text = answer[Http::rateLimitHeader.data()];
+    double rate = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), rate);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(rate)
+        || rate < 0)
+        return std::nullopt;
+    return Model::RequestsPerSecond(rate);
+}
+
 TargetReport reportIn(const Http::Response &answer)
 {
     TargetReport report;
     report.inFlight_ = numberIn(answer[Http::loadHeader.data()], -1);
     const auto incarnation = numberIn(answer[Http::incarnationHeader.data()], 0);
     report.incarnation_ = Model::Incarnation(static_cast<std::uint64_t>(incarnation));
+    report.limit_ = limitIn(answer);
     report.isDraining_ = answer.count(Http::drainingHeader.data()) > 0;
     return report;
 }
--- a/Services/Entryd/TargetState.cpp
+++ b/Services/Entryd/TargetState.cpp
@@ -22,6 +22,12 @@
     return std::chrono::duration_cast<Model::Milliseconds>(passed);
 }
 
+bool isOverLimit(const TargetState &state, Model::SteadyTime now)
+{
+    const std::int64_t interval = state.limitIntervalUs_;
+    return interval != 0 && microsecondsOf(now) - state.limitUsedAtUs_ < interval;
+}
+
 } // namespace
 
 Policy::TargetView viewOf(const TargetState &state, Model::SteadyTime now)
@@ -38,9 +44,49 @@
     view.inUseFor_ = age(state.inUseSinceUs_, now);
     view.isSuspect_ = state.isSuspect_;
     view.isLeaving_ = state.isLeaving_;
+    view.isOverLimit_ = isOverLimit(state, now);
     return view;
 }
 
+void noteLimit(TargetState &state, std::optional<Model::RequestsPerSecond> limit,
+               Model::SteadyTime now)
+{
+    const double rate = limit ? std::max(*limit, Policy::minTargetLimit).value() : 0;
+    const double before = state.limit_.exchange(rate);
+    if ((before > 0) == (rate > 0))
+        return;
+    const std::string &target = state.target_.id_.value();
+    if (rate > 0) {
+        state.limitUsedAtUs_ = microsecondsOf(now);
+        state.limitIntervalUs_ = noLimitPart;
+        Observe::logEvent(Observe::Event::TargetLimited,
+                          {{"target", target}, {"per_second", std::to_string(rate)}});
+    } else {
+        state.limitIntervalUs_ = 0;
+        Observe::logEvent(Observe::Event::TargetLimitEnded, {{"target", target}});
+    }
+}
+
+void setLimitPart(TargetState &state, Model::RequestsPerSecond part)
+{
+    const auto interval = Policy::limitInterval(part);
+    state.limitIntervalUs_ = interval ? interval->count() : noLimitPart;
+    // The limit may have ended meanwhile on another thread.
+    if (state.limit_ <= 0)
+        state.limitIntervalUs_ = 0;
+}
+
+bool takeFromLimit(TargetState &state, Model::SteadyTime now)
+{
+    const std::int64_t interval = state.limitIntervalUs_;
+    if (interval == 0)
+        return true;
+    std::int64_t usedAt = state.limitUsedAtUs_;
+    const std::int64_t nowUs = microsecondsOf(now);
+    return nowUs - usedAt >= interval
+           && state.limitUsedAtUs_.compare_exchange_strong(usedAt, nowUs);
+}
+
 void noteSend(TargetState &state, Model::SteadyTime now)
 {
     state.sentAtUs_ = microsecondsOf(now);
@@ -77,6 +123,7 @@
         state.inUseSinceUs_ = microsecondsOf(now);
         state.isLeaving_ = false;
     }
+    noteLimit(state, report.limit_, now);
     if (!report.isDraining_)
         return false;
     return !state.isLeaving_.exchange(true);
--- a/Services/Entryd/TargetState.h
+++ b/Services/Entryd/TargetState.h
@@ -5,8 +5,10 @@
 
 #include <atomic>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace Entryd {
 
@@ -34,6 +36,13 @@
     std::atomic<std::int64_t> inUseSinceUs_{0};
     std::atomic<std::int64_t> consecutiveFailures_{0};
     std::atomic<std::uint64_t> incarnation_{0};
+    /// The rate limit that the target names, in requests per second; zero for none.
+    std::atomic<double> limit_{0};
+    /// The interval between requests that this entry's part of the limit allows: zero without a
+    /// limit, noLimitPart without a part.
+    std::atomic<std::int64_t> limitIntervalUs_{0};
+    /// When the part was last used, or the limit became known.
+    std::atomic<std::int64_t> limitUsedAtUs_{0};
     std::atomic<bool> isSuspect_{false};
     std::atomic<bool> isLeaving_{false};
     /// The time of the last request sent and of the last answer received; zero for never.
@@ -41,6 +50,9 @@
     std::atomic<std::int64_t> answeredAtUs_{0};
 };
 
+/// The interval of an entry that may not use a target's limit.
+constexpr std::int64_t noLimitPart = std::numeric_limits<std::int64_t>::max();
+
 /// The time after which a hint of another entry expires.
 constexpr Model::Milliseconds hintTtl{30};
 
@@ -86,6 +98,8 @@
     std::int64_t inFlight_ = -1;
     Model::Incarnation incarnation_;
     bool isDraining_ = false;
+    /// std::nullopt if the target names none.
+    std::optional<Model::RequestsPerSecond> limit_;
 };
 
 /// Records an answer's report. Returns whether it is the first to show that the target is leaving.
@@ -93,6 +107,19 @@
 /// Thread safety: any thread.
 bool noteReport(TargetState &state, const TargetReport &report, Model::SteadyTime now);
 
+/// Records the limit in a target's answer, and logs when one begins or ends. Thread safety: any
+/// thread.
+void noteLimit(TargetState &state, std::optional<Model::RequestsPerSecond> limit,
+               Model::SteadyTime now);
+
+/// Sets the part of the target's limit that this entry may use. Thread safety: any thread.
+void setLimitPart(TargetState &state, Model::RequestsPerSecond part);
+
+/// Takes one request out of the entry's part of the target's limit. Returns false if another
+/// thread was faster or the limit allows none now; true if the target names no limit. Thread
+/// safety: any thread.
+bool takeFromLimit(TargetState &state, Model::SteadyTime now);
+
 /// Records that a request is being sent to the target. Thread safety: any thread.
 void noteSend(TargetState &state, Model::SteadyTime now);
 
--- a/Tests/Integration/TestStops.cpp
+++ b/Tests/Integration/TestStops.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(rollingReplacementCutsNoRequest);
     CPPUNIT_TEST(entryServesSoonAfterItsControlProcessStarts);
     CPPUNIT_TEST(leavingTargetGetsNoNewWork);
+    CPPUNIT_TEST(targetGetsNoMoreThanItsLimitFromAllEntries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,51 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(result.log_, result.samples_.size(),
                                      Harness::countOutcome(result.samples_, "run"));
     }
+
+    // Guards against a target that names a rate limit for all entries together and gets more,
+    // because each entry ignores the limit or uses all of it; and against a limit that never ends.
+    void targetGetsNoMoreThanItsLimitFromAllEntries()
+    {
+        constexpr double limit = 5;
+        constexpr double allowed = 1.5 * limit * 4 + 5;
+        constexpr Milliseconds window{4000};
+        Site site({});
+        site.start();
+        const std::string target = limitedTarget(site);
+        const auto started = [&] {
+            return site.targetCounts(target).at("started").get<double>();
+        };
+        const auto load = site.loadtool(
+            "limited", section(site, {.name_ = "all", .callerCount_ = 16, .rate_ = 300}), 18);
+        load->start();
+        Harness::pause(Milliseconds(1000));
+        site.switchTarget(target, {{"limit", "5.0"}});
+        Harness::pause(Milliseconds(2000));
+        const double before = started();
+        Harness::pause(window);
+        const double limited = started() - before;
+        site.switchTarget(target, {{"limit", ""}});
+        Harness::pause(Milliseconds(2000));
+        const double after = started();
+        Harness::pause(window);
+        const double unlimited = started() - after;
+        const auto result = Integration::finish(site, *load, "limited");
+        Integration::assertTruth(result);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(limited), limited <= allowed);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(limited), limited >= limit * 4 / 2);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(unlimited), unlimited > 2 * allowed);
+    }
+
+    /// Returns the id of a target of gauging in the region of the load.
+    static std::string limitedTarget(Site &site)
+    {
+        for (const auto &target : site.targets()) {
+            const auto &row = target.row_;
+            if (row.service_.value() == "gauging" && row.domain_.value().starts_with("primorska"))
+                return row.id_.value();
+        }
+        return "";
+    }
 };
 
 } // namespace
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -35,6 +35,8 @@
     bool claimsIdle_ = false;
     bool isDraining_ = false;
     bool isUnresponsive_ = false;
+    /// The rate limit that it names; none if empty.
+    std::string limit_;
     double slowness_ = 1;
     Milliseconds answerDelay_{0};
 };
@@ -162,6 +164,8 @@
         answer.set(Http::incarnationHeader.data(), std::to_string(incarnation_));
         if (faults_.isDraining_)
             answer.set(Http::drainingHeader.data(), "1");
+        if (!faults_.limit_.empty())
+            answer.set(Http::rateLimitHeader.data(), faults_.limit_);
         if (faults_.isTruncating_ && !isHealth)
             answer.set(http::field::content_length, std::to_string(answer.body().size() + 100));
     }
@@ -189,6 +193,7 @@
         faults_.claimsIdle_ = wanted.value("claim_idle", faults_.claimsIdle_);
         faults_.isDraining_ = wanted.value("drain", faults_.isDraining_);
         faults_.isUnresponsive_ = wanted.value("mute", faults_.isUnresponsive_);
+        faults_.limit_ = wanted.value("limit", faults_.limit_);
         faults_.slowness_ = wanted.value("slowness", faults_.slowness_);
         faults_.answerDelay_ = Milliseconds(wanted.value("late_ms", faults_.answerDelay_.count()));
     }
