--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -211,21 +211,26 @@
 /// Targets are called by the entries of their region only, which share the targets' rate limits.
 void Planner::divideLimits(const EntrySnapshot &snapshot) const
 {
+    std::vector<std::shared_ptr<TargetState>> limited;
+    for (const auto &service : snapshot.services_) {
+        for (const auto &domain : service.targets_) {
+            std::copy_if(domain.begin(), domain.end(), std::back_inserter(limited),
+                         [](const auto &target) {
+                             return target->limit_ > 0;
+                         });
+        }
+    }
+    if (limited.empty())
+        return;
     std::vector<std::uint64_t> peers;
     for (const auto &peer : snapshot.localPeerEntries_)
         peers.push_back(Policy::seedOf(peer.id_.value()));
     const std::uint64_t own = Policy::seedOf(settings_.instance_.value());
-    for (const auto &service : snapshot.services_) {
-        for (const auto &domain : service.targets_) {
-            for (const auto &target : domain) {
-                const Model::RequestsPerSecond limit(target->limit_);
-                if (limit.value() <= 0)
-                    continue;
-                const std::uint64_t seed = Policy::seedOf(target->target_.id_.value());
-                setLimitPart(*target,
-                             Policy::limitPart(limit, seed, own, peers, snapshot.entriesInRegion_));
-            }
-        }
+    for (const auto &target : limited) {
+        const std::uint64_t seed = Policy::seedOf(target->target_.id_.value());
+        const Model::RequestsPerSecond limit(target->limit_);
+        setLimitPart(*target,
+                     Policy::limitPart(limit, seed, own, peers, snapshot.entriesInRegion_));
     }
 }
 
