LibSteering, LibHttp, platform: Log what arrived of rows that were given up

A request for rows to a peer that failed left no line, and no line said how much of an answer had arrived when its time was over. So a table that arrives too slowly looked like one that is never sent.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -113,7 +113,9 @@
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         const bool isCut = error != beast::error::timeout;
-        co_return failed(isCut ? ResultCode::TruncatedAnswer : ResultCode::TargetTimeout);
+        auto result = failed(isCut ? ResultCode::TruncatedAnswer : ResultCode::TargetTimeout);
+        result.receivedBytes_ = parser.get().body().size();
+        co_return result;
     }
     ExchangeResult result;
     result.stage_ = ExchangeStage::Answered;
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -69,6 +69,8 @@
     /// The reason why there is no answer; Ok if there is one.
     Model::ResultCode code_ = Model::ResultCode::Ok;
     std::optional<Response> answer_;
+    /// Of an answer that is missing its end: the bytes of its body that have arrived.
+    std::size_t receivedBytes_ = 0;
     bool isNewConnection_ = false;
     /// The time to establish a new connection; zero for a reused one.
     Model::Microseconds connectDuration_{0};
--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -91,6 +91,8 @@
          "Peers have a newer revision than a waiting call to the store; the call is repeated."},
         {StoreCallRepeated, Info, "StoreCallRepeated",
          "The call that replaced an abandoned one ended."},
+        {RowFetchFailed, Warning, "RowFetchFailed",
+         "A peer did not send its newer rows of the store completely."},
         {SettingsReloaded, Info, "SettingsReloaded", "The settings file was reloaded."},
         {SettingsReloadRefused, Error, "SettingsReloadRefused",
          "The new settings are invalid; the previous ones stay in force."},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -67,6 +67,7 @@
     StoreReading = 5204,
     StoreCallAbandoned = 5205,
     StoreCallRepeated = 5206,
+    RowFetchFailed = 5207,
     SettingsReloaded = 5301,
     SettingsReloadRefused = 5302,
     LinesLeftOut = 5401,
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -133,7 +133,8 @@
         co_return;
     const Model::Instance chosen = peer->instance_;
     pendingFetches_.insert(chosen.id_);
-    lastFetchAt_ = std::chrono::steady_clock::now();
+    const auto requestedAt = std::chrono::steady_clock::now();
+    lastFetchAt_ = requestedAt;
     const Model::Address &address = chosen.addresses_.control_;
     const Http::ExchangeOptions options = optionsTo(addressToDial(address), fetchTimeout);
     const Http::Request request = requestTo(
@@ -143,7 +144,14 @@
     countCall(PeerCall::PlatformState, chosen, request, result);
     const bool isOk = result.answer_ && result.answer_->result() == http::status::ok;
     if (!isOk) {
-        nextFetchAt_ = std::chrono::steady_clock::now() + fetchRetryDelay;
+        const auto now = std::chrono::steady_clock::now();
+        log_.line(Event::RowFetchFailed)
+            .add("peer", chosen.id_.value())
+            .add("reason", Model::describe(result.code_))
+            .add("received", static_cast<std::int64_t>(result.receivedBytes_))
+            .add("took_ms", std::chrono::duration_cast<Model::Microseconds>(now - requestedAt))
+            .add("pending", static_cast<std::int64_t>(pendingFetches_.size()));
+        nextFetchAt_ = now + fetchRetryDelay;
         co_return;
     }
     const auto &text = result.answer_->body();
