--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -65,6 +65,8 @@
     add("order", "unsafe");
     if (!extra.empty())
         add(extra, "safe");
+    for (int i = 0; i < manyRoutes_; ++i)
+        add("one-of-many-routes-" + std::to_string(i), "safe");
     const json service = {{"name", "s"}, {"maxConns", 390}, {"coldPerS", 11.0}};
     json config = {{"version", text},
                    {"services", {service}},
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -36,6 +36,8 @@
     void configure(int version, const std::string &extra = "");
     /// Sets the workspaces of the next configuration, as the platform writes them.
     void setWorkspaces(const std::string &text) { workspaces_ = text; }
+    /// Sets the number of further routes of the next configuration.
+    void setManyRoutes(int count) { manyRoutes_ = count; }
     /// Starts \a count instances, round robin over the domains, and waits until all are ready.
     void start(std::size_t count);
     /// Starts one more instance, which calls \a store instead of the fleet's store if it is given.
@@ -78,6 +80,7 @@
 
 private:
     std::string workspaces_;
+    int manyRoutes_ = 0;
     std::string net_;
     std::string directory_;
     int lastHost_ = 1;
