LibHttp, LibPlatform, LibSteering: Let an answer that arrives go on arriving

Callers saw: requests served by an old table, and run outside their homes, at instances on narrow links (CONFIG, HOME), 6 to 15 s after the newest table was acknowledged, and slow requests there all the while.

Cause: a limit on the whole time of a transfer whose length grows with its content. The call to the store and the request to a peer ended after 0.8 and 1.5 s, however much had arrived, and began anew from the first byte; a second request to another peer, and the call that replaced the "hanging" one, shared the link and made each other fail. Above a certain size nothing got through.

Change: the deadline of such an exchange holds until its answer begins; after that it goes on while bytes arrive at intervals of at most maxSilence_ (20 s in all). A waiting call whose answer arrives is not taken for hanging, and no second peer is asked while rows arrive. All calls to the store share the change, those of the daemons too.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -97,6 +97,37 @@
     return result;
 }
 
+} // namespace
+
+/// Extends the deadline of an exchange while its answer arrives.
+class AnswerProgress
+{
+public:
+    AnswerProgress(Connection &connection, const ExchangeOptions &options)
+        : connection_(connection)
+        , options_(options)
+        , endAt_(std::chrono::steady_clock::now() + options.maxTransferTime_)
+    {
+    }
+
+    /// Records that bytes of the answer have arrived.
+    void noteReceived()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (options_.control_)
+            options_.control_->receivedAt_ = now;
+        if (options_.maxSilence_.count() > 0)
+            connection_.stream_.expires_at(std::min(now + options_.maxSilence_, endAt_));
+    }
+
+private:
+    Connection &connection_;
+    const ExchangeOptions &options_;
+    const Model::SteadyTime endAt_;
+};
+
+namespace {
+
 /// Reads one complete answer without checking to which request it belongs.
 Task<ExchangeResult> readAnswer(Connection &connection, const ExchangeOptions &options)
 {
@@ -109,8 +140,12 @@
         co_return failed(codeOf(error));
     if (!options.acceptsUnframed_ && !hasLength(parser))
         co_return failed(ResultCode::TruncatedAnswer);
-    co_await http::async_read(connection.stream_, connection.buffer_, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    AnswerProgress progress(connection, options);
+    while (!error && !parser.is_done()) {
+        progress.noteReceived();
+        co_await http::async_read_some(connection.stream_, connection.buffer_, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+    }
     if (error) {
         const bool isCut = error != beast::error::timeout;
         auto result = failed(isCut ? ResultCode::TruncatedAnswer : ResultCode::TargetTimeout);
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -24,11 +24,15 @@
     /// Ends the exchange and closes its connection, which makes most targets cancel the request.
     void cancel();
     bool isCancelled() const { return isCancelled_; }
+    /// Tells whether bytes of the answer have arrived since \a time.
+    bool hasReceivedSince(Model::SteadyTime time) const { return receivedAt_ >= time; }
 
 private:
     friend class ControlGuard;
+    friend class AnswerProgress;
 
     beast::tcp_stream *stream_ = nullptr;
+    Model::SteadyTime receivedAt_ = Model::distantPast;
     bool isCancelled_ = false;
 };
 
@@ -37,6 +41,13 @@
 {
     Model::Address address_;
     Model::SteadyTime deadline_;
+    /// If above zero, the deadline holds only until the answer begins; after that the exchange goes
+    /// on while bytes arrive at intervals of at most this time, up to maxTransferTime_.
+    ///
+    /// Without it, an answer that takes longer than its deadline on a narrow link is requested from
+    /// its first byte again and again, and never arrives.
+    Model::Milliseconds maxSilence_{0};
+    Model::Milliseconds maxTransferTime_{20000};
     Model::Milliseconds connectTimeout_{500};
     /// Idle connections unused for longer are not reused; zero forces a new connection.
     Model::Milliseconds maxIdle_{10000};
--- a/Libraries/LibPlatform/StoreCall.cpp
+++ b/Libraries/LibPlatform/StoreCall.cpp
@@ -27,6 +27,7 @@
     options.address_ = store.address_;
     options.connectTimeout_ = store.timeout_;
     options.deadline_ = std::chrono::steady_clock::now() + limit;
+    options.maxSilence_ = store.timeout_;
     options.maxIdle_ = maxIdleTime;
     options.connectionLimit_ = storeConnectionLimit;
     options.control_ = control;
--- a/Libraries/LibPlatform/StoreCall.h
+++ b/Libraries/LibPlatform/StoreCall.h
@@ -6,8 +6,9 @@
 
 namespace Platform {
 
-/// Sends a request to the store and returns the result, after at most \a timeout, or the store's
-/// timeout if that is zero. \a control, if set, must outlive the call and may cancel it.
+/// Sends a request to the store and returns the result. The answer must begin within \a timeout,
+/// or the store's timeout if that is zero, and must not pause for longer than the store's timeout.
+/// \a control, if set, must outlive the call and may cancel it.
 ///
 /// All clients of a store use this function, regardless of their protocol.
 /// Thread safety: as Store.
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -13,6 +13,7 @@
 
 /// A peer on the other side of a continent answers within this time, which is a few round trips.
 constexpr Milliseconds gossipTimeout{500};
+/// For a peer to begin to send its rows, and for a pause while it sends them.
 constexpr Milliseconds fetchTimeout{1500};
 /// Delay after a failed request for rows until the next one.
 constexpr Milliseconds fetchRetryDelay{150};
@@ -132,11 +133,14 @@
     if (!peer)
         co_return;
     const Model::Instance chosen = peer->instance_;
-    pendingFetches_.insert(chosen.id_);
+    Http::ExchangeControl control;
+    pendingFetches_.emplace(chosen.id_, &control);
     const auto requestedAt = std::chrono::steady_clock::now();
     lastFetchAt_ = requestedAt;
     const Model::Address &address = chosen.addresses_.control_;
-    const Http::ExchangeOptions options = optionsTo(addressToDial(address), fetchTimeout);
+    Http::ExchangeOptions options = optionsTo(addressToDial(address), fetchTimeout);
+    options.maxSilence_ = fetchTimeout;
+    options.control_ = &control;
     const Http::Request request = requestTo(
         address, http::verb::get, stateRequestTarget(platformState_.knownRevisions()), "");
     const auto result = co_await Http::exchange(pool_, options, request, Http::acceptAnyAnswer);
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -339,13 +339,19 @@
 }
 
 /// Allows a second concurrent request if the first peer does not answer: that peer may have stopped
-/// after it announced newer rows.
+/// after it announced newer rows. While rows arrive, a second request would only take half of the
+/// link from the first.
 bool PeerExchange::mayFetch(SteadyTime now) const
 {
     if (pendingFetches_.empty())
         return now >= nextFetchAt_;
-    return pendingFetches_.size() < maxConcurrentFetches
-           && now - lastFetchAt_ >= Policy::rowFetchTimeout;
+    const auto silentSince = now - Policy::rowFetchTimeout;
+    const bool isReceiving
+        = std::any_of(pendingFetches_.begin(), pendingFetches_.end(), [&](const auto &fetch) {
+              return fetch.second->hasReceivedSince(silentSince);
+          });
+    return pendingFetches_.size() < maxConcurrentFetches && lastFetchAt_ <= silentSince
+           && !isReceiving;
 }
 
 /// Requests the rows that a peer has and this instance is missing, if there are any.
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -179,7 +179,7 @@
     bool isLeaving_ = false;
     Policy::StoreStanding store_;
     /// Peers to which a request for rows is in progress.
-    std::set<Model::InstanceId> pendingFetches_;
+    std::map<Model::InstanceId, Http::ExchangeControl *> pendingFetches_;
     Model::SteadyTime lastFetchAt_ = Model::distantPast;
     Model::SteadyTime nextFetchAt_ = Model::distantPast;
     /// Since when a peer is known to have newer rows.
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -112,7 +112,9 @@
 bool StoreFollower::hasWaitedSince(StoreTable table, Model::SteadyTime time) const
 {
     const Progress &progress = progressOf(table);
-    return progress.waitingCall_ && progress.waitingSince_ <= time;
+    const auto silentSince = std::chrono::steady_clock::now() - Policy::rowFetchTimeout;
+    return progress.waitingCall_ && progress.waitingSince_ <= time
+           && !progress.waitingCall_->hasReceivedSince(silentSince);
 }
 
 void StoreFollower::restartWaitingCall(StoreTable table, const Model::InstanceId &peer,
--- a/Libraries/LibSteering/StoreFollower.h
+++ b/Libraries/LibSteering/StoreFollower.h
@@ -26,7 +26,8 @@
     /// The same, with the time since which the store has answered and the revision that it has
     /// sent.
     Policy::StoreStanding standing() const;
-    /// Tells whether the call for a table has waited for changes since \a time or longer.
+    /// Tells whether the call for a table has waited for changes since \a time or longer, and no
+    /// answer is arriving.
     bool hasWaitedSince(StoreTable table, Model::SteadyTime time) const;
     /// Cancels the call that waits for a table's changes and sends a new one at once. Called when
     /// \a peer has had changes for \a behindFor that the waiting call should have returned.
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -50,6 +50,52 @@
     std::thread thread_;
 };
 
+/// A peer that sends an answer whose body arrives byte by byte.
+class SlowPeer
+{
+public:
+    /// Sends \a count bytes at intervals, but stops after \a sent of them and keeps the connection
+    /// open.
+    SlowPeer(int count, Milliseconds interval, int sent = std::numeric_limits<int>::max())
+        : acceptor_(context_, {Http::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        thread_ = std::thread([this, count, interval, sent] {
+            run(count, interval, sent);
+        });
+    }
+
+    ~SlowPeer() { thread_.join(); }
+
+    Model::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+    void run(int count, Milliseconds interval, int sent)
+    {
+        tcp::socket socket(context_);
+        acceptor_.accept(socket);
+        char buffer[4096];
+        Http::ErrorCode error;
+        socket.read_some(Http::asio::buffer(buffer), error);
+        const std::string head = "HTTP/1.1 200 OK\r\nCassiacrank-Request-Id: mine\r\n"
+                                 "Content-Length: "
+                                 + std::to_string(count) + "\r\n\r\n";
+        Http::asio::write(socket, Http::asio::buffer(head), error);
+        for (int i = 0; i < std::min(count, sent) && !error; ++i) {
+            std::this_thread::sleep_for(interval);
+            Http::asio::write(socket, Http::asio::buffer("x", 1), error);
+        }
+        // Until the other end closes the connection.
+        socket.read_some(Http::asio::buffer(buffer), error);
+    }
+
+    Http::asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+/// Takes 1.2 s, four times the deadline of exchangeWith().
+constexpr int slowPieces = 20;
+
 Http::ExchangeResult exchangeWith(const Model::Address &address, Http::ExchangeOptions options = {})
 {
     Http::asio::io_context context;
@@ -88,6 +134,9 @@
     CPPUNIT_TEST(longBodyStopsWhenSendingIsWithdrawn);
     CPPUNIT_TEST(nothingIsSentWhenSendingIsWithdrawn);
     CPPUNIT_TEST(silentPeerTimesOutAtTheDeadline);
+    CPPUNIT_TEST(answerThatKeepsArrivingIsReadBeyondTheDeadline);
+    CPPUNIT_TEST(answerThatStopsArrivingTimesOut);
+    CPPUNIT_TEST(answerThatArrivesTooLongTimesOut);
     CPPUNIT_TEST(requestThatWasGivenUpIsNotDeliveredLater);
     CPPUNIT_TEST(refusedConnectionMeansNothingWasSent);
     CPPUNIT_TEST(connectionWithUnreadBytesIsNotReused);
@@ -238,6 +287,43 @@
         CPPUNIT_ASSERT(result.stage_ == Http::ExchangeStage::Sent);
     }
 
+    // Guards against a long answer that is requested again and again on a narrow link, because each
+    // exchange ends at a fixed time while its answer is arriving.
+    void answerThatKeepsArrivingIsReadBeyondTheDeadline()
+    {
+        Http::ExchangeOptions options;
+        options.maxSilence_ = Milliseconds(300);
+        const SlowPeer peer(slowPieces, Milliseconds(60));
+        const auto result = exchangeWith(peer.address(), options);
+        CPPUNIT_ASSERT(result.answer_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(slowPieces), result.answer_->body().size());
+        const SlowPeer second(slowPieces, Milliseconds(60));
+        CPPUNIT_ASSERT(exchangeWith(second.address()).code_ == ResultCode::TargetTimeout);
+    }
+
+    // Guards against waiting for the rest of an answer whose connection has gone silent.
+    void answerThatStopsArrivingTimesOut()
+    {
+        Http::ExchangeOptions options;
+        options.maxSilence_ = Milliseconds(300);
+        const SlowPeer peer(slowPieces, Milliseconds(60), 5);
+        const auto startedAt = std::chrono::steady_clock::now();
+        const auto result = exchangeWith(peer.address(), options);
+        CPPUNIT_ASSERT(result.code_ == ResultCode::TargetTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), result.receivedBytes_);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt < Milliseconds(2000));
+    }
+
+    // Guards against an exchange without end with a peer that sends a byte now and then.
+    void answerThatArrivesTooLongTimesOut()
+    {
+        Http::ExchangeOptions options;
+        options.maxSilence_ = Milliseconds(300);
+        options.maxTransferTime_ = Milliseconds(400);
+        const SlowPeer peer(slowPieces, Milliseconds(60));
+        CPPUNIT_ASSERT(exchangeWith(peer.address(), options).code_ == ResultCode::TargetTimeout);
+    }
+
     // Guards against requests that the system delivers seconds after they were given up, when a
     // partition ends: an orderly close keeps resending what was sent.
     void requestThatWasGivenUpIsNotDeliveredLater()
