LibHttp, LibSteering: Compress the rows that peers send

A narrow instance that has the newest table sends it to every peer that asks: ten of them share its link, and a megabyte takes a second each. The rows of a table are alike, so bodies from 16 KiB on go compressed (zstd, RFC 8878) to peers that accept it; instances of either build understand each other, since the one asks by Accept-Encoding and the other says so by Content-Encoding.

--- a/Libraries/LibHttp/LibHttp.h
+++ b/Libraries/LibHttp/LibHttp.h
@@ -5,6 +5,7 @@
 
 #include "AdminServer.h"
 #include "BlockingClient.h"
+#include "Compression.h"
 #include "ConnectionFields.h"
 #include "ConnectionPool.h"
 #include "Exchange.h"
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -22,6 +22,9 @@
 constexpr const char *gossipPath = "/v1/gossip";
 constexpr const char *announcePath = "/v1/announcement";
 constexpr std::string_view statePath = "/v1/knowledge";
+/// Shorter bodies fit into a few packets.
+constexpr std::size_t minCompressedBytes = 16 * 1024;
+constexpr std::size_t maxStateBytes = 64 * 1024 * 1024;
 constexpr const char *messageType = "application/msgpack";
 
 std::string stateRequestTarget(const KnownRevisions &known)
@@ -63,6 +66,20 @@
     return options;
 }
 
+Http::beast::string_view viewOf(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Returns the body of an answer that accepted compression. Returns std::nullopt, with the last
+/// reason set, if the compressed bytes are damaged.
+std::optional<std::string> bodyOf(const Http::Response &answer)
+{
+    if (answer[http::field::content_encoding] != viewOf(Http::compressedCoding))
+        return answer.body();
+    return Http::decompressed(answer.body(), maxStateBytes);
+}
+
 } // namespace
 
 Task<void> PeerExchange::gossipTo(Model::Instance peer, bool isAnnouncement)
@@ -141,8 +158,9 @@
     Http::ExchangeOptions options = optionsTo(addressToDial(address), fetchTimeout);
     options.maxSilence_ = fetchTimeout;
     options.control_ = &control;
-    const Http::Request request = requestTo(
-        address, http::verb::get, stateRequestTarget(platformState_.knownRevisions()), "");
+    Http::Request request = requestTo(address, http::verb::get,
+                                      stateRequestTarget(platformState_.knownRevisions()), "");
+    request.set(http::field::accept_encoding, viewOf(Http::compressedCoding));
     const auto result = co_await Http::exchange(pool_, options, request, Http::acceptAnyAnswer);
     pendingFetches_.erase(chosen.id_);
     countCall(PeerCall::PlatformState, chosen, request, result);
@@ -158,9 +176,16 @@
         nextFetchAt_ = now + fetchRetryDelay;
         co_return;
     }
-    const auto &text = result.answer_->body();
-    receiveRemovals_(parseRemovalAges(text));
-    if (platformState_.applyFromPeer(text, chosen.id_.value()) && changed_)
+    const auto text = bodyOf(*result.answer_);
+    if (!text) {
+        log_.line(Event::SnapshotRefused)
+            .add("source", chosen.id_.value())
+            .add("reason", toText(Model::lastReason()));
+        nextFetchAt_ = std::chrono::steady_clock::now() + fetchRetryDelay;
+        co_return;
+    }
+    receiveRemovals_(parseRemovalAges(*text));
+    if (platformState_.applyFromPeer(*text, chosen.id_.value()) && changed_)
         changed_();
     behindSince_.reset();
 }
@@ -206,9 +231,17 @@
     const auto known = parseRevisions(std::string(request.target()));
     if (!known)
         return Http::textAnswer(http::status::not_found, "text/plain", "", request.version());
-    return Http::textAnswer(http::status::ok, messageType,
-                            platformState_.encodeForPeer(*known, provideRemovals_()),
-                            request.version());
+    std::string body = platformState_.encodeForPeer(*known, provideRemovals_());
+    const bool isCompressed
+        = body.size() >= minCompressedBytes
+          && request[http::field::accept_encoding] == viewOf(Http::compressedCoding);
+    if (isCompressed)
+        body = Http::compressed(body);
+    auto response
+        = Http::textAnswer(http::status::ok, messageType, std::move(body), request.version());
+    if (isCompressed)
+        response.set(http::field::content_encoding, viewOf(Http::compressedCoding));
+    return response;
 }
 
 } // namespace Steering
--- a/Meta/install-packages.sh
+++ b/Meta/install-packages.sh
@@ -5,7 +5,7 @@
     cmake ninja-build g++ pkg-config clang-format clang-tidy curl
     libboost-dev libboost-system-dev libgrpc++-dev libprotobuf-dev protobuf-compiler
     protobuf-compiler-grpc libgflags-dev libgoogle-glog-dev libcppunit-dev librapidcheck-dev
-    liburcu-dev libxxhash-dev nettle-dev nlohmann-json3-dev libbenchmark-dev
+    liburcu-dev libxxhash-dev nettle-dev libzstd-dev nlohmann-json3-dev libbenchmark-dev
 )
 missing=()
 for package in "${packages[@]}"; do
