--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -215,7 +215,7 @@
     const auto sentAt = steadyNow();
     const Http::Request message = messageFor(request, target, sentAt);
     Http::ExchangeOptions options;
-    options.address_ = target.record_.address_;
+    options.address_ = placementEngine_.addressToDial(target);
     options.deadline_ = request.deadline_ + deadlineSlack;
     options.connectTimeout_ = placementEngine_.connectTimeoutFor(target);
     options.maxIdle_ = request.route_->isIdempotent_ ? maxIdleTime : maxIdleTimeNonIdempotent;
@@ -286,7 +286,7 @@
         if (placementEngine_.roundTripTo(*target) < slowConnectThreshold
             || !Policy::isIdleConnectionWorthwhile(target->use_, maxIdleTimeNonIdempotent, now))
             continue;
-        const auto &address = target->record_.address_;
+        const auto address = placementEngine_.addressToDial(*target);
         if (pool_.pruneIdleConnections(address, maxIdleTime, idleRefreshAge))
             continue;
         Http::ExchangeOptions options;
@@ -347,7 +347,7 @@
 Task<void> Dispatcher::probeListener(std::shared_ptr<TargetState> target)
 {
     Http::ExchangeOptions options;
-    options.address_ = target->record_.address_;
+    options.address_ = placementEngine_.addressToDial(*target);
     options.connectTimeout_ = placementEngine_.connectTimeoutFor(*target);
     options.deadline_ = steadyNow() + options.connectTimeout_;
     options.connectionLimit_ = maxConnectionsPerTarget;
@@ -378,7 +378,7 @@
 void Dispatcher::dropAllIdleConnections(const TargetRegistry &registry)
 {
     for (const auto &[id, target] : registry.all())
-        pool_.dropIdle(target->record_.address_);
+        pool_.dropIdle(placementEngine_.addressToDial(*target));
 }
 
 } // namespace Steering
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -46,6 +46,11 @@
     {
         return roundTrips_[target.region_];
     }
+    /// Returns the address at which this instance reaches \a target.
+    Model::Address addressToDial(const TargetState &target) const
+    {
+        return Observe::dialAddress(settings_, target.record_.address_);
+    }
     /// Returns the connect timeout for \a target.
     Model::Milliseconds connectTimeoutFor(const TargetState &target) const;
     /// Records how long a connection to \a target took to open: one round trip.
--- a/Tests/Platform/TestNarrowLinks.cpp
+++ b/Tests/Platform/TestNarrowLinks.cpp
@@ -1,5 +1,5 @@
 #include "Fleet.h"
-#include "NarrowLink.h"
+#include "Link.h"
 
 #include <Support/Property.h>
 
@@ -9,7 +9,7 @@
 using Model::Milliseconds;
 using PlatformStandIns::Fleet;
 using PlatformStandIns::FleetInstance;
-using PlatformStandIns::NarrowLink;
+using PlatformStandIns::Link;
 
 /// Within this time of its acknowledgement a table is in force, on links of 10 Mbit/s too.
 constexpr Milliseconds applyBound{4000};
@@ -26,7 +26,7 @@
 
 public:
     /// Settings that lead an instance to its peers' control addresses over \a link.
-    static std::string peersOver(NarrowLink &link, const Fleet &fleet)
+    static std::string peersOver(Link &link, const Fleet &fleet)
     {
         std::string text = "[dial]\n";
         for (const auto &instance : fleet.instances_) {
@@ -37,7 +37,7 @@
     }
 
     /// Adds routes twice in a row and checks that \a instance serves the last one.
-    static void changeTwice(Fleet &fleet, const FleetInstance &instance, const NarrowLink &link)
+    static void changeTwice(Fleet &fleet, const FleetInstance &instance, const Link &link)
     {
         fleet.setManyRoutes(manyRoutes / 2);
         fleet.configure(10);
@@ -57,7 +57,7 @@
     {
         Fleet fleet;
         CPPUNIT_ASSERT(fleet.serve(3, {"t1", "t2"}));
-        NarrowLink link(narrowBytesPerSecond);
+        Link link(narrowBytesPerSecond);
         const auto settings = peersOver(link, fleet);
         const auto &instance = fleet.startOne(link.to(fleet.store_.address()), settings);
         CPPUNIT_ASSERT(fleet.waitUntilServing());
@@ -70,7 +70,7 @@
     {
         Fleet fleet;
         CPPUNIT_ASSERT(fleet.serve(3, {"t1", "t2"}));
-        NarrowLink link(narrowBytesPerSecond);
+        Link link(narrowBytesPerSecond);
         const Model::Address nobody{fleet.host(1), 9};
         const auto &instance = fleet.startOne(nobody, peersOver(link, fleet));
         CPPUNIT_ASSERT(fleet.waitUntilServing());
