LibPolicy, LibSteering: Pass requests to peers where few targets are reached

Cause: an instance knew that it reached no target, and had no way for a request but its own. Class of fault: one path, without an alternative that exists.

The way back is probed by connections beside the requests: with callers' requests for it, an instance that was back did not use its own way again (found by the test).

Weighed and left: telling callers by look-ups (too slow by itself), a flag in heartbeats (peers learn the same by one refusal a second).

--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -61,6 +61,8 @@
          "The chosen target no longer takes requests; another one is chosen."},
         {RequestSentToMissing, Warning, "RequestSentToMissing",
          "The request is sent to a target whose registration is missing and may have expired."},
+        {RequestForwarded, Info, "RequestForwarded",
+         "A request was passed to a peer, because few targets are reached from here."},
         {TargetAdded, Info, "TargetAdded", "A target registered itself.", 100},
         {TargetChanged, Info, "TargetChanged", "A target's registration changed.", 100},
         {TargetGone, Info, "TargetGone",
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -51,6 +51,7 @@
     RequestAbandoned = 5005,
     RequestWithdrawn = 5006,
     RequestSentToMissing = 5007,
+    RequestForwarded = 5008,
     TargetAdded = 5101,
     TargetChanged = 5102,
     TargetGone = 5103,
--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -28,6 +28,7 @@
 #include "RegistrationExpiry.h"
 #include "RequestAdmission.h"
 #include "RequestFingerprint.h"
+#include "RequestForwarding.h"
 #include "Shares.h"
 #include "SlowStart.h"
 #include "SpareConnections.h"
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -112,6 +112,32 @@
     request.incoming_ = std::move(incoming);
     const InProgressEntry inProgressEntry(requestsInProgress_, request);
     auto refused = readRequest(request);
+    co_return co_await process(request, std::move(refused));
+}
+
+Task<Http::Response> Dispatcher::answerForwarded(Http::IncomingRequest message)
+{
+    ++counters_.receivedForwarded_;
+    auto forwarded = forwardedRequestIn(std::move(message));
+    if (!forwarded) {
+        auto refused = Http::refusal(Model::lastReason(), 11);
+        addForwardingOutcome(refused, Outcome::NotRun, Model::lastReason().code_);
+        co_return refused;
+    }
+    RequestContext request;
+    request.incoming_ = std::move(forwarded->incoming_);
+    request.isForwarded_ = true;
+    request.attempts_ = forwarded->attempts_;
+    const InProgressEntry inProgressEntry(requestsInProgress_, request);
+    auto refused = readRequest(request, &*forwarded);
+    Http::Response response = co_await process(request, std::move(refused));
+    addForwardingOutcome(response, request.outcome_, request.code_);
+    co_return response;
+}
+
+Task<Http::Response> Dispatcher::process(RequestContext &request,
+                                         std::optional<Http::Response> refused)
+{
     if (refused)
         co_return std::move(*refused);
     Http::Response response = co_await sendWithRetries(request);
@@ -121,7 +147,8 @@
     co_return response;
 }
 
-std::optional<Http::Response> Dispatcher::readRequest(RequestContext &request)
+std::optional<Http::Response> Dispatcher::readRequest(RequestContext &request,
+                                                      const ForwardedRequest *forwarded)
 {
     const Http::Request &message = request.incoming_.message_;
     request.arrivedAt_ = request.incoming_.arrivedAt_;
@@ -146,6 +173,11 @@
     const std::string_view spread = request.hasObject_ ? key : std::string_view(request.id_);
     request.object_
         = Policy::ownerScore(Policy::seedOf(spread), Policy::seedOf(request.route_->id_.value()));
+    if (forwarded) {
+        // The peer has chosen by the weights and earned the credit for retries.
+        request.service_ = forwarded->service_;
+        return std::nullopt;
+    }
     request.service_ = placementEngine_.chooseService(*request.route_);
     Policy::RetryTerms terms;
     terms.share_ = port_.terms_.retryShare_ * usedRetryFraction;
@@ -167,7 +199,7 @@
     if (!workspace)
         return refuse(request, {Model::lastReason().code_, Milliseconds(0), Microseconds(0)});
     request.workspace_ = *workspace;
-    if (!request.workspace_)
+    if (!request.workspace_ || request.isForwarded_)
         return std::nullopt;
     const int rank = request.route_->priority_;
     if (!quotas_.admit(*request.workspace_, rank, steadyNow())) {
@@ -185,9 +217,20 @@
     while (true) {
         if (const auto withheld = guard_.check(request, steadyNow()))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *withheld);
+        const auto peer = peerFor(request, steadyNow());
         const auto placed = placementEngine_.place(request, steadyNow());
-        if (const auto *refusal = std::get_if<Refusal>(&placed))
-            co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *refusal);
+        if (std::holds_alternative<Refusal>(placed)) {
+            if (peer) {
+                Attempt forwarded = co_await forward(request, *peer);
+                if (forwarded.answer_)
+                    co_return deliverForwarded(request, std::move(forwarded));
+                if (forwarded.outcome_ == Outcome::NotRun && steadyNow() < request.deadline_)
+                    continue;
+                co_return failRequest(request, unresolved ? *unresolved : forwarded);
+            }
+            co_return unresolved ? failRequest(request, *unresolved)
+                                 : refuse(request, std::get<Refusal>(placed));
+        }
         const Placement placement = std::get<Placement>(placed);
         Attempt attempted = co_await attempt(request, placement);
         if (attempted.answer_)
@@ -208,6 +251,56 @@
     }
 }
 
+/// Returns the peer that takes the request if it cannot be placed here, while this instance reaches
+/// few of the targets. Meanwhile, these are probed beside the requests.
+std::optional<Model::Instance> Dispatcher::peerFor(RequestContext &request, SteadyTime now)
+{
+    request.avoidsUnreachable_ = false;
+    if (!forwarder_ || request.isForwarded_ || request.isAbandoned_
+        || request.forwardingTries_ >= Policy::maxForwardingTries
+        || !Policy::shouldForward(placementEngine_.reachOf(request, now)))
+        return std::nullopt;
+    probeUnreachable(request, now);
+    auto peer = forwarder_->choosePeer(request, now);
+    request.avoidsUnreachable_ = peer.has_value();
+    return peer;
+}
+
+Task<Dispatcher::Attempt> Dispatcher::forward(RequestContext &request, Model::Instance peer)
+{
+    ++request.forwardingTries_;
+    ++counters_.forwarded_;
+    ForwardingResult result = co_await forwarder_->forward(request, std::move(peer));
+    Attempt attempted;
+    attempted.outcome_ = result.outcome_;
+    attempted.code_ = result.code_;
+    attempted.wasSent_ = result.outcome_ != Outcome::NotRun;
+    attempted.answer_ = std::move(result.answer_);
+    co_return attempted;
+}
+
+void Dispatcher::probeUnreachable(const RequestContext &request, SteadyTime now)
+{
+    const auto target = placementEngine_.targetToProbe(request, now);
+    if (!target)
+        return;
+    Policy::noteTry(target->reachability_);
+    Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
+}
+
+Task<void> Dispatcher::probe(std::shared_ptr<TargetState> target)
+{
+    Http::ExchangeOptions options;
+    options.address_ = placementEngine_.addressToDial(*target);
+    options.connectTimeout_ = placementEngine_.connectTimeoutFor(*target);
+    options.deadline_ = steadyNow() + options.connectTimeout_;
+    options.connectionLimit_ = maxConnectionsPerTarget;
+    target->acceptsConnections_ = co_await Http::prepareConnection(pool_, options);
+    target->reachability_.isProbed_ = false;
+    if (!target->acceptsConnections_)
+        Policy::noteUnreachable(target->reachability_, steadyNow());
+}
+
 Task<Dispatcher::Attempt> Dispatcher::attempt(RequestContext &request, const Placement &placement)
 {
     TargetState &target = *placement.target_;
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -3,6 +3,7 @@
 #include "CrashGuard.h"
 #include "PlacementEngine.h"
 #include "QuotaExchange.h"
+#include "RequestForwarder.h"
 
 #include <list>
 
@@ -21,6 +22,11 @@
     /// Attempts whose target left or was drained before the request was sent completely.
     std::uint64_t withdrawn_ = 0;
     std::uint64_t foreignAnswers_ = 0;
+    /// Requests that were sent to a peer, and those of them that a target answered there.
+    std::uint64_t forwarded_ = 0;
+    std::uint64_t forwardedAnswered_ = 0;
+    /// Requests that peers forwarded to this instance.
+    std::uint64_t receivedForwarded_ = 0;
     std::uint64_t toHome_ = 0;
     std::uint64_t toWarm_ = 0;
     std::map<Model::ResultCode, std::uint64_t> byCode_;
@@ -41,6 +47,13 @@
     /// Answers one caller's request.
     Http::Task<Http::Response> answer(Http::IncomingRequest incoming);
 
+    /// Answers a request that a peer has forwarded.
+    Http::Task<Http::Response> answerForwarded(Http::IncomingRequest message);
+
+    /// Sets what passes requests to peers; without it, none are. \a forwarder must outlive the
+    /// dispatcher.
+    void setForwarder(RequestForwarder &forwarder) { forwarder_ = &forwarder; }
+
     /// Cancels the attempts of idempotent requests whose callers have disconnected.
     ///
     /// Without it, under overload, targets keep processing requests whose callers have
@@ -82,7 +95,15 @@
         bool isWithdrawn_ = false;
     };
 
-    std::optional<Http::Response> readRequest(RequestContext &request);
+    std::optional<Http::Response> readRequest(RequestContext &request,
+                                              const ForwardedRequest *forwarded = nullptr);
+    Http::Task<Http::Response> process(RequestContext &request,
+                                       std::optional<Http::Response> refused);
+    std::optional<Model::Instance> peerFor(RequestContext &request, Model::SteadyTime now);
+    Http::Task<Attempt> forward(RequestContext &request, Model::Instance peer);
+    void probeUnreachable(const RequestContext &request, Model::SteadyTime now);
+    Http::Task<void> probe(std::shared_ptr<TargetState> target);
+    Http::Response deliverForwarded(RequestContext &request, Attempt attempt);
     std::optional<Http::Response> identifyCaller(RequestContext &request);
     Http::Task<Http::Response> sendWithRetries(RequestContext &request);
     Http::Task<Attempt> attempt(RequestContext &request, const Placement &placement);
@@ -113,6 +134,7 @@
     CrashGuard &guard_;
     QuotaExchange &quotas_;
     Observe::DecisionLog &log_;
+    RequestForwarder *forwarder_ = nullptr;
     Http::ConnectionPool pool_;
     std::list<RequestContext *> requestsInProgress_;
     std::unordered_map<Model::ServiceId, Policy::RetryBudget> retryBudgets_;
--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -33,6 +33,8 @@
 {
     ++counters_.refused_;
     ++counters_.byCode_[refusal.code_];
+    request.outcome_ = Outcome::NotRun;
+    request.code_ = refusal.code_;
     const auto now = steadyNow();
     log_.line(Event::RequestRefused)
         .add("id", request.id_)
@@ -66,6 +68,8 @@
     }
     ++counters_.unknown_;
     ++counters_.byCode_[attempt.code_];
+    request.outcome_ = Outcome::Unknown;
+    request.code_ = attempt.code_;
     const auto now = steadyNow();
     log_.line(request.isAbandoned_ ? Event::RequestAbandoned : Event::RequestUnknown)
         .add("id", request.id_)
@@ -88,6 +92,7 @@
                                    Attempt attempt)
 {
     ++counters_.answered_;
+    request.outcome_ = Outcome::Run;
     counters_.toHome_ += placement.isHome_ ? 1 : 0;
     counters_.toWarm_ += placement.isKnownWarm_ ? 1 : 0;
     const auto took = std::chrono::duration_cast<Microseconds>(steadyNow() - request.arrivedAt_);
@@ -111,4 +116,16 @@
     return std::move(*attempt.answer_);
 }
 
+/// The peer has logged the answer and its target.
+Http::Response Dispatcher::deliverForwarded(RequestContext &request, Attempt attempt)
+{
+    ++counters_.answered_;
+    ++counters_.forwardedAnswered_;
+    counters_.latency_[request.route_->id_].add(
+        std::chrono::duration_cast<Microseconds>(steadyNow() - request.arrivedAt_));
+    Http::stripConnectionFields(*attempt.answer_);
+    attempt.answer_->prepare_payload();
+    return std::move(*attempt.answer_);
+}
+
 } // namespace Steering
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -286,7 +286,8 @@
     parts_->entry_.stopAccepting();
     while (steadyNow() < endAt) {
         parts_->entry_.closeIdle();
-        if (parts_->entry_.openSessions() == 0)
+        // Peers may have forwarded some of the requests in progress.
+        if (parts_->entry_.openSessions() == 0 && parts_->dispatcher_.inProgress() == 0)
             break;
         co_await Http::sleepFor(stopPollInterval);
     }
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -21,6 +21,11 @@
           counters.withdrawn_);
     count("cassiacrank_foreign_answers_total", "Answers dropped as another request's.",
           counters.foreignAnswers_);
+    count("cassiacrank_forwarded_total", "Requests forwarded to peers.", counters.forwarded_);
+    count("cassiacrank_forwarded_answered_total", "Forwarded requests answered by a target.",
+          counters.forwardedAnswered_);
+    count("cassiacrank_received_forwarded_total", "Requests that peers forwarded here.",
+          counters.receivedForwarded_);
     count("cassiacrank_to_home_total", "Answers from the object's home.", counters.toHome_);
     count("cassiacrank_to_warm_total", "Answers from a target that knew the object.",
           counters.toWarm_);
--- a/Libraries/LibSteering/InstanceParts.cpp
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -32,6 +32,7 @@
     , guard_(instance.port_, instance.log_)
     , peers_(instance.context_, instance.settings_, platformState_, instance.log_)
     , quotas_(instance.context_, instance.settings_, platformState_, peers_, instance.log_)
+    , forwarder_(instance.context_, instance.port_, placementEngine_, peers_, instance.log_)
     , dispatcher_(instance.context_, instance.port_, platformState_, placementEngine_, guard_,
                   quotas_, instance.log_)
     , follower_(
@@ -58,6 +59,10 @@
         return instance.answerAdmin(std::move(request));
     })
 {
+    dispatcher_.setForwarder(forwarder_);
+    peers_.setForwardingHandler(RequestForwarder::path, [this](Http::IncomingRequest request) {
+        return dispatcher_.answerForwarded(std::move(request));
+    });
 }
 
 } // namespace Steering
--- a/Libraries/LibSteering/InstanceParts.h
+++ b/Libraries/LibSteering/InstanceParts.h
@@ -18,6 +18,7 @@
     CrashGuard guard_;
     PeerExchange peers_;
     QuotaExchange quotas_;
+    RequestForwarder forwarder_;
     Dispatcher dispatcher_;
     StoreFollower follower_;
     Http::Server entry_;
--- a/Libraries/LibSteering/LibSteering.h
+++ b/Libraries/LibSteering/LibSteering.h
@@ -13,5 +13,6 @@
 #include "PlatformState.h"
 #include "QuotaExchange.h"
 #include "RemovalAges.h"
+#include "RequestForwarder.h"
 #include "StoreFollower.h"
 #include "TargetRegistry.h"
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -29,7 +29,9 @@
 Http::ServerLimits peerLimits()
 {
     Http::ServerLimits limits;
-    limits.bodyBytes_ = 4 * 1024 * 1024;
+    limits.bodyBytes_ = PeerExchange::maxRequestBytes;
+    // A forwarded request has the caller's header fields and a few more.
+    limits.headBytes_ = 64 * 1024;
     return limits;
 }
 
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -74,6 +74,16 @@
     {
         requestHandlers_[path] = std::move(answer);
     }
+    /// Sets the function that answers requests that other instances forward to \a path.
+    void setForwardingHandler(const std::string &path, Http::Handler answer)
+    {
+        forwardingPath_ = path;
+        answerForwarded_ = std::move(answer);
+    }
+    /// The largest body of a request from another instance.
+    static constexpr std::size_t maxRequestBytes = 4 * 1024 * 1024;
+    /// Returns the address at which this instance reaches \a address of a peer.
+    Model::Address addressToDial(const Model::Address &address) const;
     /// Posts \a body to \a path of another instance, on a connection of \a pool.
     Http::Task<Http::ExchangeResult> call(Model::Instance peer, std::string path, std::string body,
                                           Model::Milliseconds timeout, Http::ConnectionPool &pool);
@@ -127,7 +137,6 @@
     Http::Response answerStateRequest(const Http::Request &request);
     std::vector<Model::Instance> choosePeers();
     void refreshLocalMember();
-    Model::Address addressToDial(const Model::Address &address) const;
     void recordMessage(const PeerMessage &message, Model::SteadyTime now);
     void recordMember(Policy::Member member);
     void logLivenessChanges(Model::SteadyTime now);
@@ -172,6 +181,8 @@
     std::function<void(const std::vector<Policy::TargetLimitReport> &, const std::string &)>
         receiveLimits_ = [](const auto &, const std::string &) {};
     std::map<std::string, std::function<Http::Response(const Http::Request &)>> requestHandlers_;
+    std::string forwardingPath_;
+    Http::Handler answerForwarded_;
     std::mt19937_64 random_{std::random_device()()};
     Model::Incarnation incarnation_;
     std::uint64_t rounds_ = 0;
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -107,6 +107,9 @@
 {
     if (!target.takesWork() || !Policy::mayTry(target.reachability_, now))
         return false;
+    if (request.avoidsUnreachable_ && target.reachability_.failures_ > 0
+        && !target.acceptsConnections_)
+        return false;
     if (std::find(request.tried_.begin(), request.tried_.end(), target.record_.id_)
         != request.tried_.end())
         return false;
--- a/Libraries/LibSteering/RequestContext.h
+++ b/Libraries/LibSteering/RequestContext.h
@@ -37,6 +37,14 @@
     /// Computed on first use.
     std::optional<std::uint32_t> cachedPrefix_;
     std::optional<Policy::RequestFingerprint> cachedFingerprint_;
+    /// A peer forwarded it: it is not forwarded again, and the peer has charged it to its quota.
+    bool isForwarded_ = false;
+    int forwardingTries_ = 0;
+    /// It is sent to no target that this instance has not reached lately; a peer may reach it.
+    bool avoidsUnreachable_ = false;
+    /// How it ended, for a peer that forwarded it.
+    Policy::Outcome outcome_ = Policy::Outcome::NotRun;
+    Model::ResultCode code_ = Model::ResultCode::Ok;
     /// Holds the instance's only slot for serialized probes, that is, for requests suspected of
     /// crashing targets.
     bool holdsProbeSlot_ = false;
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -67,6 +67,9 @@
     Policy::TargetLimit limit_;
     Model::SteadyTime coldUntil_;
     Policy::Reachability reachability_;
+    /// A connection was opened since it last did not answer; a request may probe whether it
+    /// answers.
+    bool acceptsConnections_ = false;
     /// When it last answered any request.
     Model::SteadyTime lastAnswerAt_ = Model::distantPast;
     Policy::TargetUse use_;
