--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -29,6 +29,8 @@
     int lookupTtlMs_ = 1000;
     /// Routes connections between regions and failure domains through the fault-injecting proxy.
     bool hasProxy_ = false;
+    /// The instance whose ways to all targets form the proxy's group "partition".
+    std::string partitionedInstance_;
     double delayBetweenDomainsMs_ = 0;
     double delayBetweenRegionsMs_ = 0;
     /// Cells that override the example: "service gauging" -> "shift_cap" -> "10".
--- a/Tests/Harness/SiteLayout.cpp
+++ b/Tests/Harness/SiteLayout.cpp
@@ -163,9 +163,11 @@
         for (const auto &target : targets_) {
             const auto *domain = table_->domain(target.row_.domain_);
             if (domain->region_ == from.row_.region_) {
+                const bool isPartitioned = from.row_.id_.value() == options_.partitionedInstance_;
                 addForwardingRule(from, target.row_.address_,
                                   delayBetween(from.row_, domain->region_, domain->id_),
-                                  "target-" + target.row_.id_.value());
+                                  isPartitioned ? "partition"
+                                                : "target-" + target.row_.id_.value());
             }
         }
         addForwardingRule(from, platform(), 1, "platform-" + from.row_.region_.value());
