--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -46,7 +46,14 @@
                                               AttemptNumber number, bool &isRefusedAsFull)
 {
     if (auto *entry = std::get_if<ToEntry>(&placement)) {
-        co_return co_await attemptEntry(request, *entry);
+        RequestResult result = co_await attemptEntry(request, *entry);
+        if (entry->localPeer_) {
+            noteForwarding(request, *entry, result);
+            ++request.forwardingTries_;
+            // Nothing has run: the request returns to the queue, and another entry may take it.
+            isRefusedAsFull = result.outcome_ == Outcome::NotRun && steadyNow() < request.deadline_;
+        }
+        co_return result;
     }
     ToTarget target = std::move(std::get<ToTarget>(placement));
     co_return co_await attemptTarget(request, std::move(target), number, isRefusedAsFull);
@@ -172,6 +179,16 @@
     return requestResult;
 }
 
+void Dispatcher::noteForwarding(const CallerRequest &request, const ToEntry &place,
+                                const RequestResult &result)
+{
+    if (result.outcome_ == Outcome::Run) {
+        Policy::noteForwarded(forwarding_, *place.localPeer_, request.service_);
+    } else {
+        Policy::noteNotForwarded(forwarding_, *place.localPeer_, request.service_, steadyNow());
+    }
+}
+
 Http::Task<RequestResult> Dispatcher::attemptEntry(CallerRequest &request, ToEntry place)
 {
     ++counters_.forwardedRequests_;
--- a/Services/Entryd/CallerRequest.h
+++ b/Services/Entryd/CallerRequest.h
@@ -23,6 +23,8 @@
     std::size_t origin_ = 0;
     /// Set for a request forwarded by another region's entry: the failure domain it chose.
     std::optional<std::size_t> fixedDomain_;
+    /// How often it was forwarded inside the local region.
+    int forwardingTries_ = 0;
     Model::SteadyTime arrivedAt_;
     Model::SteadyTime deadline_;
     /// The remaining time to wait for slots, over all attempts.
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -96,7 +96,7 @@
     if (!queue) {
         const auto seed = Policy::rendezvousScore(idPrefix_, request.service_.value());
         queue = std::make_unique<ServiceQueue>(context_, cell_, planner_, hints_, entryFailures_,
-                                               seed);
+                                               forwarding_, seed);
     }
     return *queue;
 }
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -62,6 +62,8 @@
     Http::Task<RequestResult> attemptTarget(CallerRequest &request, ToTarget place,
                                             AttemptNumber number, bool &isRefusedAsFull);
     Http::Task<RequestResult> attemptEntry(CallerRequest &request, ToEntry place);
+    void noteForwarding(const CallerRequest &request, const ToEntry &place,
+                        const RequestResult &result);
     Http::Task<void> checkListening(std::shared_ptr<TargetState> target);
     RequestResult classifyTargetAnswer(Http::ExchangeResult result, TargetState &target,
                                        bool &isRefusedAsFull);
@@ -93,6 +95,7 @@
     std::map<Model::ServiceId, std::unique_ptr<ServiceQueue>> queues_;
     Policy::RetryBudget retryBudget_;
     Policy::EntryFailures entryFailures_;
+    Policy::ForwardingState forwarding_;
     /// The tokens of this thread's equal part of each workspace's quota.
     std::map<Model::WorkspaceId, Policy::RateBucket> quotaBuckets_;
     EntryCounters counters_;
--- a/Services/Entryd/ServiceQueue.cpp
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -49,16 +49,28 @@
     return sum;
 }
 
+/// Returns a failure domain of the local region, each in proportion to its targets. Precondition:
+/// there is a target.
+std::size_t drawDomain(const ServicePlan &plan, std::uint64_t random)
+{
+    std::vector<std::size_t> domains;
+    for (std::size_t i = 0; i < plan.targets_.size(); ++i)
+        domains.insert(domains.end(), plan.targets_[i].size(), i);
+    return domains[random % domains.size()];
+}
+
 } // namespace
 
 ServiceQueue::ServiceQueue(Http::asio::io_context &context, const SnapshotCell &cell,
                            Planner &planner, const SlotHints &hints,
-                           Policy::EntryFailures &entryFailures, std::uint64_t seed)
+                           Policy::EntryFailures &entryFailures,
+                           Policy::ForwardingState &forwarding, std::uint64_t seed)
     : context_(context)
     , cell_(cell)
     , planner_(planner)
     , hints_(hints)
     , entryFailures_(entryFailures)
+    , forwarding_(forwarding)
     , random_(seed)
 {
 }
@@ -267,6 +279,34 @@
     return Placement(ToTarget{SlotHold(targets[*chosen])});
 }
 
+/// Returns the entry of the local region that takes a request while few of the region's targets are
+/// reached from here; std::nullopt if they are reached, or no entry may take it.
+std::optional<Placement> ServiceQueue::tryPeer(const EntrySnapshot &snapshot,
+                                               const ServicePlan &plan,
+                                               const CallerRequest &request, Model::SteadyTime now)
+{
+    if (request.forwardingTries_ >= Policy::maxForwardingTries)
+        return std::nullopt;
+    Policy::TargetReach reach;
+    for (const auto &targets : plan.targets_) {
+        for (const auto &target : targets) {
+            if (!target->isLeaving_)
+                ++(target->isSuspect_ ? reach.unreachable_ : reach.reachable_);
+        }
+    }
+    if (!Policy::shouldForward(reach))
+        return std::nullopt;
+    std::vector<Policy::ForwardingPeer> peers;
+    for (const auto &entry : snapshot.localPeerEntries_)
+        peers.push_back({entry.id_, Model::Microseconds(0), 0});
+    const auto chosen
+        = Policy::chooseForwardingPeer(forwarding_, request.service_, peers, random_(), now);
+    if (!chosen)
+        return std::nullopt;
+    const auto &peer = snapshot.localPeerEntries_[*chosen];
+    return Placement(ToEntry{drawDomain(plan, random_()), peer.addresses_.entryPeer_, peer.id_});
+}
+
 std::optional<Placement> ServiceQueue::tryPlace(const EntrySnapshot &snapshot,
                                                 const CallerRequest &request)
 {
@@ -276,6 +316,8 @@
     if (request.fixedDomain_)
         return canFill ? tryTarget(plan, *request.fixedDomain_, request, now) : std::nullopt;
 
+    if (auto placement = tryPeer(snapshot, plan, request, now))
+        return placement;
     const OriginPlan &origin = plan.origins_[request.origin_];
     Policy::DomainCredits &credits = credits_[request.origin_];
     const Policy::DomainCredits before = credits;
--- a/Services/Entryd/ServiceQueue.h
+++ b/Services/Entryd/ServiceQueue.h
@@ -17,11 +17,14 @@
     SlotHold slot_;
 };
 
-/// The request is forwarded to an entry of another region, which places it.
+/// The request is forwarded to another entry, which places it.
 struct ToEntry
 {
     std::size_t domain_ = 0;
     Model::Address address_;
+    /// An entry of the local region, to which the request goes because few targets are reached from
+    /// here; std::nullopt for an entry of another region.
+    std::optional<Model::InstanceId> localPeer_;
 };
 
 /// The request is rejected; the caller receives the reason and a retry delay.
@@ -40,7 +43,8 @@
 {
 public:
     ServiceQueue(Http::asio::io_context &context, const SnapshotCell &cell, Planner &planner,
-                 const SlotHints &hints, Policy::EntryFailures &entryFailures, std::uint64_t seed);
+                 const SlotHints &hints, Policy::EntryFailures &entryFailures,
+                 Policy::ForwardingState &forwarding, std::uint64_t seed);
 
     /// Waits until \a request can be placed, within the service's queue limit and the deadline. A
     /// request that cannot be placed in time is rejected immediately. The waiting time is
@@ -86,6 +90,8 @@
 
     /// Returns std::nullopt if the request must wait.
     std::optional<Placement> tryPlace(const EntrySnapshot &snapshot, const CallerRequest &request);
+    std::optional<Placement> tryPeer(const EntrySnapshot &snapshot, const ServicePlan &plan,
+                                     const CallerRequest &request, Model::SteadyTime now);
     std::optional<Placement> tryTarget(const ServicePlan &plan, std::size_t domain,
                                        const CallerRequest &request, Model::SteadyTime now);
     std::vector<Policy::DomainView> domainViews(const EntrySnapshot &snapshot,
@@ -104,6 +110,7 @@
     const SlotHints &hints_;
     /// Shared by all services of the thread.
     Policy::EntryFailures &entryFailures_;
+    Policy::ForwardingState &forwarding_;
     Policy::FairQueue queue_;
     std::map<Policy::WaiterId, Pending *> pending_;
     /// By origin.
