--- a/Tests/LibPolicy/TestTargetChoice.cpp
+++ b/Tests/LibPolicy/TestTargetChoice.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(lateRequestsAreRefused);
     CPPUNIT_TEST(retriesOfRefusedCallersAreSpread);
     CPPUNIT_TEST(splitsFollowTheWeights);
+    CPPUNIT_TEST(splitWithoutWeightTakesNoRequest);
     CPPUNIT_TEST(slowStartLimitHoldsInAnySecond);
     CPPUNIT_TEST_SUITE_END();
 
@@ -145,6 +146,28 @@
         });
     }
 
+    // Guards against requests at a service that operators have taken out of a route by its weight:
+    // it is still owed a request from before.
+    void splitWithoutWeightTakesNoRequest()
+    {
+        Support::assertProperty("a split of weight zero takes nothing", [] {
+            std::vector<Model::WeightedSplit> parts;
+            const int count = *rc::gen::inRange(2, 5);
+            for (int i = 0; i < count; ++i) {
+                parts.push_back({Model::ServiceId(std::to_string(i)),
+                                 Model::Weight(*rc::gen::inRange(1, 100))});
+            }
+            Policy::WeightedRoundRobin turns;
+            const int before = *rc::gen::inRange(1, 30);
+            for (int i = 0; i < before; ++i)
+                Policy::nextWeightedSplit(turns, parts);
+            const auto out = *rc::gen::inRange<std::size_t>(0, parts.size());
+            parts[out].weight_ = Model::Weight(0);
+            for (int i = 0; i < 20; ++i)
+                RC_ASSERT(Policy::nextWeightedSplit(turns, parts) != out);
+        });
+    }
+
     // All entries detect at the same moment that a target has returned with empty caches, and send
     // it its share. If each entry applied the whole limit, or all spent saved tokens at once, the
     // target would crash again within a second.
