--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -1,4 +1,5 @@
 #include "Dispatcher.h"
+#include "InProgressEntry.h"
 
 #include <algorithm>
 #include <charconv>
@@ -71,24 +72,6 @@
     return Milliseconds(std::min(value, maxDeadlineMs));
 }
 
-/// Lists a request as in progress for the lifetime of this object.
-class InProgressEntry
-{
-public:
-    InProgressEntry(std::list<RequestContext *> &requests, RequestContext &request)
-        : requestsInProgress_(requests)
-        , place_(requests.insert(requests.end(), &request))
-    {
-    }
-    ~InProgressEntry() { requestsInProgress_.erase(place_); }
-    InProgressEntry(const InProgressEntry &) = delete;
-    InProgressEntry &operator=(const InProgressEntry &) = delete;
-
-private:
-    std::list<RequestContext *> &requestsInProgress_;
-    std::list<RequestContext *>::iterator place_;
-};
-
 } // namespace
 
 Dispatcher::Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
@@ -115,26 +98,6 @@
     co_return co_await process(request, std::move(refused));
 }
 
-Task<Http::Response> Dispatcher::answerForwarded(Http::IncomingRequest message)
-{
-    ++counters_.receivedForwarded_;
-    auto forwarded = forwardedRequestIn(std::move(message));
-    if (!forwarded) {
-        auto refused = Http::refusal(Model::lastReason(), 11);
-        addForwardingOutcome(refused, Outcome::NotRun, Model::lastReason().code_);
-        co_return refused;
-    }
-    RequestContext request;
-    request.incoming_ = std::move(forwarded->incoming_);
-    request.isForwarded_ = true;
-    request.attempts_ = forwarded->attempts_;
-    const InProgressEntry inProgressEntry(requestsInProgress_, request);
-    auto refused = readRequest(request, &*forwarded);
-    Http::Response response = co_await process(request, std::move(refused));
-    addForwardingOutcome(response, request.outcome_, request.code_);
-    co_return response;
-}
-
 Task<Http::Response> Dispatcher::process(RequestContext &request,
                                          std::optional<Http::Response> refused)
 {
@@ -251,56 +214,6 @@
     }
 }
 
-/// Returns the peer that takes the request if it cannot be placed here, while this instance reaches
-/// few of the targets. Meanwhile, these are probed beside the requests.
-std::optional<Model::Instance> Dispatcher::peerFor(RequestContext &request, SteadyTime now)
-{
-    request.avoidsUnreachable_ = false;
-    if (!forwarder_ || request.isForwarded_ || request.isAbandoned_
-        || request.forwardingTries_ >= Policy::maxForwardingTries
-        || !Policy::shouldForward(placementEngine_.reachOf(request, now)))
-        return std::nullopt;
-    probeUnreachable(request, now);
-    auto peer = forwarder_->choosePeer(request, now);
-    request.avoidsUnreachable_ = peer.has_value();
-    return peer;
-}
-
-Task<Dispatcher::Attempt> Dispatcher::forward(RequestContext &request, Model::Instance peer)
-{
-    ++request.forwardingTries_;
-    ++counters_.forwarded_;
-    ForwardingResult result = co_await forwarder_->forward(request, std::move(peer));
-    Attempt attempted;
-    attempted.outcome_ = result.outcome_;
-    attempted.code_ = result.code_;
-    attempted.wasSent_ = result.outcome_ != Outcome::NotRun;
-    attempted.answer_ = std::move(result.answer_);
-    co_return attempted;
-}
-
-void Dispatcher::probeUnreachable(const RequestContext &request, SteadyTime now)
-{
-    const auto target = placementEngine_.targetToProbe(request, now);
-    if (!target)
-        return;
-    Policy::noteTry(target->reachability_);
-    Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
-}
-
-Task<void> Dispatcher::probe(std::shared_ptr<TargetState> target)
-{
-    Http::ExchangeOptions options;
-    options.address_ = placementEngine_.addressToDial(*target);
-    options.connectTimeout_ = placementEngine_.connectTimeoutFor(*target);
-    options.deadline_ = steadyNow() + options.connectTimeout_;
-    options.connectionLimit_ = maxConnectionsPerTarget;
-    target->acceptsConnections_ = co_await Http::prepareConnection(pool_, options);
-    target->reachability_.isProbed_ = false;
-    if (!target->acceptsConnections_)
-        Policy::noteUnreachable(target->reachability_, steadyNow());
-}
-
 Task<Dispatcher::Attempt> Dispatcher::attempt(RequestContext &request, const Placement &placement)
 {
     TargetState &target = *placement.target_;
@@ -382,15 +295,22 @@
         const auto address = placementEngine_.addressToDial(*target);
         if (pool_.pruneIdleConnections(address, maxIdleTime, idleRefreshAge))
             continue;
-        Http::ExchangeOptions options;
-        options.address_ = address;
-        options.connectTimeout_ = placementEngine_.connectTimeoutFor(*target);
-        options.deadline_ = now + options.connectTimeout_;
-        options.connectionLimit_ = maxConnectionsPerTarget;
-        Http::asio::co_spawn(context_, openIdleConnection(target, options), Http::asio::detached);
+        Http::asio::co_spawn(context_, openIdleConnection(target, connectOptions(*target, now)),
+                             Http::asio::detached);
     }
 }
 
+/// Returns the options for opening a connection to \a target without sending a request.
+Http::ExchangeOptions Dispatcher::connectOptions(const TargetState &target, SteadyTime now) const
+{
+    Http::ExchangeOptions options;
+    options.address_ = placementEngine_.addressToDial(target);
+    options.connectTimeout_ = placementEngine_.connectTimeoutFor(target);
+    options.deadline_ = now + options.connectTimeout_;
+    options.connectionLimit_ = maxConnectionsPerTarget;
+    return options;
+}
+
 Http::Request Dispatcher::messageFor(const RequestContext &request, const TargetState &target,
                                      SteadyTime now) const
 {
@@ -439,11 +359,7 @@
 
 Task<void> Dispatcher::probeListener(std::shared_ptr<TargetState> target)
 {
-    Http::ExchangeOptions options;
-    options.address_ = placementEngine_.addressToDial(*target);
-    options.connectTimeout_ = placementEngine_.connectTimeoutFor(*target);
-    options.deadline_ = steadyNow() + options.connectTimeout_;
-    options.connectionLimit_ = maxConnectionsPerTarget;
+    const auto options = connectOptions(*target, steadyNow());
     const auto listening = co_await Http::checkListener(pool_, options);
     const auto now = steadyNow();
     guard_.noteListening(*target, listening, now);
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -109,6 +109,7 @@
     Http::Task<Attempt> attempt(RequestContext &request, const Placement &placement);
     Http::Task<void> openIdleConnection(std::shared_ptr<TargetState> target,
                                         Http::ExchangeOptions options);
+    Http::ExchangeOptions connectOptions(const TargetState &target, Model::SteadyTime now) const;
     Http::Task<void> probeListener(std::shared_ptr<TargetState> target);
     void noteCrash(RequestContext &request, const Placement &placement,
                    const Http::ExchangeResult &result, Model::SteadyTime now);
--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -116,16 +116,4 @@
     return std::move(*attempt.answer_);
 }
 
-/// The peer has logged the answer and its target.
-Http::Response Dispatcher::deliverForwarded(RequestContext &request, Attempt attempt)
-{
-    ++counters_.answered_;
-    ++counters_.forwardedAnswered_;
-    counters_.latency_[request.route_->id_].add(
-        std::chrono::duration_cast<Microseconds>(steadyNow() - request.arrivedAt_));
-    Http::stripConnectionFields(*attempt.answer_);
-    attempt.answer_->prepare_payload();
-    return std::move(*attempt.answer_);
-}
-
 } // namespace Steering
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -197,8 +197,9 @@
         co_return answerGossip(request.message_);
     if (path.starts_with(statePath))
         co_return answerStateRequest(request.message_);
-    if (answerForwarded_ && path == forwardingPath_)
+    if (answerForwarded_ && path == forwardingPath_) {
         co_return co_await answerForwarded_(std::move(request));
+    }
     const auto handler = requestHandlers_.find(path);
     if (handler != requestHandlers_.end())
         co_return handler->second(request.message_);
--- a/Libraries/LibSteering/RequestForwarder.cpp
+++ b/Libraries/LibSteering/RequestForwarder.cpp
@@ -132,7 +132,9 @@
         = co_await Http::exchange(pool_, options, message,
                                   [name = viewOf(port_.headers_.requestId_)](
                                       const Http::Request &sent, const Http::Response &answer) {
-                                      return answer[name] == sent[name];
+                                      // An instance that does not take forwarded requests answers
+                                      // without the id.
+                                      return answer.count(name) == 0 || answer[name] == sent[name];
                                   });
     if (--inProgress_[peer.id_] == 0)
         inProgress_.erase(peer.id_);
