Tests: Hold homes, quotas, leaves and stops beside a partition

What a forwarded request touches beside its target: the body stays in the home regions, the quota is charged once, a target that leaves gets nothing, a peer that stops finishes what was forwarded to it.

The test of the leave was not tried with a mutant.

--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -54,7 +54,7 @@
         paths.push_back({{"name", name},
                          {"prefix", "/" + name + "/"},
                          {"kind", kind},
-                         {"timeoutMs", 1500},
+                         {"timeoutMs", routeTimeout_.count()},
                          {"targetLatencyMs", 400},
                          {"priority", 0},
                          {"service", "s"},
@@ -63,8 +63,11 @@
     };
     add("read", "safe");
     add("order", "unsafe");
-    if (!extra.empty())
+    if (!extra.empty()) {
         add(extra, "safe");
+        if (!homeRegions_.empty())
+            paths.back()["homeRegions"] = homeRegions_;
+    }
     for (int i = 0; i < manyRoutes_; ++i)
         add("one-of-many-routes-" + std::to_string(i), "safe");
     const json service = {{"name", "s"}, {"maxConns", 390}, {"coldPerS", 11.0}};
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -36,6 +36,10 @@
     void configure(int version, const std::string &extra = "");
     /// Sets the workspaces of the next configuration, as the platform writes them.
     void setWorkspaces(const std::string &text) { workspaces_ = text; }
+    /// Sets the home regions of the extra route of the next configuration.
+    void setHomeRegions(std::vector<std::string> regions) { homeRegions_ = std::move(regions); }
+    /// Sets the timeout of the routes of the next configuration.
+    void setRouteTimeout(Model::Milliseconds timeout) { routeTimeout_ = timeout; }
     /// Sets the number of further routes of the next configuration.
     void setManyRoutes(int count) { manyRoutes_ = count; }
     /// Starts \a count instances, round robin over the domains, and waits until all are ready.
@@ -80,6 +84,8 @@
 
 private:
     std::string workspaces_;
+    std::vector<std::string> homeRegions_;
+    Model::Milliseconds routeTimeout_{1500};
     int manyRoutes_ = 0;
     std::string net_;
     std::string directory_;
--- a/Tests/Platform/TestPartitions.cpp
+++ b/Tests/Platform/TestPartitions.cpp
@@ -2,6 +2,8 @@
 #include "Link.h"
 
 #include <Support/Property.h>
+#include <csignal>
+#include <future>
 #include <thread>
 
 namespace {
@@ -17,6 +19,11 @@
 constexpr Milliseconds contactTime{4000};
 /// The time that the platform gives a recovery.
 constexpr Milliseconds recoveryTime{15000};
+/// A leave is in force within this time, and a planned stop ends within the other.
+constexpr Milliseconds leaveBound{2500};
+constexpr Milliseconds stopGrace{6000};
+/// Longer than a stopping instance goes on without any request in progress.
+constexpr Milliseconds longWork{3500};
 constexpr int requests = 100;
 /// First tries that may fail at partitioned instances, beside one in fifty.
 constexpr int allowedFailures = 10;
@@ -31,6 +38,10 @@
     CPPUNIT_TEST(callersAreServedWhereConnectionsToTargetsHang);
     CPPUNIT_TEST(orderRunsOnceWhereAPeerTakesIt);
     CPPUNIT_TEST(targetsThatAreDownForAllAreNotForwardedOnAndOn);
+    CPPUNIT_TEST(homesHoldForForwardedRequests);
+    CPPUNIT_TEST(quotaHoldsForForwardedRequests);
+    CPPUNIT_TEST(leavingTargetGetsNoForwardedRequests);
+    CPPUNIT_TEST(stoppingPeerFinishesForwardedRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,6 +190,123 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(received - before),
                                received - before <= peers * (pauses + 2));
     }
+
+    // Guards against a body that leaves the home regions of its route on the way to a peer.
+    void homesHoldForForwardedRequests()
+    {
+        PartitionedFleet site;
+        site.fleet_.setHomeRegions({"r"});
+        site.fleet_.configure(2, "added");
+        site.link_.setState(LinkState::Refusing);
+        site.useFor(contactTime);
+        std::vector<const FleetInstance *> outside;
+        double before = 0;
+        double inside = 0;
+        for (const auto &instance : site.fleet_.instances_) {
+            const double received = site.metric(*instance, "cassiacrank_received_forwarded_total");
+            if (instance->domain_.starts_with("r-")) {
+                inside -= received;
+            } else {
+                outside.push_back(instance.get());
+                before += received;
+            }
+        }
+        int count = 0;
+        for (int i = 0; i < requests; ++i) {
+            const std::string id = "home-" + std::to_string(i);
+            const auto answer = site.fleet_.send(*site.partitioned_, "added", id, 1000, id);
+            count += answer && answer->result() == status::ok ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + " served",
+                               requests - count <= allowedFailures + requests / 50);
+        double after = 0;
+        for (const auto *instance : outside)
+            after += site.metric(*instance, "cassiacrank_received_forwarded_total");
+        CPPUNIT_ASSERT_EQUAL(before, after);
+        for (const auto &instance : site.fleet_.instances_) {
+            if (instance->domain_.starts_with("r-"))
+                inside += site.metric(*instance, "cassiacrank_received_forwarded_total");
+        }
+        CPPUNIT_ASSERT(inside >= count);
+    }
+
+    // Guards against charging a forwarded request to its workspace's quota twice, or never.
+    void quotaHoldsForForwardedRequests()
+    {
+        constexpr double ratePerSecond = 20;
+        constexpr double burst = 5;
+        constexpr Milliseconds window{5000};
+        PartitionedFleet site;
+        site.link_.setState(LinkState::Refusing);
+        site.useFor(contactTime);
+        site.fleet_.setWorkspaces(R"([{"name":"w","apiKeys":["k"],"ratePerS":20,"burst":5}])");
+        site.fleet_.configure(2);
+        Harness::pause(contactTime);
+        int served = 0;
+        const auto end = std::chrono::steady_clock::now() + window;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            const auto answer = site.fleet_.sendWithKey(*site.partitioned_, "read",
+                                                        "quota-" + std::to_string(i), "k");
+            served += answer && answer->result() == status::ok ? 1 : 0;
+            Harness::pause(Milliseconds(5));
+        }
+        const double allowed = ratePerSecond * Model::inSeconds(window) + burst;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served <= allowed * 1.1 + 20);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served), served >= allowed / 2);
+    }
+
+    // Guards against sending to a target that has left, because a request is on its way to a peer.
+    void leavingTargetGetsNoForwardedRequests()
+    {
+        PartitionedFleet site;
+        site.link_.setState(LinkState::Refusing);
+        site.useFor(contactTime);
+        auto &leaving = *site.fleet_.targets_[0];
+        site.fleet_.registerTarget(leaving, "r-a", "draining");
+        Harness::pause(leaveBound);
+        const auto runs = leaving.runCount();
+        const int count = site.served("leave-");
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + " served",
+                               requests - count <= allowedFailures + requests / 50);
+        CPPUNIT_ASSERT_EQUAL(runs, leaving.runCount());
+    }
+
+    // Guards against a planned stop of a peer that cuts requests which were forwarded to it.
+    void stoppingPeerFinishesForwardedRequests()
+    {
+        PartitionedFleet site;
+        site.fleet_.setRouteTimeout(longWork + Milliseconds(1500));
+        site.fleet_.configure(2);
+        site.link_.setState(LinkState::Refusing);
+        site.useFor(contactTime);
+        std::size_t before = 0;
+        const auto runs = [&] {
+            std::size_t sum = 0;
+            for (const auto &target : site.fleet_.targets_)
+                sum += target->runCount();
+            return sum;
+        };
+        for (const auto &target : site.fleet_.targets_)
+            target->setFaults({.work_ = longWork});
+        before = runs();
+        auto answer = std::async(std::launch::async, [&] {
+            return site.fleet_.send(*site.partitioned_, "order", "stop-1",
+                                    static_cast<int>(longWork.count()) + 1500);
+        });
+        CPPUNIT_ASSERT(Harness::waitUntil(Milliseconds(3000), [&] {
+            return runs() > before;
+        }));
+        for (const auto &instance : site.fleet_.instances_) {
+            if (instance.get() != site.partitioned_)
+                instance->process_->signal(SIGTERM);
+        }
+        const auto received = answer.get();
+        CPPUNIT_ASSERT(received && received->result() == status::ok);
+        for (const auto &instance : site.fleet_.instances_) {
+            if (instance.get() != site.partitioned_)
+                CPPUNIT_ASSERT_EQUAL(0, instance->process_->wait(stopGrace).value_or(-1));
+        }
+    }
 };
 
 } // namespace
