LibHttp, LibSteering, Entryd, platform: Log the pauses that targets ask for

Change: Retry-After is parsed (seconds with a fraction, dates; RFC 9110, 10.2.3) and logged as TargetPauses, or TargetPauseUnreadable where it is neither; nothing acts on it yet.

--- a/Libraries/LibHttp/LibHttp.h
+++ b/Libraries/LibHttp/LibHttp.h
@@ -11,5 +11,6 @@
 #include "Exchange.h"
 #include "HeaderNames.h"
 #include "Refusal.h"
+#include "RetryAfter.h"
 #include "Server.h"
 #include "Types.h"
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -62,6 +62,8 @@
     TargetLeaveKnown = 5108,
     TargetLimited = 5109,
     TargetLimitEnded = 5110,
+    TargetPauses = 5111,
+    TargetPauseUnreadable = 5112,
     KnowledgeFromPeer = 5201,
     HistoryLost = 5202,
     ClockGap = 5203,
--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -36,6 +36,7 @@
 #include "StoreReaders.h"
 #include "TargetChoice.h"
 #include "TargetLimit.h"
+#include "TargetPause.h"
 #include "TargetPicker.h"
 #include "WeightedRoundRobin.h"
 #include "WorkTimes.h"
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -55,6 +55,29 @@
                                   std::max<double>(0, static_cast<double>(others)), steadyNow());
 }
 
+/// Returns the pause that \a answer asks this instance for, or zero.
+Microseconds Dispatcher::pauseAskedIn(const TargetState &target, const Http::Response &answer)
+{
+    if (!Policy::mayAskForPause(answer.result_int(),
+                                answer.count(viewOf(port_.headers_.notRun_)) > 0))
+        return Microseconds(0);
+    const auto asked = port_.parsePause_(answer);
+    if (!asked) {
+        log_.line(Event::TargetPauseUnreadable)
+            .add("target", target.record_.id_.value())
+            .add("reason", toText(Model::lastReason()));
+        return Microseconds(0);
+    }
+    if (*asked > Microseconds(0)) {
+        log_.line(Event::TargetPauses)
+            .add("target", target.record_.id_.value())
+            .add("status", static_cast<std::int64_t>(answer.result_int()))
+            .add("asked_ms", *asked)
+            .add("in_progress", target.ownInFlight_);
+    }
+    return *asked;
+}
+
 Dispatcher::Attempt Dispatcher::judge(RequestContext &request, const Placement &placement,
                                       SteadyTime sentAt, Http::ExchangeResult result)
 {
@@ -103,6 +126,7 @@
     if (!isMisdirected) {
         recordLimit(target, port_.parseLimit_(*result.answer_), sentAt, now,
                     target.record_.id_.value(), log_);
+        pauseAskedIn(target, *result.answer_);
     }
     if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
         ++counters_.refusedByTargets_;
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -127,6 +127,12 @@
         = [](const Http::Response &) {
               return std::nullopt;
           };
+    /// Parses the pause that a target's answer asks for; zero if it asks for none. Returns
+    /// std::nullopt, with the last reason set, if it is invalid.
+    std::function<std::optional<Model::Microseconds>(const Http::Response &)> parsePause_
+        = [](const Http::Response &) {
+              return Model::Microseconds(0);
+          };
 
     HeaderNames headers_;
     PlatformTerms terms_;
--- a/Services/Entryd/TargetAnswer.cpp
+++ b/Services/Entryd/TargetAnswer.cpp
@@ -33,6 +33,30 @@
     return report;
 }
 
+/// Returns the pause that \a answer asks this entry for, or zero.
+Model::Microseconds pauseAskedIn(const TargetState &target, const Http::Response &answer)
+{
+    const bool isNotStarted = answer.count(Http::notStartedHeader.data()) > 0;
+    if (!Policy::mayAskForPause(answer.result_int(), isNotStarted))
+        return Model::Microseconds(0);
+    const auto now = std::chrono::system_clock::now();
+    const auto asked
+        = Http::retryAfterIn(answer, std::chrono::time_point_cast<Model::Milliseconds>(now));
+    const std::string &id = target.target_.id_.value();
+    if (!asked) {
+        Observe::logEvent(Event::TargetPauseUnreadable,
+                          {{"target", id}, {"reason", toText(Model::lastReason())}});
+        return Model::Microseconds(0);
+    }
+    if (*asked > Model::Microseconds(0)) {
+        const auto askedMs = std::chrono::duration_cast<Model::Milliseconds>(*asked);
+        Observe::logEvent(Event::TargetPauses, {{"target", id},
+                                                {"status", std::to_string(answer.result_int())},
+                                                {"asked_ms", std::to_string(askedMs.count())}});
+    }
+    return *asked;
+}
+
 } // namespace
 
 std::int64_t numberIn(Http::beast::string_view text, std::int64_t fallback)
@@ -47,6 +71,7 @@
     const auto now = std::chrono::steady_clock::now();
     if (noteReport(target, reportIn(answer), now))
         logLeaving(target, "itself", now);
+    pauseAskedIn(target, answer);
     if (noteAlive(target, now))
         Observe::logEvent(Event::TargetBack, {{"target", target.target_.id_.value()}});
 }
