Tests: Reproduce requests to a target that has asked for a pause

Stand-ins of both compositions turn requests away with 503 and a Retry-After, whole or with a fraction, once or again and again.

--- a/Tests/Harness/Site.cpp
+++ b/Tests/Harness/Site.cpp
@@ -296,6 +296,11 @@
     return getJson(target(id).row_.address_, "/standin/counts").value_or(json::object());
 }
 
+json Site::targetRefusals(const std::string &id)
+{
+    return getJson(target(id).row_.address_, "/standin/refusals").value_or(json::array());
+}
+
 json Site::platformCounts()
 {
     return getJson(platform(), "/standin/counts").value_or(json::object());
--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -101,6 +101,8 @@
     void switchProxy(const std::string &group, const std::string &mode);
     /// Returns the counters of a target stand-in.
     nlohmann::json targetCounts(const std::string &id);
+    /// Returns the requests and probes that a target stand-in turned away while it paused.
+    nlohmann::json targetRefusals(const std::string &id);
     nlohmann::json platformCounts();
 
     /// Writes \a profile to a file and creates a load tool process for it, without starting it.
--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -360,6 +360,12 @@
     return std::exchange(arrivals_, {});
 }
 
+std::vector<Arrival> Target::takeRefusals()
+{
+    const std::lock_guard lock(mutex_);
+    return std::exchange(refusals_, {});
+}
+
 std::vector<std::string> Target::seen(const std::string &header)
 {
     const std::lock_guard lock(mutex_);
@@ -388,6 +394,9 @@
             response = jsonAnswer(json::object(), http::status::service_unavailable);
             response.set("X-Cassiacrank-Not-Executed", "1");
             response.set("X-Cassiacrank-Request-Id", id);
+            if (!faults.retryAfter_.empty())
+                response.set(http::field::retry_after, faults.retryAfter_);
+            refusals_.push_back({incoming.arrivedAt_, id_, id});
             co_return response;
         }
         ++runs_[id];
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -103,6 +103,8 @@
 {
     /// Answers 503 and states that the request was not run.
     bool isShedding_ = false;
+    /// The Retry-After of these answers; none if empty.
+    std::string retryAfter_;
     /// Runs the request and never answers.
     bool losesAnswers_ = false;
     /// Runs the request and closes the connection in the middle of the answer.
@@ -173,6 +175,8 @@
     std::size_t runCount();
     /// Returns the requests that began to run since the last call.
     std::vector<Arrival> takeArrivals();
+    /// Returns the requests that it turned away while shedding, since the last call.
+    std::vector<Arrival> takeRefusals();
     /// Returns the values of a header in the requests that ran.
     std::vector<std::string> seen(const std::string &header);
 
@@ -187,6 +191,7 @@
     std::map<std::string, int> runs_;
     std::vector<Http::Request> requests_;
     std::vector<Arrival> arrivals_;
+    std::vector<Arrival> refusals_;
     std::function<void(const std::string &)> onRestart_ = [](const std::string &) {};
     std::vector<TargetEnd> ends_;
     /// The path of the request under which the present incarnation ends.
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -37,6 +37,8 @@
     bool isUnresponsive_ = false;
     /// The rate limit that it names; none if empty.
     std::string limit_;
+    /// The Retry-After with which it turns everything away; none if empty.
+    std::string pause_;
     double slowness_ = 1;
     Milliseconds answerDelay_{0};
 };
@@ -58,6 +60,8 @@
         if (faults_.isUnresponsive_) {
             co_await Http::sleepFor(Milliseconds(600000));
         }
+        if (!faults_.pause_.empty())
+            co_return pausing(request.message_);
         Http::Response answer = StandIns::jsonAnswer(json::object());
         if (!target.starts_with("/cassiacrank/health")) {
             answer = co_await work(request);
@@ -149,6 +153,18 @@
         return answer;
     }
 
+    Http::Response pausing(const Http::Request &request)
+    {
+        const auto now = std::chrono::steady_clock::now().time_since_epoch();
+        refusals_.push_back({{"id", std::string(request[Http::requestIdHeader.data()])},
+                             {"at_ms", std::chrono::duration_cast<Milliseconds>(now).count()},
+                             {"probe", request.target().starts_with("/cassiacrank/")}});
+        Http::Response answer = refused("shed");
+        answer.set(http::field::retry_after, faults_.pause_);
+        setHeaders(request, answer);
+        return answer;
+    }
+
     void setHeaders(const Http::Request &request, Http::Response &answer)
     {
         std::string id(request[Http::requestIdHeader.data()]);
@@ -176,6 +192,8 @@
             change(json::parse(body));
             return StandIns::jsonAnswer(json::object());
         }
+        if (target == "/standin/refusals")
+            return StandIns::jsonAnswer(refusals_);
         if (target == "/standin/executions")
             return StandIns::jsonAnswer(executions_);
         return StandIns::jsonAnswer({{"started", started_},
@@ -194,6 +212,7 @@
         faults_.isDraining_ = wanted.value("drain", faults_.isDraining_);
         faults_.isUnresponsive_ = wanted.value("mute", faults_.isUnresponsive_);
         faults_.limit_ = wanted.value("limit", faults_.limit_);
+        faults_.pause_ = wanted.value("pause", faults_.pause_);
         faults_.slowness_ = wanted.value("slowness", faults_.slowness_);
         faults_.answerDelay_ = Milliseconds(wanted.value("late_ms", faults_.answerDelay_.count()));
     }
@@ -201,6 +220,8 @@
     std::mt19937_64 random_;
     std::int64_t incarnation_;
     std::map<std::string, int> executions_;
+    /// What it turned away while it paused.
+    std::vector<json> refusals_;
     Faults faults_;
     std::string lastId_ = "none";
     std::string lastBody_;
