Tests: Reproduce requests to a target that announces its leave in answers

A stand-in says Server-Leaving in its answers and serves on, while its registration says that it is ready, or while the store is silent.

--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -376,6 +376,15 @@
 }
 
 Task<Http::Response> Target::answer(Http::IncomingRequest incoming)
+{
+    Http::Response response = co_await run(std::move(incoming));
+    const std::lock_guard lock(mutex_);
+    if (faults_.announcesLeave_ && response.result() != http::status::misdirected_request)
+        response.set("X-Cassiacrank-Server-Leaving", "1");
+    co_return response;
+}
+
+Task<Http::Response> Target::run(Http::IncomingRequest incoming)
 {
     const Http::Request &request = incoming.message_;
     const std::string id(request["X-Cassiacrank-Request-Id"]);
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -105,6 +105,8 @@
     bool isShedding_ = false;
     /// The Retry-After of these answers; none if empty.
     std::string retryAfter_;
+    /// Announces in every answer that it leaves.
+    bool announcesLeave_ = false;
     /// Runs the request and never answers.
     bool losesAnswers_ = false;
     /// Runs the request and closes the connection in the middle of the answer.
@@ -182,6 +184,7 @@
 
 private:
     Http::Task<Http::Response> answer(Http::IncomingRequest request);
+    Http::Task<Http::Response> run(Http::IncomingRequest request);
     void supervise();
 
     mutable std::mutex mutex_;
