LibPolicy, LibSteering, Entryd: Keep the pauses that targets ask for

Cause: a term of the targets' protocol that no code read. A refusal counted as a failure that fades, and a target that refuses at once looks idle, so it drew the work. Change: LibPolicy/TargetPause, for both compositions. A 503 with Retry-After (or a 429 that was not run) begins a pause, which no later answer shortens. A pausing target is no candidate, is asked again for just before the first byte, has no slots, and gets neither probes of entryd nor connections opened in advance. After the pause one request at a time (entryd: a health probe) shows whether it takes work again; each answer admits one more. No retry credit is spent where all pause. What a target asked for, limits too, is kept by incarnation while its registration is missing, and over a change of its row in entryd.

--- a/Libraries/LibPolicy/TargetPause.cpp
+++ b/Libraries/LibPolicy/TargetPause.cpp
@@ -1,7 +1,13 @@
 #include "TargetPause.h"
 
+#include <algorithm>
+
 namespace Policy {
 
+using Model::Microseconds;
+using Model::Milliseconds;
+using Model::SteadyTime;
+
 namespace {
 
 constexpr unsigned tooManyRequests = 429;
@@ -14,4 +20,50 @@
     return status == serviceUnavailable || (status == tooManyRequests && isNotRun);
 }
 
+bool notePause(TargetPause &pause, Microseconds asked, std::int64_t returnWindow, SteadyTime now)
+{
+    if (asked <= Microseconds(0))
+        return false;
+    const bool wasInUse = pause.until_ <= now;
+    pause.until_ = std::max(pause.until_, now + std::min<Microseconds>(asked, maxTargetPause));
+    pause.returnWindow_ = returnWindow;
+    return wasInUse;
+}
+
+void noteAnswerAfterPause(TargetPause &pause, std::int64_t slots, SteadyTime now)
+{
+    if (!pause.returnWindow_ || now < pause.until_)
+        return;
+    if (++*pause.returnWindow_ >= slots)
+        pause.returnWindow_.reset();
+}
+
+Microseconds pauseLeft(const TargetPause &pause, SteadyTime now)
+{
+    return std::max(Microseconds(0), std::chrono::ceil<Microseconds>(pause.until_ - now));
+}
+
+bool isPauseOver(const TargetPause &pause, std::int64_t inProgress, SteadyTime now)
+{
+    return now >= pause.until_ && (!pause.returnWindow_ || inProgress < *pause.returnWindow_);
+}
+
+void addTo(PauseSummary &summary, Microseconds pauseLeft)
+{
+    if (pauseLeft == Microseconds(0)) {
+        summary.anyInUse_ = true;
+        return;
+    }
+    summary.soonestEnd_ = std::min(pauseLeft, summary.soonestEnd_.value_or(pauseLeft));
+}
+
+std::optional<Milliseconds> retryDelayWhilePausing(const PauseSummary &summary, double draw)
+{
+    if (summary.anyInUse_ || !summary.soonestEnd_)
+        return std::nullopt;
+    const auto spread = static_cast<double>(pauseReturnSpread.count()) * draw;
+    return std::chrono::ceil<Milliseconds>(*summary.soonestEnd_)
+           + Milliseconds(static_cast<long long>(spread));
+}
+
 } // namespace Policy
--- a/Libraries/LibPolicy/TargetPicker.cpp
+++ b/Libraries/LibPolicy/TargetPicker.cpp
@@ -11,6 +11,9 @@
 {
     if (target.isLeaving_ || target.isSuspect_ || target.isOverLimit_)
         return false;
+    if (target.pauseLeft_ > Model::Microseconds(0)
+        || (target.returnWindow_ && target.ownInFlight_ >= *target.returnWindow_))
+        return false;
     return likelyInFlight(target) < usableSlots(target);
 }
 
@@ -96,7 +99,7 @@
 {
     SlotUse use;
     for (const auto &target : targets) {
-        if (target.isLeaving_ || target.isSuspect_)
+        if (target.isLeaving_ || target.isSuspect_ || target.pauseLeft_ > Model::Microseconds(0))
             continue;
         use.slots_ += usableSlots(target);
         use.inFlight_ += std::min(target.slots_, steadyInFlight(target));
@@ -120,10 +123,10 @@
     return static_cast<double>(ownInFlight + 1) <= static_cast<double>(notes.ownInFlight_) + change;
 }
 
-bool anyUsable(const std::vector<TargetView> &targets)
+bool anyUsable(const std::vector<TargetView> &targets, Model::Microseconds longestWait)
 {
-    return std::any_of(targets.begin(), targets.end(), [](const auto &target) {
-        return !target.isLeaving_ && !target.isSuspect_;
+    return std::any_of(targets.begin(), targets.end(), [&](const auto &target) {
+        return !target.isLeaving_ && !target.isSuspect_ && target.pauseLeft_ <= longestWait;
     });
 }
 
--- a/Libraries/LibPolicy/TargetPicker.h
+++ b/Libraries/LibPolicy/TargetPicker.h
@@ -31,6 +31,10 @@
     bool isLeaving_ = false;
     /// The target has named a rate limit, which allows this entry no request now.
     bool isOverLimit_ = false;
+    /// The remaining time of a pause that the target has asked this entry for, and the requests
+    /// that may be in progress after it.
+    Model::Microseconds pauseLeft_{0};
+    std::optional<std::int64_t> returnWindow_;
 };
 
 /// A report decays within the target's usual latency, clamped to these bounds.
@@ -84,7 +88,7 @@
     std::int64_t inFlight_ = 0;
 };
 
-/// Sums the slots of the targets that accept work, and their in-flight requests by
+/// Sums the slots of the targets that accept work now, and their in-flight requests by
 /// steadyInFlight(). Thread safety: any thread.
 SlotUse slotUse(const std::vector<TargetView> &targets);
 
@@ -117,9 +121,10 @@
 /// distributes rooms smaller than the number of entries. Thread safety: any thread.
 bool mayFillShared(const PoolUsage &notes, std::int64_t ownInFlight, double useLimit);
 
-/// Returns whether any target is neither leaving nor suspect, and so could take work.
+/// Returns whether any target is neither leaving nor suspect, and does not pause for longer than
+/// \a longestWait, and so could take work.
 ///
 /// Thread safety: any thread.
-bool anyUsable(const std::vector<TargetView> &targets);
+bool anyUsable(const std::vector<TargetView> &targets, Model::Microseconds longestWait);
 
 } // namespace Policy
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -63,6 +63,11 @@
     return host.substr(0, host.find(':'));
 }
 
+bool isPausing(const TargetState &target, SteadyTime now)
+{
+    return Policy::pauseLeft(target.pause_, now) > Microseconds(0);
+}
+
 std::optional<Milliseconds> timeLeftIn(std::string_view text)
 {
     long long value = 0;
@@ -231,12 +236,15 @@
     options.acceptsUnframed_ = true;
     options.maxForeignAnswers_ = maxForeignAnswersSkipped;
     options.control_ = &request.control_;
+    bool hasBegun = false;
     options.maySend_ = [&] {
-        return maySendTo(target);
+        // A pause that begins while the request is being sent does not cut it off.
+        return maySendTo(target) && (hasBegun || !isPausing(target, steadyNow()));
     };
     options.maySendInterval_ = Policy::tickPeriod;
     options.withdrawalTimeout_ = Policy::sendToLeavingTimeout;
     options.onFirstByte_ = [&] {
+        hasBegun = true;
         noteSend(request, target);
     };
 
@@ -287,7 +295,7 @@
 {
     const auto now = steadyNow();
     for (const auto &[id, target] : registry.all()) {
-        if (!target->takesWork() || target->isConnecting_)
+        if (!target->takesWork() || target->isConnecting_ || isPausing(*target, now))
             continue;
         if (placementEngine_.roundTripTo(*target) < slowConnectThreshold
             || !Policy::isIdleConnectionWorthwhile(target->use_, maxIdleTimeNonIdempotent, now))
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -122,7 +122,7 @@
     void noteWithdrawn(RequestContext &request, const TargetState &target, bool wasSent,
                        Model::SteadyTime chosenAt);
     void noteLoad(TargetState &target, const Http::Response &answer);
-    Model::Microseconds pauseAskedIn(const TargetState &target, const Http::Response &answer);
+    bool notePause(TargetState &target, const Http::Response &answer, Model::SteadyTime now);
     bool mayTryAgain(const RequestContext &request, const Attempt &attempt, Model::SteadyTime now);
 
     Http::Response refuse(RequestContext &request, const Refusal &refusal);
--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -64,7 +64,8 @@
     if (attempt.outcome_ == Outcome::NotRun) {
         const auto comeBack
             = Policy::refusalRetryDelay(Microseconds(0), request.route_->latencyGoal_, 0.5);
-        return refuse(request, {attempt.code_, comeBack, Microseconds(0)});
+        const auto afterPauses = placementEngine_.retryDelayWhilePausing(request, steadyNow());
+        return refuse(request, {attempt.code_, afterPauses.value_or(comeBack), Microseconds(0)});
     }
     ++counters_.unknown_;
     ++counters_.byCode_[attempt.code_];
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -55,27 +55,28 @@
                                   std::max<double>(0, static_cast<double>(others)), steadyNow());
 }
 
-/// Returns the pause that \a answer asks this instance for, or zero.
-Microseconds Dispatcher::pauseAskedIn(const TargetState &target, const Http::Response &answer)
+/// Records the pause that \a answer asks this instance for. Returns whether it asks for one.
+bool Dispatcher::notePause(TargetState &target, const Http::Response &answer, SteadyTime now)
 {
     if (!Policy::mayAskForPause(answer.result_int(),
                                 answer.count(viewOf(port_.headers_.notRun_)) > 0))
-        return Microseconds(0);
+        return false;
     const auto asked = port_.parsePause_(answer);
     if (!asked) {
         log_.line(Event::TargetPauseUnreadable)
             .add("target", target.record_.id_.value())
             .add("reason", toText(Model::lastReason()));
-        return Microseconds(0);
-    }
-    if (*asked > Microseconds(0)) {
-        log_.line(Event::TargetPauses)
-            .add("target", target.record_.id_.value())
-            .add("status", static_cast<std::int64_t>(answer.result_int()))
-            .add("asked_ms", *asked)
-            .add("in_progress", target.ownInFlight_);
+        return false;
     }
-    return *asked;
+    if (*asked <= Microseconds(0))
+        return false;
+    Policy::notePause(target.pause_, *asked, Policy::initialReturnWindow, now);
+    log_.line(Event::TargetPauses)
+        .add("target", target.record_.id_.value())
+        .add("status", static_cast<std::int64_t>(answer.result_int()))
+        .add("asked_ms", *asked)
+        .add("in_progress", target.ownInFlight_);
+    return true;
 }
 
 Dispatcher::Attempt Dispatcher::judge(RequestContext &request, const Placement &placement,
@@ -126,8 +127,8 @@
     if (!isMisdirected) {
         recordLimit(target, port_.parseLimit_(*result.answer_), sentAt, now,
                     target.record_.id_.value(), log_);
-        pauseAskedIn(target, *result.answer_);
     }
+    const bool asksForPause = !isMisdirected && notePause(target, *result.answer_, now);
     if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
         ++counters_.refusedByTargets_;
         request.rejectionStatus_ = result.answer_->result_int();
@@ -139,11 +140,17 @@
             log_.line(Event::TargetGone)
                 .add("target", target.record_.id_.value())
                 .add("by", "another target at its address");
-        } else {
+        } else if (!asksForPause) {
             placementEngine_.noteFailure(placement, now);
         }
         return attempted;
     }
+    if (asksForPause) {
+        // The pause is this instance's: another target may serve the caller meanwhile.
+        result.answer_->erase(http::field::retry_after);
+    } else {
+        Policy::noteAnswerAfterPause(target.pause_, target.record_.slots_.value(), now);
+    }
     // A 5xx response does not prove that the target processed the request.
     if (status < http::status::internal_server_error)
         guard_.noteAnswered(request, now);
@@ -177,6 +184,10 @@
     const auto &route = *request.route_;
     if (!attempt.wasSent_)
         return request.tried_.size() < maxTargetTries;
+    // No credit is spent on an attempt that no target would take.
+    if (attempt.code_ == ResultCode::TargetRefused
+        && placementEngine_.retryDelayWhilePausing(request, now))
+        return false;
     return Policy::mayRetry(retryBudgets_[request.service_], attempt.outcome_, route.isIdempotent_,
                             request.attempts_, route.attempts_);
 }
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -113,7 +113,8 @@
     if (std::find(request.tried_.begin(), request.tried_.end(), target.record_.id_)
         != request.tried_.end())
         return false;
-    if (!Policy::isWithinLimit(target.limit_, now))
+    if (!Policy::isWithinLimit(target.limit_, now)
+        || !Policy::isPauseOver(target.pause_, target.ownInFlight_, now))
         return false;
     if (!target.isCold(now))
         return true;
@@ -143,6 +144,9 @@
     double slots = 0;
     for (const auto &domain : targets.byDomain_) {
         for (const auto &target : domain) {
+            // Its load goes to the others.
+            if (Policy::pauseLeft(target->pause_, now) > Microseconds(0))
+                continue;
             const auto own = static_cast<double>(target->record_.slots_.value());
             const double load = static_cast<double>(target->ownInFlight_)
                                 + Policy::peerReportedLoadAt(target->othersLoad_, workTime, now);
@@ -288,6 +292,25 @@
     candidateTargets_.resize(kept);
 }
 
+std::optional<Milliseconds> PlacementEngine::retryDelayWhilePausing(const RequestContext &request,
+                                                                    SteadyTime now)
+{
+    const ServiceTargets *targets = registry_.service(request.service_);
+    if (!targets)
+        return std::nullopt;
+    Policy::PauseSummary pauses;
+    for (std::size_t i = 0; i < targets->byDomain_.size(); ++i) {
+        if (targets->byDomain_[i].empty() || !isAllowed(request, i))
+            continue;
+        for (const auto &target : targets->byDomain_[i]) {
+            if (target->takesWork() && Policy::mayTry(target->reachability_, now))
+                Policy::addTo(pauses, Policy::pauseLeft(target->pause_, now));
+        }
+    }
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    return Policy::retryDelayWhilePausing(pauses, draw);
+}
+
 std::variant<Placement, Refusal> PlacementEngine::place(const RequestContext &request,
                                                         SteadyTime now)
 {
@@ -308,8 +331,10 @@
     work.serviceMean_ = mean.count() > 0 ? mean : work.warm_;
     const double use = targets ? slotUseOf(request.service_, *targets, now) : 0;
     const auto choice = Policy::chooseAmong(candidates_, work, use);
-    if (!choice)
-        return Refusal{ResultCode::NoTarget, retryDelayWithoutTarget, Microseconds(0)};
+    if (!choice) {
+        const auto delay = retryDelayWhilePausing(request, now).value_or(retryDelayWithoutTarget);
+        return Refusal{ResultCode::NoTarget, delay, Microseconds(0)};
+    }
 
     Policy::AdmissionInputs admission;
     admission.expected_ = choice->expected_;
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -28,6 +28,11 @@
     /// Chooses a target for the next attempt of \a request, or returns why there is none.
     std::variant<Placement, Refusal> place(const RequestContext &request, Model::SteadyTime now);
 
+    /// Returns when the caller should return if every target that may run \a request pauses: after
+    /// the pause that ends first. std::nullopt if one does not pause, or there is none.
+    std::optional<Model::Milliseconds> retryDelayWhilePausing(const RequestContext &request,
+                                                              Model::SteadyTime now);
+
     /// Records an answer or a failure of the target that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
                     Model::Microseconds took, Model::SteadyTime now);
--- a/Libraries/LibSteering/TargetRegistry.cpp
+++ b/Libraries/LibSteering/TargetRegistry.cpp
@@ -85,6 +85,13 @@
     if (!target || isRestarted) {
         target = std::make_shared<TargetState>();
         target->seed_ = Policy::seedOf(record.id_.value());
+        const auto dropped = droppedTerms_.find(record.id_);
+        if (dropped != droppedTerms_.end()
+            && !isLaterIncarnation(record, dropped->second.record_)) {
+            target->limit_ = dropped->second.limit_;
+            target->pause_ = dropped->second.pause_;
+        }
+        droppedTerms_.erase(record.id_);
     }
     return target;
 }
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -65,6 +65,7 @@
     Policy::TargetPace pace_;
     Policy::SlowStart slowStart_;
     Policy::TargetLimit limit_;
+    Policy::TargetPause pause_;
     Model::SteadyTime coldUntil_;
     Policy::Reachability reachability_;
     /// A connection was opened since it last did not answer; a request may probe whether it
@@ -107,6 +108,17 @@
     }
 };
 
+/// What a target has asked for in its answers. It holds for its incarnation, also while its
+/// registration is missing.
+struct TargetTerms
+{
+    /// Identifies the incarnation.
+    Model::TargetRecord record_;
+    Policy::TargetLimit limit_;
+    Policy::TargetPause pause_;
+    Model::SteadyTime droppedAt_;
+};
+
 /// Records the limit that a target named in an answer to a request that was sent at \a sentAt, or
 /// that \a by, a peer, reported; std::nullopt for an answer without one. Logs when a limit begins
 /// or ends. Thread safety: \a target belongs to the calling thread.
@@ -179,7 +191,9 @@
     std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
     void findSuccessors();
     void noteMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
-    /// Forgets old removal times.
+    /// Drops a target, and keeps what it has asked for, if anything.
+    void drop(TargetState &target, Model::SteadyTime now);
+    /// Forgets old removal times and the terms of targets that were dropped long ago.
     void forgetRemovals(Model::SteadyTime now);
     void resolveDomain(TargetState &target) const;
     void rebuildServices();
@@ -194,6 +208,8 @@
     std::vector<Model::Address> restarted_;
     /// When registrations were first found to be removed, locally or at a peer.
     std::map<Model::TargetId, Model::SteadyTime> removals_;
+    /// The terms of dropped targets, whose registrations may return.
+    std::map<Model::TargetId, TargetTerms> droppedTerms_;
     /// Number of replaced targets when services_ was last rebuilt.
     std::size_t replacedCount_ = 0;
     std::unordered_map<Model::ServiceId, ServiceTargets> services_;
--- a/Libraries/LibSteering/TargetRemovals.cpp
+++ b/Libraries/LibSteering/TargetRemovals.cpp
@@ -11,6 +11,9 @@
 
 /// How long the time of a removal is kept; updates spread between instances in less time.
 constexpr Model::Milliseconds removalRetention{10000};
+/// How long the terms of a dropped target are kept; its registration returns within seconds after
+/// an outage of the store, or not at all.
+constexpr Model::Milliseconds droppedTermsRetention{600000};
 
 const char *nameOf(Policy::StoreContact contact)
 {
@@ -90,7 +93,7 @@
             .add("leaving", target->record_.isLeaving_ ? "yes" : "no");
         if (!target->record_.isLeaving_)
             logLeave(*target, "removed", Platform::Revision(removed.revision_), now);
-        target->isDropped_ = true;
+        drop(*target, now);
         return true;
     });
 }
@@ -109,7 +112,7 @@
             .add("missing_ms", std::chrono::duration_cast<Model::Microseconds>(missingFor));
         logLeave(*target, "lapsed", Platform::Revision(target->removedRegistration_->revision_),
                  now);
-        target->isDropped_ = true;
+        drop(*target, now);
         return true;
     });
     if (dropped > 0)
@@ -147,8 +150,20 @@
     }
 }
 
+void TargetRegistry::drop(TargetState &target, SteadyTime now)
+{
+    target.isDropped_ = true;
+    const bool hasTerms = target.limit_.rate_ || Policy::pauseLeft(target.pause_, now).count() > 0;
+    if (hasTerms)
+        droppedTerms_[target.record_.id_] = {target.record_, target.limit_, target.pause_, now};
+}
+
 void TargetRegistry::forgetRemovals(SteadyTime now)
 {
+    std::erase_if(droppedTerms_, [&](const auto &entry) {
+        const TargetTerms &terms = entry.second;
+        return now - terms.droppedAt_ > droppedTermsRetention && now >= terms.pause_.until_;
+    });
     std::erase_if(removals_, [&](const auto &entry) {
         return now - entry.second > removalRetention;
     });
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -40,6 +40,11 @@
                                                       : AttemptStage::Sent;
 }
 
+bool isPausing(const TargetState &target)
+{
+    return Policy::pauseLeft(pauseOf(target), steadyNow()) > Model::Microseconds(0);
+}
+
 } // namespace
 
 Http::Task<RequestResult> Dispatcher::attempt(CallerRequest &request, Placement placement,
@@ -90,12 +95,15 @@
     options.connectionLimit_ = Policy::connectionsForThread(
         target->target_.connections_, entries, static_cast<std::size_t>(settings_.entryThreads_));
 
+    bool hasBegun = false;
     options.maySend_ = [&] {
-        return !target->isLeaving_.load();
+        // A pause that begins while the request is being sent does not cut it off.
+        return !target->isLeaving_.load() && (hasBegun || !isPausing(*target));
     };
     options.maySendInterval_ = Policy::tickPeriod;
     options.withdrawalTimeout_ = Policy::sendToLeavingTimeout;
     options.onFirstByte_ = [&] {
+        hasBegun = true;
         noteSend(*target, steadyNow());
     };
     const auto sentAt = steadyNow();
@@ -116,6 +124,7 @@
     // attempts in progress would then be cut short as unanswered.
     if (requestResult.outcome_ == Outcome::Run)
         noteLatency(*target, std::chrono::duration_cast<Model::Microseconds>(steadyNow() - sentAt));
+    probeAfterPause(target);
     release(std::move(place.slot_), request.serviceIndex_);
     co_return requestResult;
 }
@@ -175,6 +184,9 @@
     requestResult.outcome_ = Policy::outcomeOf(AttemptStage::Answered);
     requestResult.answer_ = std::move(result.answer_);
     stripAnswer(*requestResult.answer_);
+    // The pause is this entry's: another target may serve the caller meanwhile.
+    if (isPausing(target))
+        requestResult.answer_->erase(Http::http::field::retry_after);
     requestResult.answer_->set(viewOf(Http::targetHeader), target.target_.id_.value());
     return requestResult;
 }
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -81,6 +81,9 @@
     Http::Task<void> tickLoop();
     Http::Task<void> probeLoop();
     Http::Task<void> probe(std::shared_ptr<TargetState> target);
+    /// If the target pauses, has it probed as soon as the pause ends.
+    void probeAfterPause(const std::shared_ptr<TargetState> &target);
+    Http::Task<void> waitAndProbe(std::shared_ptr<TargetState> target);
 
     Http::asio::io_context &context_;
     const Observe::Settings &settings_;
--- a/Services/Entryd/Planner.cpp
+++ b/Services/Entryd/Planner.cpp
@@ -127,7 +127,10 @@
             continue;
         const auto held = targets_.find(target.id_);
         const bool isKept = held != targets_.end() && isSameTarget(held->second->target_, target);
-        next[target.id_] = isKept ? held->second : std::make_shared<TargetState>(target);
+        auto &state = next[target.id_];
+        state = isKept ? held->second : std::make_shared<TargetState>(target);
+        if (!isKept && held != targets_.end() && held->second->target_.address_ == target.address_)
+            carryTerms(*held->second, *state);
     }
     // Requests in progress still hold targets that have been removed from the table.
     for (const auto &[id, state] : targets_) {
@@ -269,9 +272,7 @@
         bool canServe = false;
         if (domain.region_ == settings_.region_) {
             canServe
-                = std::any_of(plan.targets_[i].begin(), plan.targets_[i].end(), [](const auto &t) {
-                      return !t->isSuspect_ && !t->isLeaving_;
-                  });
+                = Policy::anyUsable(viewsOf(plan.targets_[i], steadyNow()), Policy::maxPauseInUse);
         } else {
             for (const auto &summary : view_.summaries_) {
                 for (const auto &load : summary.loads_) {
--- a/Services/Entryd/PlannerReports.cpp
+++ b/Services/Entryd/PlannerReports.cpp
@@ -42,7 +42,8 @@
         Peers::DomainLoad &load = loads[{target.service_, target.domain_}];
         load.service_ = target.service_;
         load.domain_ = target.domain_;
-        if (!state->isSuspect_ && !state->isLeaving_)
+        const auto now = std::chrono::steady_clock::now();
+        if (Policy::anyUsable({viewOf(*state, now)}, Policy::maxPauseInUse))
             load.slots_ += target.slots_;
         load.inFlight_ += Model::Slots(state->ownInFlight_);
         if (state->isLeaving_) {
--- a/Services/Entryd/Prober.cpp
+++ b/Services/Entryd/Prober.cpp
@@ -13,6 +13,11 @@
     return {text.data(), text.size()};
 }
 
+Model::Microseconds pauseLeftOf(const TargetState &target)
+{
+    return Policy::pauseLeft(pauseOf(target), std::chrono::steady_clock::now());
+}
+
 } // namespace
 
 Http::Task<void> Dispatcher::probeLoop()
@@ -28,8 +33,11 @@
             }
             return all;
         });
-        for (const auto &target : targets)
-            Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
+        for (const auto &target : targets) {
+            // A target that pauses wants no probe either; its silence says nothing about it.
+            if (pauseLeftOf(*target) == Model::Microseconds(0))
+                Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
+        }
         co_await Http::sleepFor(Policy::targetProbeInterval);
     }
 }
@@ -51,6 +59,25 @@
     }
     noteTargetAnswer(*target, *result.answer_);
     guard_.noteAlive(*target, std::chrono::steady_clock::now());
+    probeAfterPause(target);
+}
+
+void Dispatcher::probeAfterPause(const std::shared_ptr<TargetState> &target)
+{
+    if (pauseLeftOf(*target) == Model::Microseconds(0)
+        || target->isReturnProbePending_.exchange(true))
+        return;
+    Http::asio::co_spawn(context_, waitAndProbe(target), Http::asio::detached);
+}
+
+Http::Task<void> Dispatcher::waitAndProbe(std::shared_ptr<TargetState> target)
+{
+    // Another answer may prolong the pause meanwhile.
+    while (pauseLeftOf(*target) > Model::Microseconds(0))
+        co_await Http::sleepFor(std::chrono::ceil<Model::Milliseconds>(pauseLeftOf(*target)));
+    target->isReturnProbePending_ = false;
+    if (!target->isLeaving_)
+        co_await probe(target);
 }
 
 } // namespace Entryd
--- a/Services/Entryd/ServiceQueue.cpp
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -18,16 +18,6 @@
     return std::chrono::steady_clock::now();
 }
 
-std::vector<Policy::TargetView> viewsOf(const std::vector<std::shared_ptr<TargetState>> &targets,
-                                        Model::SteadyTime now)
-{
-    std::vector<Policy::TargetView> views;
-    views.reserve(targets.size());
-    for (const auto &target : targets)
-        views.push_back(viewOf(*target, now));
-    return views;
-}
-
 Policy::SlotUse regionUse(const ServicePlan &plan, Model::SteadyTime now)
 {
     Policy::SlotUse use;
@@ -137,14 +127,13 @@
     const Policy::WaiterId id = ++lastWaiter_;
     // The limit applies to the total wait of the request. If it restarted after each refusal by a
     // full target, requests would wait many times the limit while new ones are rejected.
-    const Model::SteadyTime startBy
-        = std::min(request.deadline_, pending.since_ + request.queueTimeLeft_);
+    pending.startBy_ = std::min(request.deadline_, pending.since_ + request.queueTimeLeft_);
     pending_[id] = &pending;
-    Policy::enqueue(queue_, request.class_, request.caller_, {id, startBy});
+    Policy::enqueue(queue_, request.class_, request.caller_, {id, pending.startBy_});
     pump();
     if (!pending.isDecided_) {
         planner_.noteWaiting(1);
-        pending.wake_.expires_at(startBy);
+        pending.wake_.expires_at(pending.startBy_);
         Http::ErrorCode ignored;
         co_await pending.wake_.async_wait(
             Http::asio::redirect_error(Http::asio::use_awaitable, ignored));
@@ -188,7 +177,7 @@
         }
         const CallerRequest &request = found->second->request_;
         auto placement = cell_.read([&](const EntrySnapshot *snapshot) {
-            return tryPlace(*snapshot, request);
+            return tryPlace(*snapshot, request, found->second->startBy_);
         });
         if (!placement) {
             minUseLimit = next->useLimit_ + useLimitStep;
@@ -241,6 +230,7 @@
 
 std::vector<Policy::DomainView> ServiceQueue::domainViews(const EntrySnapshot &snapshot,
                                                           const ServicePlan &plan, bool mayFill,
+                                                          Model::Microseconds longestWait,
                                                           Model::SteadyTime now) const
 {
     const auto &domains = snapshot.table_->domains();
@@ -254,20 +244,37 @@
             continue;
         }
         const auto targets = viewsOf(plan.targets_[i], now);
-        view.isUsable_ = Policy::anyUsable(targets);
+        view.isUsable_ = Policy::anyUsable(targets, longestWait);
         view.hasFreeSlot_ = mayFill && Policy::chooseTarget(targets, 0, 0).has_value();
     }
     return views;
 }
 
+/// Returns when a caller should return whom none of \a targets serves: after the first pause if
+/// all of them pause, else after \a otherwise.
+Milliseconds ServiceQueue::delayWithoutTarget(const std::vector<Policy::TargetView> &targets,
+                                              Milliseconds otherwise)
+{
+    Policy::PauseSummary pauses;
+    for (const auto &target : targets) {
+        if (!target.isLeaving_ && !target.isSuspect_)
+            Policy::addTo(pauses, target.pauseLeft_);
+    }
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    return Policy::retryDelayWhilePausing(pauses, draw).value_or(otherwise);
+}
+
 std::optional<Placement> ServiceQueue::tryTarget(const ServicePlan &plan, std::size_t domain,
                                                  const CallerRequest &request,
+                                                 Model::Microseconds longestWait,
                                                  Model::SteadyTime now)
 {
     const auto &targets = plan.targets_[domain];
     const auto views = viewsOf(targets, now);
-    if (!Policy::anyUsable(views))
-        return Placement(reject(ResultCode::NoTarget));
+    if (!Policy::anyUsable(views, longestWait)) {
+        return Placement(
+            Rejection{ResultCode::NoTarget, delayWithoutTarget(views, estimatedRetryDelay())});
+    }
     const auto chosen = Policy::chooseTarget(views, random_(), random_());
     if (!chosen)
         return std::nullopt;
@@ -308,25 +315,36 @@
 }
 
 std::optional<Placement> ServiceQueue::tryPlace(const EntrySnapshot &snapshot,
-                                                const CallerRequest &request)
+                                                const CallerRequest &request,
+                                                Model::SteadyTime startBy)
 {
     const auto now = steadyNow();
+    const auto longestWait = std::chrono::duration_cast<Model::Microseconds>(startBy - now);
     const ServicePlan &plan = snapshot.services_[request.serviceIndex_];
     const bool canFill = mayFill(snapshot, plan, request, now);
-    if (request.fixedDomain_)
-        return canFill ? tryTarget(plan, *request.fixedDomain_, request, now) : std::nullopt;
+    if (request.fixedDomain_) {
+        return canFill ? tryTarget(plan, *request.fixedDomain_, request, longestWait, now)
+                       : std::nullopt;
+    }
 
     if (auto placement = tryPeer(snapshot, plan, request, now))
         return placement;
     const OriginPlan &origin = plan.origins_[request.origin_];
     Policy::DomainCredits &credits = credits_[request.origin_];
     const Policy::DomainCredits before = credits;
-    const auto views = domainViews(snapshot, plan, canFill, now);
+    const auto views = domainViews(snapshot, plan, canFill, longestWait, now);
     const double debt
         = origin.isMoving_ ? Policy::maxDebtWhileShifting : Policy::maxDebtWhileStable;
     const auto choice = Policy::chooseDomain(credits, origin.shares_, views, debt);
-    if (choice.verdict_ == Policy::DomainVerdict::NoneUsable)
-        return Placement(Rejection{ResultCode::NoTarget, origin.retryDelay_});
+    if (choice.verdict_ == Policy::DomainVerdict::NoneUsable) {
+        std::vector<Policy::TargetView> targets;
+        for (const auto &domain : plan.targets_) {
+            const auto some = viewsOf(domain, now);
+            targets.insert(targets.end(), some.begin(), some.end());
+        }
+        return Placement(
+            Rejection{ResultCode::NoTarget, delayWithoutTarget(targets, origin.retryDelay_)});
+    }
     if (choice.verdict_ == Policy::DomainVerdict::ShiftLimited)
         return Placement(Rejection{ResultCode::ShiftLimited, origin.retryDelay_});
     if (!views[choice.domain_].isInLocalRegion_) {
@@ -337,7 +355,7 @@
         return Placement(ToEntry{choice.domain_, entries[*chosen].addresses_.entryPeer_});
     }
     if (views[choice.domain_].hasFreeSlot_) {
-        if (auto placement = tryTarget(plan, choice.domain_, request, now))
+        if (auto placement = tryTarget(plan, choice.domain_, request, longestWait, now))
             return placement;
     }
     // The request stays in the queue, so the choice must not change the credits.
--- a/Services/Entryd/ServiceQueue.h
+++ b/Services/Entryd/ServiceQueue.h
@@ -84,18 +84,25 @@
         const CallerRequest &request_;
         Http::asio::steady_timer wake_;
         Model::SteadyTime since_ = std::chrono::steady_clock::now();
+        /// It is rejected if it cannot start by then.
+        Model::SteadyTime startBy_;
         bool isDecided_ = false;
         Placement placement_;
     };
 
-    /// Returns std::nullopt if the request must wait.
-    std::optional<Placement> tryPlace(const EntrySnapshot &snapshot, const CallerRequest &request);
+    /// Returns std::nullopt if the request must wait, at most until \a startBy.
+    std::optional<Placement> tryPlace(const EntrySnapshot &snapshot, const CallerRequest &request,
+                                      Model::SteadyTime startBy);
     std::optional<Placement> tryPeer(const EntrySnapshot &snapshot, const ServicePlan &plan,
                                      const CallerRequest &request, Model::SteadyTime now);
     std::optional<Placement> tryTarget(const ServicePlan &plan, std::size_t domain,
-                                       const CallerRequest &request, Model::SteadyTime now);
+                                       const CallerRequest &request,
+                                       Model::Microseconds longestWait, Model::SteadyTime now);
+    Model::Milliseconds delayWithoutTarget(const std::vector<Policy::TargetView> &targets,
+                                           Model::Milliseconds otherwise);
     std::vector<Policy::DomainView> domainViews(const EntrySnapshot &snapshot,
                                                 const ServicePlan &plan, bool mayFill,
+                                                Model::Microseconds longestWait,
                                                 Model::SteadyTime now) const;
     bool mayFill(const EntrySnapshot &snapshot, const ServicePlan &plan,
                  const CallerRequest &request, Model::SteadyTime now) const;
--- a/Services/Entryd/TargetAnswer.cpp
+++ b/Services/Entryd/TargetAnswer.cpp
@@ -22,17 +22,6 @@
     return Model::RequestsPerSecond(rate);
 }
 
-TargetReport reportIn(const Http::Response &answer)
-{
-    TargetReport report;
-    report.inFlight_ = numberIn(answer[Http::loadHeader.data()], -1);
-    const auto incarnation = numberIn(answer[Http::incarnationHeader.data()], 0);
-    report.incarnation_ = Model::Incarnation(static_cast<std::uint64_t>(incarnation));
-    report.limit_ = limitIn(answer);
-    report.isDraining_ = answer.count(Http::drainingHeader.data()) > 0;
-    return report;
-}
-
 /// Returns the pause that \a answer asks this entry for, or zero.
 Model::Microseconds pauseAskedIn(const TargetState &target, const Http::Response &answer)
 {
@@ -57,6 +46,19 @@
     return *asked;
 }
 
+TargetReport reportIn(const TargetState &target, const Http::Response &answer)
+{
+    TargetReport report;
+    report.inFlight_ = numberIn(answer[Http::loadHeader.data()], -1);
+    const auto incarnation = numberIn(answer[Http::incarnationHeader.data()], 0);
+    report.incarnation_ = Model::Incarnation(static_cast<std::uint64_t>(incarnation));
+    report.limit_ = limitIn(answer);
+    report.isRefusal_ = answer.count(Http::notStartedHeader.data()) > 0;
+    report.pause_ = pauseAskedIn(target, answer);
+    report.isDraining_ = answer.count(Http::drainingHeader.data()) > 0;
+    return report;
+}
+
 } // namespace
 
 std::int64_t numberIn(Http::beast::string_view text, std::int64_t fallback)
@@ -69,9 +71,8 @@
 void noteTargetAnswer(TargetState &target, const Http::Response &answer)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (noteReport(target, reportIn(answer), now))
+    if (noteReport(target, reportIn(target, answer), now))
         logLeaving(target, "itself", now);
-    pauseAskedIn(target, answer);
     if (noteAlive(target, now))
         Observe::logEvent(Event::TargetBack, {{"target", target.target_.id_.value()}});
 }
--- a/Services/Entryd/TargetState.cpp
+++ b/Services/Entryd/TargetState.cpp
@@ -28,8 +28,49 @@
     return interval != 0 && microsecondsOf(now) - state.limitUsedAtUs_ < interval;
 }
 
+/// Sets the window of a pause, and its end unless another thread has noted a later one.
+void setPause(TargetState &state, const Policy::TargetPause &pause)
+{
+    const std::int64_t until = microsecondsOf(pause.until_);
+    std::int64_t known = state.pauseUntilUs_;
+    while (known < until && !state.pauseUntilUs_.compare_exchange_weak(known, until)) { }
+    state.returnWindow_ = pause.returnWindow_.value_or(noReturnWindow);
+}
+
+void notePause(TargetState &state, const TargetReport &report, Model::SteadyTime now)
+{
+    Policy::TargetPause pause = pauseOf(state);
+    if (report.pause_ > Model::Microseconds(0)) {
+        Policy::notePause(pause, report.pause_, Policy::returnWindowBeforeProbe, now);
+        setPause(state, pause);
+    } else if (pause.returnWindow_ && !report.isRefusal_) {
+        Policy::noteAnswerAfterPause(pause, state.target_.slots_.value(), now);
+        setPause(state, pause);
+    }
+}
+
 } // namespace
 
+Policy::TargetPause pauseOf(const TargetState &state)
+{
+    Policy::TargetPause pause;
+    pause.until_ = Model::SteadyTime(Model::Microseconds(state.pauseUntilUs_));
+    const std::int64_t window = state.returnWindow_;
+    if (window != noReturnWindow)
+        pause.returnWindow_ = window;
+    return pause;
+}
+
+void carryTerms(const TargetState &from, TargetState &to)
+{
+    to.incarnation_ = from.incarnation_.load();
+    to.limit_ = from.limit_.load();
+    to.limitIntervalUs_ = from.limitIntervalUs_.load();
+    to.limitUsedAtUs_ = from.limitUsedAtUs_.load();
+    to.pauseUntilUs_ = from.pauseUntilUs_.load();
+    to.returnWindow_ = from.returnWindow_.load();
+}
+
 Policy::TargetView viewOf(const TargetState &state, Model::SteadyTime now)
 {
     Policy::TargetView view;
@@ -45,9 +86,22 @@
     view.isSuspect_ = state.isSuspect_;
     view.isLeaving_ = state.isLeaving_;
     view.isOverLimit_ = isOverLimit(state, now);
+    const Policy::TargetPause pause = pauseOf(state);
+    view.pauseLeft_ = Policy::pauseLeft(pause, now);
+    view.returnWindow_ = pause.returnWindow_;
     return view;
 }
 
+std::vector<Policy::TargetView> viewsOf(const std::vector<std::shared_ptr<TargetState>> &targets,
+                                        Model::SteadyTime now)
+{
+    std::vector<Policy::TargetView> views;
+    views.reserve(targets.size());
+    for (const auto &target : targets)
+        views.push_back(viewOf(*target, now));
+    return views;
+}
+
 void noteLimit(TargetState &state, std::optional<Model::RequestsPerSecond> limit,
                Model::SteadyTime now)
 {
@@ -122,8 +176,11 @@
         // A new incarnation has cold caches, and leaving markers of the previous one are void.
         state.inUseSinceUs_ = microsecondsOf(now);
         state.isLeaving_ = false;
+        state.pauseUntilUs_ = 0;
+        state.returnWindow_ = noReturnWindow;
     }
     noteLimit(state, report.limit_, now);
+    notePause(state, report, now);
     if (!report.isDraining_)
         return false;
     return !state.isLeaving_.exchange(true);
--- a/Services/Entryd/TargetState.h
+++ b/Services/Entryd/TargetState.h
@@ -9,9 +9,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace Entryd {
 
+/// A target without a limit on the requests in progress after a pause.
+constexpr std::int64_t noReturnWindow = -1;
+
 /// The observed state of one target; all threads of the entry read and write it without a lock.
 ///
 /// Thread safety: any thread. The counters are updated independently: a reader may see one of them
@@ -43,6 +47,12 @@
     std::atomic<std::int64_t> limitIntervalUs_{0};
     /// When the part was last used, or the limit became known.
     std::atomic<std::int64_t> limitUsedAtUs_{0};
+    /// The fields of Policy::TargetPause: the end of the pause that the target asked this entry
+    /// for, and the window after it, or noReturnWindow.
+    std::atomic<std::int64_t> pauseUntilUs_{0};
+    std::atomic<std::int64_t> returnWindow_{noReturnWindow};
+    /// A probe is due when the pause ends.
+    std::atomic<bool> isReturnProbePending_{false};
     std::atomic<bool> isSuspect_{false};
     std::atomic<bool> isLeaving_{false};
     /// The time of the last request sent and of the last answer received; zero for never.
@@ -56,9 +66,20 @@
 /// The time after which a hint of another entry expires.
 constexpr Model::Milliseconds hintTtl{30};
 
+/// Returns the pause that the target has asked this entry for. Thread safety: any thread.
+Policy::TargetPause pauseOf(const TargetState &state);
+
+/// Copies what the target at \a from has asked for to \a to, which stands for the same target after
+/// a change of its row. Thread safety: any thread.
+void carryTerms(const TargetState &from, TargetState &to);
+
 /// Returns a copy of the counters for placement decisions. Thread safety: any thread.
 Policy::TargetView viewOf(const TargetState &state, Model::SteadyTime now);
 
+/// Returns copies of the counters of several targets. Thread safety: any thread.
+std::vector<Policy::TargetView> viewsOf(const std::vector<std::shared_ptr<TargetState>> &targets,
+                                        Model::SteadyTime now);
+
 /// Holds one slot of a target: counts a request as in flight for the lifetime of the object.
 ///
 /// Thread safety: distinct objects may be used on distinct threads.
@@ -100,6 +121,10 @@
     bool isDraining_ = false;
     /// std::nullopt if the target names none.
     std::optional<Model::RequestsPerSecond> limit_;
+    /// The pause that it asks this entry for; zero for none.
+    Model::Microseconds pause_{0};
+    /// It refused the request before starting it.
+    bool isRefusal_ = false;
 };
 
 /// Records an answer's report. Returns whether it is the first to show that the target is leaving.
