LibSteering, platform: Send nothing to a target that has announced its leave in an answer

What callers saw: requests that reach a target which leaves, long after the instance had passed on an answer that said so (DRAIN); while the store is away nothing else tells of the leave. Cause: a term of the targets' protocol that no code read; of the same class as the rate limit. Change: an answer with Server-Leaving, whatever its status but not a 421 of another target, ends the use of the incarnation at once, without store or peer. No registration takes it back, and it is kept while the registration is missing; a later incarnation owes nothing. A peer that relays an answer names the target, so that the relaying instance is bound too.

--- a/Libraries/LibPolicy/LeaveSpans.cpp
+++ b/Libraries/LibPolicy/LeaveSpans.cpp
@@ -56,6 +56,16 @@
     };
 }
 
+std::vector<LeaveSpan> leavePathByAnswer()
+{
+    return {
+        {"watch", tickPeriod},
+        {"send", sendToLeavingTimeout},
+        {"processor", processorWait},
+        {"way", wayToTarget},
+    };
+}
+
 std::vector<LeaveSpan> leavePathByProbes()
 {
     return {
--- a/Libraries/LibPolicy/LeaveSpans.h
+++ b/Libraries/LibPolicy/LeaveSpans.h
@@ -70,6 +70,10 @@
 /// region has failed and so has the peer that it asks first.
 std::vector<LeaveSpan> leavePathByPeers();
 
+/// Where the target announces its leave in an answer that the instance passes on: nothing else is
+/// needed, neither the store nor a peer.
+std::vector<LeaveSpan> leavePathByAnswer();
+
 /// The three daemons: an entry learns of a leave from the target itself, regardless of the store.
 constexpr Model::Milliseconds targetProbeInterval{500};
 constexpr Model::Milliseconds probeTimeout{400};
--- a/Libraries/LibSteering/DispatcherForwarding.cpp
+++ b/Libraries/LibSteering/DispatcherForwarding.cpp
@@ -23,7 +23,7 @@
     auto forwarded = forwardedRequestIn(std::move(message));
     if (!forwarded) {
         auto refused = Http::refusal(Model::lastReason(), 11);
-        addForwardingOutcome(refused, Outcome::NotRun, Model::lastReason().code_);
+        addForwardingOutcome(refused, Outcome::NotRun, Model::lastReason().code_, std::nullopt);
         co_return refused;
     }
     RequestContext request;
@@ -33,7 +33,7 @@
     const InProgressEntry inProgressEntry(requestsInProgress_, request);
     auto refused = readRequest(request, &*forwarded);
     Http::Response response = co_await process(request, std::move(refused));
-    addForwardingOutcome(response, request.outcome_, request.code_);
+    addForwardingOutcome(response, request.outcome_, request.code_, request.leavingTarget_);
     co_return response;
 }
 
@@ -57,6 +57,8 @@
     ++request.forwardingTries_;
     ++counters_.forwarded_;
     ForwardingResult result = co_await forwarder_->forward(request, std::move(peer));
+    if (result.leavingTarget_)
+        placementEngine_.noteLeaveAtPeer(*result.leavingTarget_, steadyNow());
     Attempt attempted;
     attempted.outcome_ = result.outcome_;
     attempted.code_ = result.code_;
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -128,6 +128,10 @@
         recordLimit(target, port_.parseLimit_(*result.answer_), sentAt, now,
                     target.record_.id_.value(), log_);
     }
+    if (!isMisdirected && port_.takeLeave_(*result.answer_)) {
+        request.leavingTarget_ = target.record_.id_;
+        placementEngine_.noteLeave(target, now);
+    }
     const bool asksForPause = !isMisdirected && notePause(target, *result.answer_, now);
     if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
         ++counters_.refusedByTargets_;
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -33,6 +33,17 @@
     std::optional<Model::Milliseconds> retryDelayWhilePausing(const RequestContext &request,
                                                               Model::SteadyTime now);
 
+    /// Records that a target has announced its leave in an answer, here or at a peer. Such a target
+    /// takes no further requests, whatever its registration says.
+    void noteLeave(TargetState &target, Model::SteadyTime now)
+    {
+        registry_.noteLeave(target, "answer", now);
+    }
+    void noteLeaveAtPeer(const Model::TargetId &target, Model::SteadyTime now)
+    {
+        registry_.noteLeave(target, "answer at a peer", now);
+    }
+
     /// Records an answer or a failure of the target that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
                     Model::Microseconds took, Model::SteadyTime now);
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -134,6 +134,12 @@
               return Model::Microseconds(0);
           };
 
+    /// Removes the announcement in a target's answer that it leaves, which does not concern the
+    /// caller. Returns whether there was one.
+    std::function<bool(Http::Response &)> takeLeave_ = [](Http::Response &) {
+        return false;
+    };
+
     HeaderNames headers_;
     PlatformTerms terms_;
 };
--- a/Libraries/LibSteering/RequestContext.h
+++ b/Libraries/LibSteering/RequestContext.h
@@ -42,6 +42,8 @@
     int forwardingTries_ = 0;
     /// It is sent to no target that this instance has not reached lately; a peer may reach it.
     bool avoidsUnreachable_ = false;
+    /// The target that last announced its leave in an answer to it.
+    std::optional<Model::TargetId> leavingTarget_;
     /// How it ended, for a peer that forwarded it.
     Policy::Outcome outcome_ = Policy::Outcome::NotRun;
     Model::ResultCode code_ = Model::ResultCode::Ok;
--- a/Libraries/LibSteering/RequestForwarder.cpp
+++ b/Libraries/LibSteering/RequestForwarder.cpp
@@ -23,6 +23,7 @@
 constexpr const char *callerField = "Cassiacrank-Caller-Host";
 constexpr const char *outcomeField = "Cassiacrank-Forwarding-Outcome";
 constexpr const char *codeField = "Cassiacrank-Forwarding-Code";
+constexpr const char *leavingTargetField = "Cassiacrank-Leaving-Target";
 
 constexpr std::size_t maxConnectionsPerPeer = 64;
 /// Below the servers' idle limit.
@@ -178,9 +179,12 @@
     }
     result.outcome_ = *outcome;
     result.code_ = static_cast<ResultCode>(numberIn(answer[codeField]));
+    if (const auto leaving = textOf(answer[leavingTargetField]); !leaving.empty())
+        result.leavingTarget_ = Model::TargetId(leaving);
     if (*outcome == Outcome::Run) {
         answer.erase(outcomeField);
         answer.erase(codeField);
+        answer.erase(leavingTargetField);
         result.answer_ = std::move(answer);
     }
     return result;
@@ -205,10 +209,14 @@
     return forwarded;
 }
 
-void addForwardingOutcome(Http::Response &answer, Outcome outcome, ResultCode code)
+void addForwardingOutcome(Http::Response &answer, Outcome outcome, ResultCode code,
+                          const std::optional<Model::TargetId> &leavingTarget)
 {
     answer.set(outcomeField, viewOf(toText(outcome)));
     answer.set(codeField, std::to_string(Model::number(code)));
+    answer.erase(leavingTargetField);
+    if (leavingTarget)
+        answer.set(leavingTargetField, leavingTarget->value());
 }
 
 } // namespace Steering
--- a/Libraries/LibSteering/RequestForwarder.h
+++ b/Libraries/LibSteering/RequestForwarder.h
@@ -23,6 +23,8 @@
     Model::ResultCode code_ = Model::ResultCode::NoTarget;
     /// The answer of a target; std::nullopt unless the outcome is Run.
     std::optional<Http::Response> answer_;
+    /// The target that announced its leave to the peer meanwhile.
+    std::optional<Model::TargetId> leavingTarget_;
 };
 
 /// Passes requests to peers while this instance reaches few targets of a service.
@@ -67,7 +69,9 @@
 /// reason. Thread safety: any thread.
 std::optional<ForwardedRequest> forwardedRequestIn(Http::IncomingRequest message);
 
-/// Adds how a forwarded request ended to the answer for the peer. Thread safety: any thread.
-void addForwardingOutcome(Http::Response &answer, Policy::Outcome outcome, Model::ResultCode code);
+/// Adds how a forwarded request ended to the answer for the peer, and the target that announced its
+/// leave meanwhile. Thread safety: any thread.
+void addForwardingOutcome(Http::Response &answer, Policy::Outcome outcome, Model::ResultCode code,
+                          const std::optional<Model::TargetId> &leavingTarget);
 
 } // namespace Steering
--- a/Libraries/LibSteering/TargetRegistry.cpp
+++ b/Libraries/LibSteering/TargetRegistry.cpp
@@ -88,6 +88,7 @@
         const auto dropped = droppedTerms_.find(record.id_);
         if (dropped != droppedTerms_.end()
             && !isLaterIncarnation(record, dropped->second.record_)) {
+            target->record_.isLeaving_ = dropped->second.record_.isLeaving_;
             target->limit_ = dropped->second.limit_;
             target->pause_ = dropped->second.pause_;
         }
@@ -219,14 +220,14 @@
     services_.clear();
     byShortName_.clear();
     domainSeeds_.clear();
-    replacedCount_ = 0;
+    outOfUseCount_ = 0;
     const auto &table = platformState_.table();
     if (!table)
         return;
     for (const auto &domain : table->domains())
         domainSeeds_.push_back(Policy::seedOf(domain.id_.value()));
     for (const auto &[id, target] : targets_) {
-        replacedCount_ += target->isReplaced_ ? 1 : 0;
+        outOfUseCount_ += target->isReplaced_ || target->record_.isLeaving_ ? 1 : 0;
         const bool isDrained = platformState_.drained().contains(target->record_.domain_);
         if (!target->takesWork() || isDrained)
             continue;
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -148,9 +148,15 @@
     void update(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
 
     /// Drops targets whose missing registration is no longer expected to return, and applies which
-    /// targets answered that they are replaced. Returns whether any target was dropped.
+    /// targets answered that they leave or are replaced. Returns whether any target was dropped.
     bool dropMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
 
+    /// Records that \a target has announced its leave, as \a how tells. Holds for the incarnation,
+    /// whatever its registration says, and while it is missing.
+    void noteLeave(TargetState &target, const char *how, Model::SteadyTime now);
+    /// The same for the target \a id, if it is known.
+    void noteLeave(const Model::TargetId &id, const char *how, Model::SteadyTime now);
+
     /// Returns the addresses at which another incarnation has started to listen since the last
     /// call. Connections to the earlier incarnations are dead.
     std::vector<Model::Address> takeRestarted() { return std::exchange(restarted_, {}); }
@@ -210,8 +216,8 @@
     std::map<Model::TargetId, Model::SteadyTime> removals_;
     /// The terms of dropped targets, whose registrations may return.
     std::map<Model::TargetId, TargetTerms> droppedTerms_;
-    /// Number of replaced targets when services_ was last rebuilt.
-    std::size_t replacedCount_ = 0;
+    /// Number of replaced and leaving targets when services_ was last rebuilt.
+    std::size_t outOfUseCount_ = 0;
     std::unordered_map<Model::ServiceId, ServiceTargets> services_;
     /// The targets that take work, by their short name in TargetLoad.
     std::unordered_map<std::uint32_t, std::shared_ptr<TargetState>> byShortName_;
--- a/Libraries/LibSteering/TargetRemovals.cpp
+++ b/Libraries/LibSteering/TargetRemovals.cpp
@@ -57,6 +57,20 @@
         .add("peers_said_ms_before", msSince(last.freshness_.peersConfirmedAt_, last.at_));
 }
 
+void TargetRegistry::noteLeave(TargetState &target, const char *how, SteadyTime now)
+{
+    if (std::exchange(target.record_.isLeaving_, true))
+        return;
+    logLeave(target, how, target.revision_, now);
+}
+
+void TargetRegistry::noteLeave(const Model::TargetId &id, const char *how, SteadyTime now)
+{
+    const auto target = targets_.find(id);
+    if (target != targets_.end())
+        noteLeave(*target->second, how, now);
+}
+
 void TargetRegistry::noteMissing(SteadyTime now, const Policy::StoreEvidence &evidence)
 {
     const TableReplica &replica = platformState_.replica(StoreTable::Targets);
@@ -117,10 +131,10 @@
     });
     if (dropped > 0)
         findSuccessors();
-    const auto replaced = std::count_if(targets_.begin(), targets_.end(), [](const auto &entry) {
-        return entry.second->isReplaced_;
+    const auto outOfUse = std::count_if(targets_.begin(), targets_.end(), [](const auto &entry) {
+        return entry.second->isReplaced_ || entry.second->record_.isLeaving_;
     });
-    if (dropped > 0 || static_cast<std::size_t>(replaced) != replacedCount_)
+    if (dropped > 0 || static_cast<std::size_t>(outOfUse) != outOfUseCount_)
         rebuildServices();
     return dropped > 0;
 }
@@ -153,7 +167,8 @@
 void TargetRegistry::drop(TargetState &target, SteadyTime now)
 {
     target.isDropped_ = true;
-    const bool hasTerms = target.limit_.rate_ || Policy::pauseLeft(target.pause_, now).count() > 0;
+    const bool hasTerms = target.record_.isLeaving_ || target.limit_.rate_
+                          || Policy::pauseLeft(target.pause_, now).count() > 0;
     if (hasTerms)
         droppedTerms_[target.record_.id_] = {target.record_, target.limit_, target.pause_, now};
 }
--- a/Services/Entryd/TargetState.cpp
+++ b/Services/Entryd/TargetState.cpp
@@ -64,6 +64,7 @@
 void carryTerms(const TargetState &from, TargetState &to)
 {
     to.incarnation_ = from.incarnation_.load();
+    to.isLeaving_ = from.isLeaving_.load();
     to.limit_ = from.limit_.load();
     to.limitIntervalUs_ = from.limitIntervalUs_.load();
     to.limitUsedAtUs_ = from.limitUsedAtUs_.load();
--- a/Tests/LibPolicy/TestLeaveSpans.cpp
+++ b/Tests/LibPolicy/TestLeaveSpans.cpp
@@ -55,6 +55,7 @@
         assertArrives(Policy::leaveBound, Policy::leavePathByNewCall());
         assertArrives(Policy::leaveBound, Policy::leavePathWithoutAnnouncement());
         assertArrives(Policy::leaveBoundInLargeFleet, Policy::leavePathByPeers());
+        assertArrives(Policy::leaveBound, Policy::leavePathByAnswer());
         assertArrives(Policy::leaveBound, Policy::leavePathByProbes());
     }
 
@@ -78,6 +79,7 @@
         assertOnPage("new call", Policy::leavePathByNewCall());
         assertOnPage("unannounced leaves", Policy::leavePathWithoutAnnouncement());
         assertOnPage("peers", Policy::leavePathByPeers());
+        assertOnPage("answers", Policy::leavePathByAnswer());
         assertOnPage("probes", Policy::leavePathByProbes());
     }
 };
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -21,8 +21,10 @@
                     const std::string target(request.message_["Expected"]);
                     receivingTargets_.push_back(target);
                     received_.push_back(request.message_);
-                    auto answer = Http::textAnswer(http::status::ok, "text/plain", target, 11);
+                    auto answer = Http::textAnswer(status_, "text/plain", target, 11);
                     answer.set("Id", std::string(request.message_["Id"]));
+                    for (const auto &[name, value] : fields_)
+                        answer.set(name, value);
                     co_return answer;
                 }));
             addresses_[id] = freeAddress();
@@ -31,6 +33,13 @@
         instance_.port_.headers_.expectedTarget_ = "Expected";
         instance_.port_.headers_.callerKey_ = "Secret";
         instance_.port_.headers_.workspace_ = "Workspace";
+        instance_.port_.headers_.notRun_ = "Not-Run";
+        instance_.port_.parsePause_ = [](const Http::Response &answer) {
+            return Http::retryAfterIn(answer, Model::WallTime());
+        };
+        instance_.port_.takeLeave_ = [](Http::Response &answer) {
+            return answer.erase("Leaving") > 0;
+        };
         guard_.setInformed();
         instance_.setOperatorRows(3, 1);
         instance_.setTargetRows(2, {row("a", 2), row("b", 2)});
@@ -122,6 +131,9 @@
         quotas_,  instance_.log_};
     std::vector<std::unique_ptr<Http::Server>> servers_;
     std::map<std::string, Model::Address> addresses_;
+    /// What the targets answer.
+    http::status status_ = http::status::ok;
+    std::map<std::string, std::string> fields_;
     std::vector<std::string> receivingTargets_;
     std::vector<Http::Request> received_;
     std::optional<Http::Response> answer_;
@@ -133,6 +145,9 @@
     CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToATargetThatLeaves);
     CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToATargetThatIsGone);
     CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToADrainedDomain);
+    CPPUNIT_TEST(requestThatWaitsForAConnectionIsNotSentToATargetThatPauses);
+    CPPUNIT_TEST(pauseAndLeaveOfATargetDoNotReachTheCaller);
+    CPPUNIT_TEST(termsOfAnotherTargetAtTheAddressAreNotRead);
     CPPUNIT_TEST(requestWithoutAKnownKeyReachesNoTarget);
     CPPUNIT_TEST(targetGetsTheWorkspaceAndNotTheKey);
     CPPUNIT_TEST(publicRouteNeedsNoKey);
@@ -162,6 +177,52 @@
         assertSentElsewhere(fixture, left);
     }
 
+    // The same for a target that asks for a pause meanwhile, in an answer to another request.
+    void requestThatWaitsForAConnectionIsNotSentToATargetThatPauses()
+    {
+        DispatcherFixture fixture;
+        fixture.startRequest();
+        const std::string pausing = fixture.chosenTarget();
+        Policy::notePause(
+            fixture.instance_.targetRegistry_.all().at(Model::TargetId(pausing))->pause_,
+            Milliseconds(5000), Policy::initialReturnWindow, std::chrono::steady_clock::now());
+        assertSentElsewhere(fixture, pausing);
+    }
+
+    // Guards against passing on what a target tells its instance: callers would wait although other
+    // targets serve them.
+    void pauseAndLeaveOfATargetDoNotReachTheCaller()
+    {
+        DispatcherFixture fixture;
+        fixture.status_ = http::status::service_unavailable;
+        fixture.fields_ = {{"Retry-After", "5"}, {"Leaving", "1"}};
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Other", "")
+                       == http::status::service_unavailable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.answer_->count(http::field::retry_after));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.answer_->count("Leaving"));
+        fixture.status_ = http::status::ok;
+        fixture.fields_.clear();
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Other", "") == http::status::ok);
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(1), std::count(fixture.receivingTargets_.begin(),
+                                                           fixture.receivingTargets_.end(),
+                                                           fixture.receivingTargets_.front()));
+    }
+
+    // Guards against believing a target's address: another one that listens there answers 421, and
+    // asks for a pause or leaves on its own account.
+    void termsOfAnotherTargetAtTheAddressAreNotRead()
+    {
+        DispatcherFixture fixture;
+        fixture.status_ = http::status::misdirected_request;
+        fixture.fields_ = {{"Retry-After", "5"}, {"Leaving", "1"}};
+        fixture.answerTo("/read/x", "Other", "");
+        for (const auto &[id, target] : fixture.instance_.targetRegistry_.all()) {
+            CPPUNIT_ASSERT(!target->record_.isLeaving_);
+            CPPUNIT_ASSERT(target->pause_.until_ == Model::distantPast);
+        }
+    }
+
     /// Adds workspaces to the table: "w", whose quota admits a few requests, and
     /// "free" without a quota.
     static void addWorkspaces(DispatcherFixture &fixture)
--- a/Tests/LibSteering/TestTargetTerms.cpp
+++ b/Tests/LibSteering/TestTargetTerms.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(oneRequestShowsWhetherATargetTakesWorkAgain);
     CPPUNIT_TEST(termsOutliveALapsedRegistration);
     CPPUNIT_TEST(laterIncarnationOwesNothing);
+    CPPUNIT_TEST(announcedLeaveOutlivesEveryRegistrationOfItsIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,12 +146,38 @@
         CPPUNIT_ASSERT(!target(instance, "c").limit_.rate_);
     }
 
+    // Guards against a registration, old or renewed, that takes back a leave which the target has
+    // announced in an answer.
+    void announcedLeaveOutlivesEveryRegistrationOfItsIncarnation()
+    {
+        auto instance = instanceWithTargets();
+        instance.targetRegistry_.noteLeave(Model::TargetId("a"), "answer at a peer", instance.now_);
+        CPPUNIT_ASSERT(!target(instance, "a").takesWork());
+        instance.dropMissing();
+        const auto *targets = instance.targetRegistry_.service(Model::ServiceId("gauging"));
+        std::size_t inUse = 0;
+        for (const auto &domain : targets->byDomain_)
+            inUse += domain.size();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), inUse);
+        instance.setTargetRows(6, registrations(6, 1000));
+        CPPUNIT_ASSERT(!target(instance, "a").takesWork());
+        instance.setTargetRows(7, {});
+        instance.now_ += Milliseconds(1500);
+        instance.dropMissing();
+        CPPUNIT_ASSERT(instance.targetRegistry_.all().empty());
+        instance.setTargetRows(8, registrations(8, 1000));
+        CPPUNIT_ASSERT(!target(instance, "a").takesWork());
+        CPPUNIT_ASSERT(target(instance, "b").takesWork());
+    }
+
     // Guards against holding a restarted target to what an earlier incarnation asked for.
     void laterIncarnationOwesNothing()
     {
         auto instance = instanceWithTargets();
         pauseTarget(instance, "a", pause);
+        instance.targetRegistry_.noteLeave(target(instance, "a"), "answer", instance.now_);
         lapseAndReturn(instance, 2000);
+        CPPUNIT_ASSERT(target(instance, "a").takesWork());
         CPPUNIT_ASSERT(Policy::isPauseOver(target(instance, "a").pause_, 0, instance.now_));
         pauseTarget(instance, "a", pause);
         instance.setTargetRows(8, registrations(8, 3000));
--- a/Tests/Platform/TestPartitions.cpp
+++ b/Tests/Platform/TestPartitions.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(homesHoldForForwardedRequests);
     CPPUNIT_TEST(quotaHoldsForForwardedRequests);
     CPPUNIT_TEST(leavingTargetGetsNoForwardedRequests);
+    CPPUNIT_TEST(leaveAnnouncedThroughAPeerHoldsAfterThePartition);
     CPPUNIT_TEST(stoppingPeerFinishesForwardedRequests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -271,6 +272,30 @@
         CPPUNIT_ASSERT_EQUAL(runs, leaving.runCount());
     }
 
+    // Guards against an instance that has passed on, from a peer, the answer of a target that
+    // leaves, and sends it requests once it reaches targets again.
+    void leaveAnnouncedThroughAPeerHoldsAfterThePartition()
+    {
+        PartitionedFleet site;
+        site.link_.setState(LinkState::Refusing);
+        site.useFor(contactTime);
+        auto &leaving = *site.fleet_.targets_[0];
+        leaving.takeArrivals();
+        leaving.setFaults({.announcesLeave_ = true});
+        site.useFor(Milliseconds(2000));
+        CPPUNIT_ASSERT(!leaving.takeArrivals().empty());
+        Harness::pause(leaveBound);
+        site.link_.setState(LinkState::Open);
+        // Its own way is used again.
+        CPPUNIT_ASSERT(Harness::waitUntil(recoveryTime, [&] {
+            const double before = site.metric(*site.partitioned_, "cassiacrank_forwarded_total");
+            const int back = site.served("back-");
+            return back == requests
+                   && site.metric(*site.partitioned_, "cassiacrank_forwarded_total") == before;
+        }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), leaving.takeArrivals().size());
+    }
+
     // Guards against a planned stop of a peer that cuts requests which were forwarded to it.
     void stoppingPeerFinishesForwardedRequests()
     {
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(mutatedRegistrationsAreReadWholeOrRefused);
     CPPUNIT_TEST(loadReportsAreRead);
     CPPUNIT_TEST(limitsOfTargetsAreRead);
+    CPPUNIT_TEST(pausesAndLeavesOfTargetsAreRead);
     CPPUNIT_TEST(lookupsAreReadAndAnswered);
     CPPUNIT_TEST(termsAreReadAndUnknownOnesIgnored);
     CPPUNIT_TEST(randomRowsNeverThrow);
@@ -236,6 +237,24 @@
         }
     }
 
+    void pausesAndLeavesOfTargetsAreRead()
+    {
+        Http::Response answer;
+        CPPUNIT_ASSERT(Adapter::pauseIn(answer) == Model::Microseconds(0));
+        answer.set("Retry-After", "2.5");
+        CPPUNIT_ASSERT(Adapter::pauseIn(answer) == Milliseconds(2500));
+        answer.set("Retry-After", "soon");
+        CPPUNIT_ASSERT(!Adapter::pauseIn(answer));
+        CPPUNIT_ASSERT(!Adapter::takeLeave(answer));
+        for (const std::string name : {"X-Cassiacrank-Server-Leaving", "Server-Leaving"}) {
+            answer.set(name, "0");
+            CPPUNIT_ASSERT(!Adapter::takeLeave(answer));
+            answer.set(name, "1");
+            CPPUNIT_ASSERT(Adapter::takeLeave(answer));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), answer.count(name));
+        }
+    }
+
     void lookupsAreReadAndAnswered()
     {
         Http::Request request(Http::http::verb::get, "/-/resolve?name=h&region=r&zone=z-a", 11);
