LibPeers: Accept tables of peers that are longer than 4 MB

Cause: the client that pulls from peers kept gRPC's default limit of received messages, unlike that of the control process. A peer whose table is longer is pulled from in vain, and with the table its heartbeat, marks and summaries are lost. Change: one limit of 128 MB for both. Still open: a pull ends after 1 s, also while rows arrive on a narrow link.

--- a/Libraries/LibPeers/Codec.h
+++ b/Libraries/LibPeers/Codec.h
@@ -9,6 +9,10 @@
 
 namespace Peers {
 
+/// The limit of a received message, instead of gRPC's default of 4 MB. The map of client blocks of
+/// a large fleet takes tens of megabytes, and a table several.
+constexpr int maxMessageBytes = 128 * 1024 * 1024;
+
 /// Conversions between the protocol messages and the structs that the rest of the code uses.
 ///
 /// The fromMessage() overloads that return std::optional return std::nullopt, with SnapshotInvalid
--- a/Libraries/LibPeers/ControlClient.cpp
+++ b/Libraries/LibPeers/ControlClient.cpp
@@ -12,8 +12,6 @@
 
 constexpr Model::Milliseconds reconnectDelay{100};
 constexpr Model::Milliseconds reportTimeout{500};
-/// The map of client blocks of a large fleet takes tens of megabytes.
-constexpr int maxMessageBytes = 128 * 1024 * 1024;
 
 std::shared_ptr<grpc::Channel> makeChannel(const Model::Address &address)
 {
--- a/Libraries/LibPeers/PeerClient.cpp
+++ b/Libraries/LibPeers/PeerClient.cpp
@@ -21,6 +21,7 @@
     // the unresponsive one.
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetMaxReceiveMessageSize(maxMessageBytes);
     const auto channel = grpc::CreateCustomChannel(Model::toText(address),
                                                    grpc::InsecureChannelCredentials(), arguments);
     return cassiacrank::Peers::NewStub(channel);
