Tests: Hold a target's rate limit beside a partition

An instance that reaches no target passes requests to peers, then uses its own way again, while a target names five requests a second.

--- a/Tests/Platform/TestPartitions.cpp
+++ b/Tests/Platform/TestPartitions.cpp
@@ -28,6 +28,10 @@
 /// First tries that may fail at partitioned instances, beside one in fifty.
 constexpr int allowedFailures = 10;
 constexpr std::size_t targetCount = 6;
+/// A target that names a limit of five a second gets at most one and a half times as many in this
+/// time, and five more.
+constexpr Milliseconds limitWindow{4000};
+constexpr std::size_t limitedRequests = 35;
 /// A peer that has not taken a request is not asked again for this long.
 constexpr Milliseconds forwardingPause{1000};
 
@@ -40,6 +44,7 @@
     CPPUNIT_TEST(targetsThatAreDownForAllAreNotForwardedOnAndOn);
     CPPUNIT_TEST(homesHoldForForwardedRequests);
     CPPUNIT_TEST(quotaHoldsForForwardedRequests);
+    CPPUNIT_TEST(limitHoldsForForwardedRequests);
     CPPUNIT_TEST(leavingTargetGetsNoForwardedRequests);
     CPPUNIT_TEST(leaveAnnouncedThroughAPeerHoldsAfterThePartition);
     CPPUNIT_TEST(stoppingPeerFinishesForwardedRequests);
@@ -272,6 +277,25 @@
         CPPUNIT_ASSERT_EQUAL(runs, leaving.runCount());
     }
 
+    // Guards against a target that gets more than the rate limit it names, because an instance
+    // passes requests to peers, or returns to its own way and uses a part of its own beside theirs.
+    void limitHoldsForForwardedRequests()
+    {
+        PartitionedFleet site;
+        site.link_.setState(LinkState::Refusing);
+        site.useFor(contactTime);
+        auto &limited = *site.fleet_.targets_[0];
+        limited.setFaults({.limit_ = "5.0"});
+        site.useFor(limitWindow);
+        for (const auto state : {LinkState::Refusing, LinkState::Open}) {
+            site.link_.setState(state);
+            limited.takeArrivals();
+            site.useFor(limitWindow);
+            const auto count = limited.takeArrivals().size();
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + " requests", count <= limitedRequests);
+        }
+    }
+
     // Guards against an instance that has passed on, from a peer, the answer of a target that
     // leaves, and sends it requests once it reaches targets again.
     void leaveAnnouncedThroughAPeerHoldsAfterThePartition()
