Soak: Draw targets that pause, announce their leave, and lapse

Two promises judge what reaches them from each instance; only a kill, stop or pause of its process and disturbed ways to targets excuse it, not the store.

--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -377,23 +377,26 @@
 
 Task<Http::Response> Target::answer(Http::IncomingRequest incoming)
 {
-    Http::Response response = co_await run(std::move(incoming));
-    const std::lock_guard lock(mutex_);
-    if (faults_.announcesLeave_ && response.result() != http::status::misdirected_request)
+    TargetFaults faults;
+    {
+        const std::lock_guard lock(mutex_);
+        faults = faults_;
+    }
+    Http::Response response = co_await run(std::move(incoming), faults);
+    if (faults.announcesLeave_ && response.result() != http::status::misdirected_request)
         response.set("X-Cassiacrank-Server-Leaving", "1");
     co_return response;
 }
 
-Task<Http::Response> Target::run(Http::IncomingRequest incoming)
+Task<Http::Response> Target::run(Http::IncomingRequest incoming, TargetFaults faults)
 {
     const Http::Request &request = incoming.message_;
     const std::string id(request["X-Cassiacrank-Request-Id"]);
-    TargetFaults faults;
+    const std::string via(request[viaEntryHeader]);
     Http::Response response;
     bool isEnding = false;
     {
         const std::lock_guard lock(mutex_);
-        faults = faults_;
         if (request["X-Cassiacrank-Expect-Instance"] != id_) {
             response = jsonAnswer(json::object(), http::status::misdirected_request);
             response.set("X-Cassiacrank-Request-Id", id);
@@ -405,12 +408,14 @@
             response.set("X-Cassiacrank-Request-Id", id);
             if (!faults.retryAfter_.empty())
                 response.set(http::field::retry_after, faults.retryAfter_);
-            refusals_.push_back({incoming.arrivedAt_, id_, id});
+            const double seconds = faults.retryAfter_.empty() ? 0 : std::stod(faults.retryAfter_);
+            const Model::Milliseconds pause(static_cast<long long>(seconds * 1000));
+            refusals_.push_back({incoming.arrivedAt_, id_, id, via, pause, faults.announcesLeave_});
             co_return response;
         }
         ++runs_[id];
         requests_.push_back(request);
-        arrivals_.push_back({incoming.arrivedAt_, id_, id, std::string(request[viaEntryHeader])});
+        arrivals_.push_back({incoming.arrivedAt_, id_, id, via, {}, faults.announcesLeave_});
         isEnding = !faults.crashPathPrefix_.empty()
                    && request.target().starts_with(faults.crashPathPrefix_);
         if (isEnding && !endAt_) {
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -140,6 +140,9 @@
     std::string request_;
     /// The entry that forwarded the request, if the caller named it.
     std::string viaEntry_;
+    /// What the target asks for in its answer: a pause, or no requests any more.
+    Model::Milliseconds pause_{0};
+    bool announcesLeave_ = false;
 };
 
 /// The header in which callers of a soak test name the entry they use. Instances forward it.
@@ -184,7 +187,7 @@
 
 private:
     Http::Task<Http::Response> answer(Http::IncomingRequest request);
-    Http::Task<Http::Response> run(Http::IncomingRequest request);
+    Http::Task<Http::Response> run(Http::IncomingRequest request, TargetFaults faults);
     void supervise();
 
     mutable std::mutex mutex_;
--- a/Tests/Soak/Plan.cpp
+++ b/Tests/Soak/Plan.cpp
@@ -24,10 +24,24 @@
 /// Number of kinds drawn for every plan; poison requests are drawn separately.
 constexpr std::size_t drawnKinds = 14;
 
-constexpr std::array<const char *, drawnKinds + 1> names = {
-    "InstanceKilled", "InstancePaused", "InstanceStopped", "StoreRefuses",  "StoreLosesAnswers",
-    "StoreForgets",   "StoreWay",       "PeerWays",        "TargetWay",     "TargetMisbehaves",
-    "TargetReplaced", "TargetLeaves",   "TableEdited",     "DomainDrained", "RequestEndsTargets"};
+constexpr std::array<const char *, 18> names = {"InstanceKilled",
+                                                "InstancePaused",
+                                                "InstanceStopped",
+                                                "StoreRefuses",
+                                                "StoreLosesAnswers",
+                                                "StoreForgets",
+                                                "StoreWay",
+                                                "PeerWays",
+                                                "TargetWay",
+                                                "TargetMisbehaves",
+                                                "TargetReplaced",
+                                                "TargetLeaves",
+                                                "TableEdited",
+                                                "DomainDrained",
+                                                "RequestEndsTargets",
+                                                "TargetPauses",
+                                                "TargetAnnouncesLeave",
+                                                "RegistrationsLapse"};
 
 bool concernsInstance(FaultKind kind)
 {
@@ -55,6 +69,35 @@
     }
 }
 
+/// Mean time between targets that begin to pause or announce their leaves in answers.
+constexpr Milliseconds termInterval{2500};
+constexpr Milliseconds minTermTime{1500};
+constexpr Milliseconds maxTermTime{6000};
+
+/// Adds what targets ask for in their answers, beside the other faults of the plan.
+void addTerms(std::vector<Fault> &faults, std::uint64_t seed, const PlanSize &size)
+{
+    std::mt19937_64 random(seed * 3 + 2);
+    const auto draw = [&](long long from, long long to) {
+        return std::uniform_int_distribution<long long>(from, to)(random);
+    };
+    const auto end = size.length_ - calmTime;
+    for (auto at = settleTime; at < end; at += Milliseconds(draw(0, 2 * termInterval.count()))) {
+        Fault fault;
+        const long long kind = draw(0, 4);
+        fault.kind_ = kind < 2   ? FaultKind::TargetPauses
+                      : kind < 4 ? FaultKind::TargetAnnouncesLeave
+                                 : FaultKind::RegistrationsLapse;
+        fault.start_ = at;
+        fault.end_
+            = std::min(end, at + Milliseconds(draw(minTermTime.count(), maxTermTime.count())));
+        fault.subject_
+            = static_cast<std::size_t>(draw(0, static_cast<long long>(size.targets_) - 1));
+        fault.variant_ = static_cast<std::size_t>(draw(0, 3));
+        faults.push_back(fault);
+    }
+}
+
 /// Time from the start of the leaves until the store has been calm for long enough to bind.
 constexpr Milliseconds storeSettleTime{4200};
 constexpr Milliseconds leaveInterval{1500};
@@ -146,6 +189,7 @@
     if (size.hasPoisonRequests_)
         addEndingRequests(faults, seed, size);
     addLeaves(faults, seed, size);
+    addTerms(faults, seed, size);
     return faults;
 }
 
--- a/Tests/Soak/Plan.h
+++ b/Tests/Soak/Plan.h
@@ -32,6 +32,13 @@
     DomainDrained,
     /// A poison request is repeated: every target that runs it crashes.
     RequestEndsTargets,
+    /// The target turns requests away and asks for pauses, or all targets do.
+    TargetPauses,
+    /// The target announces in its answers that it leaves, while its registration says otherwise,
+    /// and returns as a new incarnation.
+    TargetAnnouncesLeave,
+    /// The registrations of most targets are removed and return under the same ids.
+    RegistrationsLapse,
 };
 
 struct Fault
--- a/Tests/Soak/Promises.cpp
+++ b/Tests/Soak/Promises.cpp
@@ -56,6 +56,10 @@
         return "an edit is in force at every instance";
     case Promise::PoisonRequests:
         return "a poison request is kept from targets";
+    case Promise::PausesAreKept:
+        return "a target that asked for a pause receives no requests";
+    case Promise::AnnouncedLeavesAreKept:
+        return "a target that announced its leave in an answer receives no new requests";
     }
     return "";
 }
@@ -63,6 +67,7 @@
 Promises::Promises(SoakSite &site, Callers &callers)
     : site_(site)
     , callers_(callers)
+    , terms_(site)
 {
 }
 
@@ -162,10 +167,29 @@
 {
     const auto &targets = site_.fleet().targets_;
     for (std::size_t i = 0; i < targets.size(); ++i) {
-        for (const auto &arrival : targets[i]->takeArrivals())
+        std::vector<PlatformStandIns::Arrival> all = targets[i]->takeRefusals();
+        for (const auto &arrival : targets[i]->takeArrivals()) {
             checkArrival(arrival, i);
+            all.push_back(arrival);
+        }
+        std::sort(all.begin(), all.end(), [](const auto &a, const auto &b) {
+            return a.at_ < b.at_;
+        });
+        for (const auto &arrival : all)
+            terms_.note(arrival, callers_.isOnTime());
     }
     countJudgedLeaves();
+    checkTerms();
+}
+
+void Promises::checkTerms()
+{
+    for (const auto &violation : terms_.takeViolations()) {
+        reportBroken(violation.isPause_ ? Promise::PausesAreKept : Promise::AnnouncedLeavesAreKept,
+                     violation.what_);
+    }
+    judged_[static_cast<std::size_t>(Promise::PausesAreKept)] = terms_.judgedPauses();
+    judged_[static_cast<std::size_t>(Promise::AnnouncedLeavesAreKept)] = terms_.judgedLeaves();
 }
 
 void Promises::checkArrival(const PlatformStandIns::Arrival &arrival, std::size_t target)
--- a/Tests/Soak/Promises.h
+++ b/Tests/Soak/Promises.h
@@ -2,6 +2,7 @@
 
 #include "Callers.h"
 #include "SoakSite.h"
+#include "TermPromises.h"
 
 #include <array>
 
@@ -18,8 +19,10 @@
     LookupsOmitStoppedInstances,
     EditsInForce,
     PoisonRequests,
+    PausesAreKept,
+    AnnouncedLeavesAreKept,
 };
-constexpr std::size_t promiseCount = 9;
+constexpr std::size_t promiseCount = 11;
 
 /// Returns a description of \a promise. Thread safety: any thread.
 const char *toText(Promise promise);
@@ -48,6 +51,7 @@
     void checkTime(const Record &record);
     void checkRuns();
     void checkLeaving();
+    void checkTerms();
     void checkArrival(const PlatformStandIns::Arrival &arrival, std::size_t target);
     void countJudgedLeaves();
     void checkNames();
@@ -64,6 +68,7 @@
     Callers &callers_;
     std::vector<Record> records_;
     JudgedCounts judged_{};
+    TermPromises terms_;
     /// Requests reported to callers as not run and never to be run.
     std::vector<std::string> reportedNotRun_;
     /// Checked leaves: the target incarnation that left and the bound instance.
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -37,17 +37,6 @@
     return static_cast<std::uint16_t>(base + static_cast<int>(number));
 }
 
-/// A target that runs a request with this path prefix crashes, and restarts after a delay.
-constexpr const char *poisonPathPrefix = "/read/ends-";
-constexpr Milliseconds backAfter{400};
-
-TargetFaults withEnds(TargetFaults faults)
-{
-    faults.crashPathPrefix_ = poisonPathPrefix;
-    faults.restartDelay_ = backAfter;
-    return faults;
-}
-
 SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -115,7 +104,7 @@
     for (std::size_t i = 0; i < size_.targets_; ++i) {
         fleet_.targets_.push_back(std::make_unique<PlatformStandIns::Target>(
             "127.0.0.1", "t" + std::to_string(++lastIncarnation_)));
-        fleet_.targets_.back()->setFaults(withEnds({}));
+        fleet_.targets_.back()->setFaults(withPoison({}));
         fleet_.targets_.back()->setRestartCallback([this, i](const std::string &earlier) {
             registerTarget(i, "ready");
             fleet_.store_.remove("servers", earlier);
@@ -179,6 +168,12 @@
     disturb(instances_[instance], change);
 }
 
+void SoakSite::disturbProcess(std::size_t instance, int change)
+{
+    disturb(processes_[instance], change);
+    disturb(instance, change);
+}
+
 std::optional<SteadyTime> SoakSite::targetWayCalmSince(std::size_t target) const
 {
     const auto found = targetWays_.find(target);
@@ -187,13 +182,11 @@
 
 std::optional<SteadyTime> SoakSite::calmSince(const Model::Address &entry) const
 {
-    for (std::size_t i = 0; i < fleet_.instances_.size(); ++i) {
-        if (fleet_.instances_[i]->entry() != entry)
-            continue;
-        const auto found = instances_.find(i);
-        return found == instances_.end() ? Model::distantPast : found->second.calmSince();
-    }
-    return std::nullopt;
+    const auto number = numberOf(entry);
+    if (!number)
+        return std::nullopt;
+    const auto found = instances_.find(*number);
+    return found == instances_.end() ? Model::distantPast : found->second.calmSince();
 }
 
 std::optional<SteadyTime> SoakSite::storeCalmSince() const
@@ -276,7 +269,7 @@
     auto &instance = *fleet_.instances_[number];
     downSince_.erase(toText(instance.entry()));
     pauseCount_[number] = 0;
-    disturb(number, 0);
+    disturbProcess(number, 0);
     instance.process_->start();
 }
 
@@ -320,7 +313,7 @@
     switch (fault.kind_) {
     case InstanceKilled:
     case InstanceStopped: {
-        disturb(subject, 1);
+        disturbProcess(subject, 1);
         auto &instance = *fleet_.instances_[subject];
         if (downCount_[subject]++ > 0)
             return;
@@ -333,7 +326,7 @@
         return;
     }
     case InstancePaused:
-        disturb(subject, 1);
+        disturbProcess(subject, 1);
         ++pauseCount_[subject];
         fleet_.instances_[subject]->process_->signal(SIGSTOP);
         return;
@@ -358,7 +351,7 @@
         faults.losesAnswers_ = fault.variant_ == 1;
         faults.isTruncating_ = fault.variant_ == 2;
         faults.isForeign_ = fault.variant_ == 3;
-        return fleet_.targets_[subject]->setFaults(withEnds(faults));
+        return fleet_.targets_[subject]->setFaults(withPoison(faults));
     }
     case TargetReplaced:
         if (!leavingTargets_.contains(subject))
@@ -381,6 +374,10 @@
     }
     case RequestEndsTargets:
         return callers_->beginPoison(poisonPathPrefix + number);
+    case TargetPauses:
+    case TargetAnnouncesLeave:
+    case RegistrationsLapse:
+        return beginTerms(fault);
     }
 }
 
@@ -394,11 +391,11 @@
     case InstanceStopped:
         if (--downCount_[subject] == 0)
             startInstance(subject);
-        return disturb(subject, -1);
+        return disturbProcess(subject, -1);
     case InstancePaused:
         if (--pauseCount_[subject] <= 0)
             fleet_.instances_[subject]->process_->signal(SIGCONT);
-        return disturb(subject, -1);
+        return disturbProcess(subject, -1);
     case StoreRefuses:
     case StoreLosesAnswers:
     case StoreForgets:
@@ -413,7 +410,7 @@
         switchWays("target-" + number, "pass");
         return disturb(targetWays_[subject], -1);
     case TargetMisbehaves:
-        return fleet_.targets_[subject]->setFaults(withEnds({}));
+        return fleet_.targets_[subject]->setFaults(withPoison({}));
     case TargetLeaves:
         if (leavingTargets_.erase(subject) > 0)
             replaceTarget(subject);
@@ -426,6 +423,10 @@
     }
     case RequestEndsTargets:
         return callers_->endPoison(poisonPathPrefix + number);
+    case TargetPauses:
+    case TargetAnnouncesLeave:
+    case RegistrationsLapse:
+        return endTerms(fault);
     case TargetReplaced:
     case TableEdited:
         return;
--- a/Tests/Soak/SoakSite.h
+++ b/Tests/Soak/SoakSite.h
@@ -10,6 +10,12 @@
 
 namespace Soak {
 
+/// A target that runs a request with this path prefix crashes, and restarts after a delay.
+constexpr const char *poisonPathPrefix = "/read/ends-";
+
+/// Adds the crashes under poison requests to \a faults. Thread safety: any thread.
+PlatformStandIns::TargetFaults withPoison(PlatformStandIns::TargetFaults faults);
+
 /// Runs real instances with the store and the targets behind a proxy, and injects faults.
 class SoakSite
 {
@@ -26,11 +32,15 @@
 
     PlatformStandIns::Fleet &fleet() { return fleet_; }
     std::vector<Model::Address> lookups() const;
+    std::size_t targetCount() const { return fleet_.targets_.size(); }
 
     /// Returns the time since which an instance, or the store, has been undisturbed; std::nullopt
     /// while a disturbance lasts.
     std::optional<Model::SteadyTime> calmSince(const Model::Address &entry) const;
     std::optional<Model::SteadyTime> storeCalmSince() const;
+    /// Returns the time since which an instance's process has run without a pause; std::nullopt
+    /// while it does not run.
+    std::optional<Model::SteadyTime> processCalmSince(const Model::Address &entry) const;
     /// Returns the same for the connections to a target.
     std::optional<Model::SteadyTime> targetWayCalmSince(std::size_t target) const;
     /// Returns when an instance was killed or stopped; std::nullopt while it runs.
@@ -70,6 +80,10 @@
     void setStoreFaults(const PlatformStandIns::StoreFaults &faults, int change);
     static void disturb(Disturbance &disturbance, int change);
     void disturb(std::size_t instance, int change);
+    void disturbProcess(std::size_t instance, int change);
+    std::optional<std::size_t> numberOf(const Model::Address &entry) const;
+    void beginTerms(const Fault &fault);
+    void endTerms(const Fault &fault);
     /// A planned stop in progress.
     struct Stop
     {
@@ -89,6 +103,8 @@
     std::unique_ptr<Harness::Process> proxy_;
     Model::Address proxyControl_;
     std::map<std::size_t, Disturbance> instances_;
+    /// Kills, stops and pauses only.
+    std::map<std::size_t, Disturbance> processes_;
     Disturbance store_;
     std::map<std::size_t, Disturbance> targetWays_;
     /// Times at which the stopped instances went down, by entry.
