LibPolicy, Entryd, Tests: One question for whether a target pauses

Whether a pause is in force was worked out in four places from its remaining time; isPausing() answers it. A 421 needs no exception of its own, since its status asks for no pause. No behaviour changes.

--- a/Libraries/LibPolicy/TargetPause.cpp
+++ b/Libraries/LibPolicy/TargetPause.cpp
@@ -24,7 +24,7 @@
 {
     if (asked <= Microseconds(0))
         return false;
-    const bool wasInUse = pause.until_ <= now;
+    const bool wasInUse = !isPausing(pause, now);
     pause.until_ = std::max(pause.until_, now + std::min<Microseconds>(asked, maxTargetPause));
     pause.returnWindow_ = returnWindow;
     return wasInUse;
@@ -32,12 +32,17 @@
 
 void noteAnswerAfterPause(TargetPause &pause, std::int64_t slots, SteadyTime now)
 {
-    if (!pause.returnWindow_ || now < pause.until_)
+    if (!pause.returnWindow_ || isPausing(pause, now))
         return;
     if (++*pause.returnWindow_ >= slots)
         pause.returnWindow_.reset();
 }
 
+bool isPausing(const TargetPause &pause, SteadyTime now)
+{
+    return now < pause.until_;
+}
+
 Microseconds pauseLeft(const TargetPause &pause, SteadyTime now)
 {
     return std::max(Microseconds(0), std::chrono::ceil<Microseconds>(pause.until_ - now));
@@ -45,7 +50,7 @@
 
 bool isPauseOver(const TargetPause &pause, std::int64_t inProgress, SteadyTime now)
 {
-    return now >= pause.until_ && (!pause.returnWindow_ || inProgress < *pause.returnWindow_);
+    return !isPausing(pause, now) && (!pause.returnWindow_ || inProgress < *pause.returnWindow_);
 }
 
 void addTo(PauseSummary &summary, Microseconds pauseLeft)
--- a/Libraries/LibPolicy/TargetPause.h
+++ b/Libraries/LibPolicy/TargetPause.h
@@ -57,6 +57,9 @@
 /// above.
 void noteAnswerAfterPause(TargetPause &pause, std::int64_t slots, Model::SteadyTime now);
 
+/// Returns whether the target wants no request now. Thread safety: any thread.
+bool isPausing(const TargetPause &pause, Model::SteadyTime now);
+
 /// Returns the remaining time of the pause, or zero. Thread safety: any thread.
 Model::Microseconds pauseLeft(const TargetPause &pause, Model::SteadyTime now);
 
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -63,11 +63,6 @@
     return host.substr(0, host.find(':'));
 }
 
-bool isPausing(const TargetState &target, SteadyTime now)
-{
-    return Policy::pauseLeft(target.pause_, now) > Microseconds(0);
-}
-
 std::optional<Milliseconds> timeLeftIn(std::string_view text)
 {
     long long value = 0;
@@ -239,7 +234,7 @@
     bool hasBegun = false;
     options.maySend_ = [&] {
         // A pause that begins while the request is being sent does not cut it off.
-        return maySendTo(target) && (hasBegun || !isPausing(target, steadyNow()));
+        return maySendTo(target) && (hasBegun || !Policy::isPausing(target.pause_, steadyNow()));
     };
     options.maySendInterval_ = Policy::tickPeriod;
     options.withdrawalTimeout_ = Policy::sendToLeavingTimeout;
@@ -295,7 +290,7 @@
 {
     const auto now = steadyNow();
     for (const auto &[id, target] : registry.all()) {
-        if (!target->takesWork() || target->isConnecting_ || isPausing(*target, now))
+        if (!target->takesWork() || target->isConnecting_ || Policy::isPausing(target->pause_, now))
             continue;
         if (placementEngine_.roundTripTo(*target) < slowConnectThreshold
             || !Policy::isIdleConnectionWorthwhile(target->use_, maxIdleTimeNonIdempotent, now))
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -132,7 +132,7 @@
         request.leavingTarget_ = target.record_.id_;
         placementEngine_.noteLeave(target, now);
     }
-    const bool asksForPause = !isMisdirected && notePause(target, *result.answer_, now);
+    const bool asksForPause = notePause(target, *result.answer_, now);
     if (isMisdirected || result.answer_->count(viewOf(port_.headers_.notRun_)) > 0) {
         ++counters_.refusedByTargets_;
         request.rejectionStatus_ = result.answer_->result_int();
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -145,7 +145,7 @@
     for (const auto &domain : targets.byDomain_) {
         for (const auto &target : domain) {
             // Its load goes to the others.
-            if (Policy::pauseLeft(target->pause_, now) > Microseconds(0))
+            if (Policy::isPausing(target->pause_, now))
                 continue;
             const auto own = static_cast<double>(target->record_.slots_.value());
             const double load = static_cast<double>(target->ownInFlight_)
--- a/Libraries/LibSteering/TargetRemovals.cpp
+++ b/Libraries/LibSteering/TargetRemovals.cpp
@@ -167,8 +167,8 @@
 void TargetRegistry::drop(TargetState &target, SteadyTime now)
 {
     target.isDropped_ = true;
-    const bool hasTerms = target.record_.isLeaving_ || target.limit_.rate_
-                          || Policy::pauseLeft(target.pause_, now).count() > 0;
+    const bool hasTerms
+        = target.record_.isLeaving_ || target.limit_.rate_ || Policy::isPausing(target.pause_, now);
     if (hasTerms)
         droppedTerms_[target.record_.id_] = {target.record_, target.limit_, target.pause_, now};
 }
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -40,11 +40,6 @@
                                                       : AttemptStage::Sent;
 }
 
-bool isPausing(const TargetState &target)
-{
-    return Policy::pauseLeft(pauseOf(target), steadyNow()) > Model::Microseconds(0);
-}
-
 } // namespace
 
 Http::Task<RequestResult> Dispatcher::attempt(CallerRequest &request, Placement placement,
@@ -98,7 +93,8 @@
     bool hasBegun = false;
     options.maySend_ = [&] {
         // A pause that begins while the request is being sent does not cut it off.
-        return !target->isLeaving_.load() && (hasBegun || !isPausing(*target));
+        return !target->isLeaving_.load()
+               && (hasBegun || !Policy::isPausing(pauseOf(*target), steadyNow()));
     };
     options.maySendInterval_ = Policy::tickPeriod;
     options.withdrawalTimeout_ = Policy::sendToLeavingTimeout;
@@ -185,7 +181,7 @@
     requestResult.answer_ = std::move(result.answer_);
     stripAnswer(*requestResult.answer_);
     // The pause is this entry's: another target may serve the caller meanwhile.
-    if (isPausing(target))
+    if (Policy::isPausing(pauseOf(target), steadyNow()))
         requestResult.answer_->erase(Http::http::field::retry_after);
     requestResult.answer_->set(viewOf(Http::targetHeader), target.target_.id_.value());
     return requestResult;
--- a/Services/Entryd/Prober.cpp
+++ b/Services/Entryd/Prober.cpp
@@ -13,9 +13,9 @@
     return {text.data(), text.size()};
 }
 
-Model::Microseconds pauseLeftOf(const TargetState &target)
+bool isPausing(const TargetState &target)
 {
-    return Policy::pauseLeft(pauseOf(target), std::chrono::steady_clock::now());
+    return Policy::isPausing(pauseOf(target), std::chrono::steady_clock::now());
 }
 
 } // namespace
@@ -35,7 +35,7 @@
         });
         for (const auto &target : targets) {
             // A target that pauses wants no probe either; its silence says nothing about it.
-            if (pauseLeftOf(*target) == Model::Microseconds(0))
+            if (!isPausing(*target))
                 Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
         }
         co_await Http::sleepFor(Policy::targetProbeInterval);
@@ -64,8 +64,7 @@
 
 void Dispatcher::probeAfterPause(const std::shared_ptr<TargetState> &target)
 {
-    if (pauseLeftOf(*target) == Model::Microseconds(0)
-        || target->isReturnProbePending_.exchange(true))
+    if (!isPausing(*target) || target->isReturnProbePending_.exchange(true))
         return;
     Http::asio::co_spawn(context_, waitAndProbe(target), Http::asio::detached);
 }
@@ -73,11 +72,13 @@
 Http::Task<void> Dispatcher::waitAndProbe(std::shared_ptr<TargetState> target)
 {
     // Another answer may prolong the pause meanwhile.
-    while (pauseLeftOf(*target) > Model::Microseconds(0))
-        co_await Http::sleepFor(std::chrono::ceil<Model::Milliseconds>(pauseLeftOf(*target)));
+    while (isPausing(*target)) {
+        co_await Http::sleepUntil(pauseOf(*target).until_);
+    }
     target->isReturnProbePending_ = false;
-    if (!target->isLeaving_)
+    if (!target->isLeaving_) {
         co_await probe(target);
+    }
 }
 
 } // namespace Entryd
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -17,6 +17,10 @@
 
 namespace PlatformStandIns {
 
+/// Returns an answer with a JSON body. Thread safety: any thread.
+Http::Response jsonAnswer(const nlohmann::json &body,
+                          Http::http::status status = Http::http::status::ok);
+
 /// An HTTP server that runs a handler on a dedicated thread.
 class ServerThread
 {
--- a/Tests/Platform/TestPartitions.cpp
+++ b/Tests/Platform/TestPartitions.cpp
@@ -101,6 +101,16 @@
             return count;
         }
 
+        /// Waits until requests to the partitioned instance are served without a peer.
+        bool usesItsOwnWayAgain()
+        {
+            return Harness::waitUntil(recoveryTime, [this] {
+                const double before = metric(*partitioned_, "cassiacrank_forwarded_total");
+                return served("back-") == requests
+                       && metric(*partitioned_, "cassiacrank_forwarded_total") == before;
+            });
+        }
+
         int mostRuns(const std::string &prefix)
         {
             std::map<std::string, int> runs;
@@ -140,13 +150,7 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(served) + " served",
                                requests - served <= allowedFailures + requests / 50);
         site.link_.setState(LinkState::Open);
-        // Its own way is used again.
-        CPPUNIT_ASSERT(Harness::waitUntil(recoveryTime, [&] {
-            const double before = site.metric(*site.partitioned_, "cassiacrank_forwarded_total");
-            const int back = site.served("back-");
-            return back == requests
-                   && site.metric(*site.partitioned_, "cassiacrank_forwarded_total") == before;
-        }));
+        CPPUNIT_ASSERT(site.usesItsOwnWayAgain());
     }
 
     // Guards against refusing the callers of an instance whose connections to the targets are
@@ -310,13 +314,7 @@
         CPPUNIT_ASSERT(!leaving.takeArrivals().empty());
         Harness::pause(leaveBound);
         site.link_.setState(LinkState::Open);
-        // Its own way is used again.
-        CPPUNIT_ASSERT(Harness::waitUntil(recoveryTime, [&] {
-            const double before = site.metric(*site.partitioned_, "cassiacrank_forwarded_total");
-            const int back = site.served("back-");
-            return back == requests
-                   && site.metric(*site.partitioned_, "cassiacrank_forwarded_total") == before;
-        }));
+        CPPUNIT_ASSERT(site.usesItsOwnWayAgain());
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), leaving.takeArrivals().size());
     }
 
