LibPolicy, Entryd: Never judge a target by a wait below zero

A request whose time in the queue has just passed could be refused for want of a target instead of capacity, because no pause is shorter than a negative wait. notePause() returns nothing, since no caller used what it returned; its tests ask isPausing().

--- a/Libraries/LibPolicy/TargetPause.cpp
+++ b/Libraries/LibPolicy/TargetPause.cpp
@@ -20,14 +20,12 @@
     return status == serviceUnavailable || (status == tooManyRequests && isNotRun);
 }
 
-bool notePause(TargetPause &pause, Microseconds asked, std::int64_t returnWindow, SteadyTime now)
+void notePause(TargetPause &pause, Microseconds asked, std::int64_t returnWindow, SteadyTime now)
 {
     if (asked <= Microseconds(0))
-        return false;
-    const bool wasInUse = !isPausing(pause, now);
+        return;
     pause.until_ = std::max(pause.until_, now + std::min<Microseconds>(asked, maxTargetPause));
     pause.returnWindow_ = returnWindow;
-    return wasInUse;
 }
 
 void noteAnswerAfterPause(TargetPause &pause, std::int64_t slots, SteadyTime now)
--- a/Libraries/LibPolicy/TargetPause.h
+++ b/Libraries/LibPolicy/TargetPause.h
@@ -40,13 +40,13 @@
 /// ran concerns its caller. Thread safety: any thread.
 bool mayAskForPause(unsigned status, bool isNotRun);
 
-/// Records that a target has asked for a pause of \a asked in an answer received \a now. Returns
-/// whether it began with this. \a returnWindow is the window after the pause.
+/// Records that a target has asked for a pause of \a asked in an answer received \a now.
+/// \a returnWindow is the window after the pause.
 ///
 /// A pause is never shortened: answers on several connections overtake one another, and the target
 /// expects each pause that it asked for to be kept. Thread safety: \a pause belongs to the calling
 /// thread.
-bool notePause(TargetPause &pause, Model::Microseconds asked, std::int64_t returnWindow,
+void notePause(TargetPause &pause, Model::Microseconds asked, std::int64_t returnWindow,
                Model::SteadyTime now);
 
 /// Records that the target answered a request or a probe and did not turn it away. Each such answer
--- a/Services/Entryd/ServiceQueue.cpp
+++ b/Services/Entryd/ServiceQueue.cpp
@@ -319,7 +319,8 @@
                                                 Model::SteadyTime startBy)
 {
     const auto now = steadyNow();
-    const auto longestWait = std::chrono::duration_cast<Model::Microseconds>(startBy - now);
+    const auto longestWait = std::max(
+        Model::Microseconds(0), std::chrono::duration_cast<Model::Microseconds>(startBy - now));
     const ServicePlan &plan = snapshot.services_[request.serviceIndex_];
     const bool canFill = mayFill(snapshot, plan, request, now);
     if (request.fixedDomain_) {
--- a/Tests/LibPolicy/TestTargetPause.cpp
+++ b/Tests/LibPolicy/TestTargetPause.cpp
@@ -66,8 +66,8 @@
     void requestsReturnGraduallyAfterAPause()
     {
         Policy::TargetPause pause;
-        CPPUNIT_ASSERT(
-            Policy::notePause(pause, Milliseconds(300), Policy::initialReturnWindow, start));
+        Policy::notePause(pause, Milliseconds(300), Policy::initialReturnWindow, start);
+        CPPUNIT_ASSERT(Policy::isPausing(pause, start));
         const SteadyTime end = start + Milliseconds(300);
         for (std::int64_t window = 1; window < slots; ++window) {
             CPPUNIT_ASSERT(Policy::isPauseOver(pause, window - 1, end));
@@ -98,7 +98,9 @@
         Policy::TargetPause pause;
         Policy::notePause(pause, Microseconds::max(), Policy::initialReturnWindow, start);
         CPPUNIT_ASSERT(Policy::pauseLeft(pause, start) == Policy::maxTargetPause);
-        CPPUNIT_ASSERT(!Policy::notePause(pause, Milliseconds(0), 1, start));
+        Policy::TargetPause none;
+        Policy::notePause(none, Milliseconds(0), Policy::initialReturnWindow, start);
+        CPPUNIT_ASSERT(!Policy::isPausing(none, start) && !none.returnWindow_);
     }
 
     // Guards against callers who are told to come back while every target still pauses.
