--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -29,8 +29,11 @@
     int lookupTtlMs_ = 1000;
     /// Routes connections between regions and failure domains through the fault-injecting proxy.
     bool hasProxy_ = false;
-    /// The instance whose ways to all targets form the proxy's group "partition".
-    std::string partitionedInstance_;
+    /// The instances whose ways to all targets form the proxy's group "partition".
+    std::set<std::string> partitionedInstances_;
+    /// Further rows for each target of a failure domain, whose addresses lead to the same stand-in.
+    /// Needs the proxy.
+    std::map<std::string, std::size_t> aliasesPerTarget_;
     double delayBetweenDomainsMs_ = 0;
     double delayBetweenRegionsMs_ = 0;
     /// Cells that override the example: "service gauging" -> "shift_cap" -> "10".
@@ -120,7 +123,8 @@
 
 private:
     void reserveNet();
-    std::string exampleText() const;
+    std::string exampleText();
+    std::vector<Model::Row> aliasesOf(const Model::Row &target);
     void makeTargets();
     void makeInstances();
     void startProxy();
@@ -141,6 +145,8 @@
     std::unique_ptr<Process> platform_;
     std::unique_ptr<Process> proxy_;
     std::vector<SiteTarget> targets_;
+    /// The address of a stand-in by that of an alias.
+    std::map<Model::Address, Model::Address> aliases_;
     std::vector<SiteInstance> instances_;
     std::optional<Model::Table> table_;
     std::string forwardingRules_;
--- a/Tests/Harness/SiteLayout.cpp
+++ b/Tests/Harness/SiteLayout.cpp
@@ -50,7 +50,26 @@
     throw std::runtime_error("no free loopback net");
 }
 
-std::string Site::exampleText() const
+std::vector<Model::Row> Site::aliasesOf(const Model::Row &target)
+{
+    constexpr std::uint16_t firstAliasPort = 20000;
+    const auto address = *Model::addressFromText(target.cells_.at("address"));
+    const auto count = options_.aliasesPerTarget_.find(target.cells_.at("domain"));
+    if (count == options_.aliasesPerTarget_.end())
+        return {};
+    std::vector<Model::Row> rows;
+    for (std::size_t i = 0; i < count->second; ++i) {
+        Model::Row row = target;
+        row.key_.name_ += "-" + std::to_string(i);
+        const Model::Address alias{address.host_, static_cast<std::uint16_t>(firstAliasPort + i)};
+        row.cells_["address"] = toText(alias);
+        aliases_[alias] = address;
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+std::string Site::exampleText()
 {
     std::ifstream file(std::string(CASSIACRANK_EXAMPLES) + "/" + options_.example_ + ".table");
     std::ostringstream text;
@@ -70,6 +89,14 @@
         const auto second = address.find('.', 4);
         address = "127." + std::to_string(net_) + address.substr(second);
     }
+    std::vector<Model::Row> aliases;
+    for (const auto &row : *rows) {
+        if (row.key_.kind_ != Model::RowKind::Target)
+            continue;
+        const auto some = aliasesOf(row);
+        aliases.insert(aliases.end(), some.begin(), some.end());
+    }
+    rows->insert(rows->end(), aliases.begin(), aliases.end());
     return Model::toText(*rows);
 }
 
@@ -81,6 +108,8 @@
         throw std::runtime_error(toText(Model::lastReason()));
     int seed = 0;
     for (const auto &row : table_->targets()) {
+        if (aliases_.contains(row.address_))
+            continue;
         const auto mean = options_.meanMs_.find(row.service_.value());
         const double meanMs = mean == options_.meanMs_.end() ? 10 : mean->second;
         std::vector<std::string> command
@@ -141,7 +170,9 @@
     const std::string listen = "127." + std::to_string(net_) + ".200."
                                + std::to_string(1 + number / 2000) + ":"
                                + std::to_string(10000 + number % 2000);
-    forwardingRules_ += listen + " " + toText(to) + " "
+    const auto alias = aliases_.find(to);
+    const Model::Address &end = alias == aliases_.end() ? to : alias->second;
+    forwardingRules_ += listen + " " + toText(end) + " "
                         + std::to_string(static_cast<int>(delayMs * 1000)) + " " + group + "\n";
     dial_[from.row_.id_.value()] += toText(to) + " = " + listen + "\n";
 }
@@ -160,14 +191,13 @@
             addForwardingRule(from, to.row_.addresses_.control_, delay, group);
             addForwardingRule(from, to.row_.addresses_.entryPeer_, delay, group);
         }
-        for (const auto &target : targets_) {
-            const auto *domain = table_->domain(target.row_.domain_);
+        const bool isPartitioned = options_.partitionedInstances_.contains(from.row_.id_.value());
+        for (const auto &target : table_->targets()) {
+            const auto *domain = table_->domain(target.domain_);
             if (domain->region_ == from.row_.region_) {
-                const bool isPartitioned = from.row_.id_.value() == options_.partitionedInstance_;
-                addForwardingRule(from, target.row_.address_,
+                addForwardingRule(from, target.address_,
                                   delayBetween(from.row_, domain->region_, domain->id_),
-                                  isPartitioned ? "partition"
-                                                : "target-" + target.row_.id_.value());
+                                  isPartitioned ? "partition" : "target-" + target.id_.value());
             }
         }
         addForwardingRule(from, platform(), 1, "platform-" + from.row_.region_.value());
--- a/Tests/Integration/TestPartitions.cpp
+++ b/Tests/Integration/TestPartitions.cpp
@@ -1,5 +1,6 @@
 #include "Load.h"
 
+#include <future>
 #include <thread>
 
 namespace {
@@ -17,6 +18,7 @@
 {
     CPPUNIT_TEST_SUITE(TestPartitions);
     CPPUNIT_TEST(callersOfAnEntryThatReachesNoTargetAreServed);
+    CPPUNIT_TEST(callersOfHalfTheEntriesAreServedAmongHundredsOfTargets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,12 +43,12 @@
     {
         Harness::SiteOptions options;
         options.hasProxy_ = true;
-        options.partitionedInstance_ = "primorska-a-1";
+        options.partitionedInstances_ = {"primorska-a-1"};
         Site site(options);
         site.start();
         auto &instance = site.instance("primorska-a-1");
         CPPUNIT_ASSERT_EQUAL(requests, served(instance, requests));
-        site.switchProxy("partition", "black-hole");
+        site.switchProxy("partition", "cut");
         const auto end = std::chrono::steady_clock::now() + contactTime;
         while (std::chrono::steady_clock::now() < end)
             served(instance, 1);
@@ -58,6 +60,44 @@
             return served(instance, requests) == requests;
         }));
     }
+
+    // Guards against an entry that finds out target by target that it reaches none, and passes
+    // requests on to entries that reach none either.
+    void callersOfHalfTheEntriesAreServedAmongHundredsOfTargets()
+    {
+        constexpr Milliseconds interval{200};
+        Harness::SiteOptions options;
+        options.hasProxy_ = true;
+        // The region has ten targets of the service.
+        options.aliasesPerTarget_ = {{"primorska-a", 20}, {"primorska-b", 20}};
+        options.partitionedInstances_ = {"primorska-a-1", "primorska-b-1"};
+        Site site(options);
+        site.start();
+        const auto servedByBoth = [&](int count) {
+            std::vector<std::future<int>> answers;
+            for (int i = 0; i < count; ++i) {
+                for (const auto &id : options.partitionedInstances_) {
+                    answers.push_back(std::async(std::launch::async, [&site, id] {
+                        return served(site.instance(id), 1);
+                    }));
+                }
+                Harness::pause(interval);
+            }
+            int sum = 0;
+            for (auto &answer : answers)
+                sum += answer.get();
+            return sum;
+        };
+        constexpr int sent = 40;
+        CPPUNIT_ASSERT_EQUAL(2 * sent, servedByBoth(sent));
+        site.switchProxy("partition", "cut");
+        servedByBoth(static_cast<int>(contactTime / interval));
+        const int count = servedByBoth(sent);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(count) + " of " + std::to_string(2 * sent)
+                                   + " served\n" + site.instance("primorska-a-1").entry_->log(),
+                               (2 * sent - count) * requests
+                                   <= (allowedFailures + requests / 50) * 2 * sent);
+    }
 };
 
 } // namespace
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -223,6 +223,18 @@
     return answer && answer->result() == Http::http::status::ok;
 }
 
+double Fleet::metric(const FleetInstance &instance, const std::string &name)
+{
+    Http::SimpleRequest request;
+    request.address_ = instance.admin();
+    request.target_ = "/metrics";
+    const auto answer = Http::sendAndWait(request);
+    const auto at = answer ? answer->body().find("\n" + name + " ") : std::string::npos;
+    if (at == std::string::npos)
+        throw std::runtime_error(instance.name_ + " has no metric " + name);
+    return std::stod(answer->body().substr(at + name.size() + 2));
+}
+
 bool Fleet::waitUntilServing()
 {
     static int number = 0;
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -71,6 +71,8 @@
     /// Returns the addresses in an instance's look-up answer to callers of a region.
     std::vector<std::string> lookUp(const FleetInstance &instance, const std::string &region);
     bool isReady(const FleetInstance &instance);
+    /// Returns the value of one of the instance's metrics. Throws if it has no such metric.
+    double metric(const FleetInstance &instance, const std::string &name);
     /// Waits until every instance serves a request to a target.
     bool waitUntilServing();
 
--- a/Tests/Platform/TestPartitions.cpp
+++ b/Tests/Platform/TestPartitions.cpp
@@ -105,9 +105,9 @@
         bool usesItsOwnWayAgain()
         {
             return Harness::waitUntil(recoveryTime, [this] {
-                const double before = metric(*partitioned_, "cassiacrank_forwarded_total");
+                const double before = fleet_.metric(*partitioned_, "cassiacrank_forwarded_total");
                 return served("back-") == requests
-                       && metric(*partitioned_, "cassiacrank_forwarded_total") == before;
+                       && fleet_.metric(*partitioned_, "cassiacrank_forwarded_total") == before;
             });
         }
 
@@ -124,18 +124,6 @@
             return most;
         }
 
-        double metric(const FleetInstance &instance, const std::string &name)
-        {
-            Http::SimpleRequest request;
-            request.address_ = instance.admin();
-            request.target_ = "/metrics";
-            const auto answer = Http::sendAndWait(request);
-            CPPUNIT_ASSERT(answer);
-            const auto at = answer->body().find("\n" + name + " ");
-            CPPUNIT_ASSERT(at != std::string::npos);
-            return std::stod(answer->body().substr(at + name.size() + 2));
-        }
-
         Fleet fleet_;
         Link link_;
         FleetInstance *partitioned_ = nullptr;
@@ -188,12 +176,12 @@
         double received = 0;
         double before = 0;
         for (const auto &instance : site.fleet_.instances_)
-            before += site.metric(*instance, "cassiacrank_received_forwarded_total");
+            before += site.fleet_.metric(*instance, "cassiacrank_received_forwarded_total");
         const auto startedAt = std::chrono::steady_clock::now();
         CPPUNIT_ASSERT_EQUAL(0, site.served("down-"));
         const auto took = std::chrono::steady_clock::now() - startedAt;
         for (const auto &instance : site.fleet_.instances_)
-            received += site.metric(*instance, "cassiacrank_received_forwarded_total");
+            received += site.fleet_.metric(*instance, "cassiacrank_received_forwarded_total");
         // Each peer is asked once in a pause, and refuses at once.
         const double pauses = Model::inSeconds(took) / Model::inSeconds(forwardingPause);
         const auto peers = static_cast<double>(site.fleet_.instances_.size() - 1);
@@ -213,7 +201,7 @@
         double before = 0;
         double inside = 0;
         for (const auto &instance : site.fleet_.instances_) {
-            const double received = site.metric(*instance, "cassiacrank_received_forwarded_total");
+            const double received = site.fleet_.metric(*instance, "cassiacrank_received_forwarded_total");
             if (instance->domain_.starts_with("r-")) {
                 inside -= received;
             } else {
@@ -231,11 +219,11 @@
                                requests - count <= allowedFailures + requests / 50);
         double after = 0;
         for (const auto *instance : outside)
-            after += site.metric(*instance, "cassiacrank_received_forwarded_total");
+            after += site.fleet_.metric(*instance, "cassiacrank_received_forwarded_total");
         CPPUNIT_ASSERT_EQUAL(before, after);
         for (const auto &instance : site.fleet_.instances_) {
             if (instance->domain_.starts_with("r-"))
-                inside += site.metric(*instance, "cassiacrank_received_forwarded_total");
+                inside += site.fleet_.metric(*instance, "cassiacrank_received_forwarded_total");
         }
         CPPUNIT_ASSERT(inside >= count);
     }
