Tests: Give links a loopback address of their own

A link that refuses connections closes its ports, and reopens them later. On 127.0.0.1, a process beside it had taken one of them for a connection: bind failed, and TestPartitions ended, once, beside TestWidePartitions.

--- a/Tests/Platform/Link.cpp
+++ b/Tests/Platform/Link.cpp
@@ -1,6 +1,7 @@
 #include "Link.h"
 
 #include <future>
+#include <unistd.h>
 
 namespace PlatformStandIns {
 
@@ -15,6 +16,14 @@
 constexpr int silentBacklog = 0;
 constexpr int connectionsThatFillTheQueue = 2;
 
+/// Returns a loopback address of this process alone: while a link is down, its ports are free, and
+/// another process would use them for its connections.
+std::string linkHost()
+{
+    const int process = static_cast<int>(getpid());
+    return "127.9." + std::to_string(process / 250 % 250) + "." + std::to_string(1 + process % 250);
+}
+
 } // namespace
 
 Link::Link(std::size_t bytesPerSecond)
@@ -48,10 +57,10 @@
     runOnThread([&] {
         Door &door = doors_.emplace_back();
         door.target_ = target;
-        door.endpoint_ = {Http::asio::ip::make_address("127.0.0.1"), 0};
+        door.endpoint_ = {Http::asio::ip::make_address(linkHost()), 0};
         open(door);
         door.endpoint_ = door.acceptor_->local_endpoint();
-        address = {"127.0.0.1", door.endpoint_.port()};
+        address = {linkHost(), door.endpoint_.port()};
     });
     return address;
 }
