LibPolicy, LibSteering: Find a partition by a few contacts, however many targets there are

Cause: the instance counted targets that its own requests had failed at, and passed the first request to a peer once 60% of all of them had failed, one by one. That time grows with the number of targets and shrinks with the rate of requests. Class: a property of a way that is learned for each thing at its end.

DomainReach keeps the last eight contacts with distinct targets, for each service and failure domain. Three failures in series, or a request that waits for longer than usual where nothing has answered, lead to six connections to other targets at once; with 80% of the contacts unreached the domain is lost, and the domains that were not reached lately are probed too. Targets of a lost domain get no requests until a probe reaches them; two are probed each half second. A request that has found four targets unreached goes to a peer too. An instance that reaches few targets says so in its heartbeat, so that peers which have lost them as well do not pass requests to it.

--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -52,6 +52,8 @@
     RequestWithdrawn = 5006,
     RequestSentToMissing = 5007,
     RequestForwarded = 5008,
+    DomainUnreached = 5009,
+    DomainReached = 5010,
     TargetAdded = 5101,
     TargetChanged = 5102,
     TargetGone = 5103,
--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -12,6 +12,7 @@
 #include "CrashUpdate.h"
 #include "Dissemination.h"
 #include "DomainPicker.h"
+#include "DomainReach.h"
 #include "EntryFailures.h"
 #include "EntryRanking.h"
 #include "FairQueue.h"
--- a/Libraries/LibPolicy/Liveness.h
+++ b/Libraries/LibPolicy/Liveness.h
@@ -29,6 +29,8 @@
     /// It has the table in force and accepts callers' requests.
     bool isReady_ = false;
     bool isLeaving_ = false;
+    /// It reaches few targets of some service, and would refuse requests of peers.
+    bool isPartitioned_ = false;
     StoreContact store_ = StoreContact::NotAsked;
     /// The revisions of the last changes to the operators' and targets' rows that it has.
     std::uint64_t operatorsSeen_ = 0;
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -76,11 +76,13 @@
 
 Dispatcher::Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
                        const PlatformState &knowledge, PlacementEngine &placementEngine,
-                       CrashGuard &guard, QuotaExchange &quotas, Observe::DecisionLog &log)
+                       ReachMonitor &reach, CrashGuard &guard, QuotaExchange &quotas,
+                       Observe::DecisionLog &log)
     : context_(context)
     , port_(port)
     , platformState_(knowledge)
     , placementEngine_(placementEngine)
+    , reach_(reach)
     , guard_(guard)
     , quotas_(quotas)
     , log_(log)
@@ -228,6 +230,7 @@
     if (request.attempts_ > 0)
         options.maxIdle_ = Milliseconds(0);
     options.connectionLimit_ = maxConnectionsPerTarget;
+    const bool isAtLimit = pool_.openCount(options.address_) >= maxConnectionsPerTarget;
     options.acceptsUnframed_ = true;
     options.maxForeignAnswers_ = maxForeignAnswersSkipped;
     options.control_ = &request.control_;
@@ -267,8 +270,12 @@
                                  Http::asio::detached);
         }
     }
-    if (result.stage_ != Http::ExchangeStage::NotConnected)
+    if (result.stage_ != Http::ExchangeStage::NotConnected) {
         ++request.attempts_;
+    } else if (!result.isWithdrawn_ && !request.control_.isCancelled() && !isAtLimit) {
+        reach_.noteContact(target, false, now);
+        probeReach();
+    }
     // The connect time is not part of the target's processing time.
     const auto took
         = std::chrono::duration_cast<Microseconds>(now - sentAt) - result.connectDuration_;
@@ -360,16 +367,6 @@
                                now - target.removedRegistration_->noticedAt_));
 }
 
-Task<void> Dispatcher::probeListener(std::shared_ptr<TargetState> target)
-{
-    const auto options = connectOptions(*target, steadyNow());
-    const auto listening = co_await Http::checkListener(pool_, options);
-    const auto now = steadyNow();
-    guard_.noteListening(*target, listening, now);
-    if (listening == Http::Listening::No)
-        Policy::noteUnreachable(target->reachability_, now);
-}
-
 void Dispatcher::sweepAbandoned()
 {
     for (RequestContext *request : requestsInProgress_) {
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -3,6 +3,7 @@
 #include "CrashGuard.h"
 #include "PlacementEngine.h"
 #include "QuotaExchange.h"
+#include "ReachMonitor.h"
 #include "RequestForwarder.h"
 
 #include <list>
@@ -41,8 +42,9 @@
 {
 public:
     Dispatcher(Http::asio::io_context &context, const PlatformPort &port,
-               const PlatformState &knowledge, PlacementEngine &placementEngine, CrashGuard &guard,
-               QuotaExchange &quotas, Observe::DecisionLog &log);
+               const PlatformState &knowledge, PlacementEngine &placementEngine,
+               ReachMonitor &reach, CrashGuard &guard, QuotaExchange &quotas,
+               Observe::DecisionLog &log);
 
     /// Answers one caller's request.
     Http::Task<Http::Response> answer(Http::IncomingRequest incoming);
@@ -60,6 +62,10 @@
     /// disconnected, and these take the slots that the remaining callers need.
     void sweepAbandoned();
 
+    /// Opens connections to targets of failure domains that may be out of reach, and closes those
+    /// to domains that are.
+    void probeReach();
+
     /// Sets how many instances share the retry budget.
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
@@ -102,6 +108,7 @@
     std::optional<Model::Instance> peerFor(RequestContext &request, Model::SteadyTime now);
     Http::Task<Attempt> forward(RequestContext &request, Model::Instance peer);
     void probeUnreachable(const RequestContext &request, Model::SteadyTime now);
+    void startProbe(std::shared_ptr<TargetState> target, Model::SteadyTime now);
     Http::Task<void> probe(std::shared_ptr<TargetState> target);
     Http::Response deliverForwarded(RequestContext &request, Attempt attempt);
     std::optional<Http::Response> identifyCaller(RequestContext &request);
@@ -133,6 +140,7 @@
     const PlatformPort &port_;
     const PlatformState &platformState_;
     PlacementEngine &placementEngine_;
+    ReachMonitor &reach_;
     CrashGuard &guard_;
     QuotaExchange &quotas_;
     Observe::DecisionLog &log_;
--- a/Libraries/LibSteering/DispatcherForwarding.cpp
+++ b/Libraries/LibSteering/DispatcherForwarding.cpp
@@ -44,7 +44,7 @@
     request.avoidsUnreachable_ = false;
     if (!forwarder_ || request.isForwarded_ || request.isAbandoned_
         || request.forwardingTries_ >= Policy::maxForwardingTries
-        || !Policy::shouldForward(placementEngine_.reachOf(request, now)))
+        || !Policy::shouldForward(reach_.reachOf(request, now)))
         return std::nullopt;
     probeUnreachable(request, now);
     auto peer = forwarder_->choosePeer(request, now);
@@ -67,24 +67,6 @@
     co_return attempted;
 }
 
-void Dispatcher::probeUnreachable(const RequestContext &request, SteadyTime now)
-{
-    const auto target = placementEngine_.targetToProbe(request, now);
-    if (!target)
-        return;
-    Policy::noteTry(target->reachability_);
-    Http::asio::co_spawn(context_, probe(target), Http::asio::detached);
-}
-
-Task<void> Dispatcher::probe(std::shared_ptr<TargetState> target)
-{
-    const auto options = connectOptions(*target, steadyNow());
-    target->acceptsConnections_ = co_await Http::prepareConnection(pool_, options);
-    target->reachability_.isProbed_ = false;
-    if (!target->acceptsConnections_)
-        Policy::noteUnreachable(target->reachability_, steadyNow());
-}
-
 /// The peer has logged the answer and its target.
 Http::Response Dispatcher::deliverForwarded(RequestContext &request, Attempt attempt)
 {
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -121,6 +121,7 @@
     target.lastAnswerAt_ = now;
     target.hasEnded_ = false;
     Policy::noteReached(target.reachability_);
+    reach_.noteContact(target, true, now);
     noteLoad(target, *result.answer_);
     const auto status = result.answer_->result();
     const bool isMisdirected = status == http::status::misdirected_request;
@@ -187,7 +188,8 @@
         return false;
     const auto &route = *request.route_;
     if (!attempt.wasSent_)
-        return request.tried_.size() < maxTargetTries;
+        return request.tried_.size() < maxTargetTries
+               || Policy::shouldForward(reach_.reachOf(request, now));
     // No credit is spent on an attempt that no target would take.
     if (attempt.code_ == ResultCode::TargetRefused
         && placementEngine_.retryDelayWhilePausing(request, now))
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -173,6 +173,8 @@
         parts_->targetRegistry_.updateLimits(parts_->peers_.localInstance(),
                                              parts_->peers_.members(), now);
         parts_->dispatcher_.sweepAbandoned();
+        parts_->dispatcher_.probeReach();
+        parts_->peers_.setPartitioned(parts_->reach_.isPartitioned(now));
         parts_->guard_.judge(now);
         if (now - idleRefreshedAt_ >= idleRefreshInterval) {
             idleRefreshedAt_ = now;
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -38,6 +38,8 @@
           guard.kept());
     text.add("cassiacrank_quarantined", "Requests in quarantine.", "gauge",
              static_cast<double>(guard.quarantined(std::chrono::steady_clock::now())));
+    text.add("cassiacrank_lost_domains", "Services' failure domains that are not reached.", "gauge",
+             static_cast<double>(parts_->reach_.lostDomains()));
     text.add("cassiacrank_workspaces_limited", "Workspaces over their quota.", "gauge",
              static_cast<double>(parts_->quotas_.limitedWorkspaces()));
     text.add("cassiacrank_quota_root", "Whether this instance is the root of the quota tree.",
--- a/Libraries/LibSteering/InstanceParts.cpp
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -28,13 +28,14 @@
 Instance::Parts::Parts(Instance &instance)
     : platformState_(instance.port_, instance.settings_, instance.log_)
     , targetRegistry_(instance.port_, platformState_, instance.log_)
+    , reach_(platformState_, targetRegistry_, instance.log_)
     , placementEngine_(instance.settings_, platformState_, targetRegistry_)
     , guard_(instance.port_, instance.log_)
     , peers_(instance.context_, instance.settings_, platformState_, instance.log_)
     , quotas_(instance.context_, instance.settings_, platformState_, peers_, instance.log_)
     , forwarder_(instance.context_, instance.port_, placementEngine_, peers_, instance.log_)
-    , dispatcher_(instance.context_, instance.port_, platformState_, placementEngine_, guard_,
-                  quotas_, instance.log_)
+    , dispatcher_(instance.context_, instance.port_, platformState_, placementEngine_, reach_,
+                  guard_, quotas_, instance.log_)
     , follower_(
           instance.context_, instance.port_, platformState_, instance.log_,
           [&instance] {
--- a/Libraries/LibSteering/InstanceParts.h
+++ b/Libraries/LibSteering/InstanceParts.h
@@ -14,6 +14,7 @@
 
     PlatformState platformState_;
     TargetRegistry targetRegistry_;
+    ReachMonitor reach_;
     PlacementEngine placementEngine_;
     CrashGuard guard_;
     PeerExchange peers_;
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -85,6 +85,7 @@
     ++heartbeatRecord.heartbeat_;
     heartbeatRecord.isReady_ = isReady_;
     heartbeatRecord.isLeaving_ = isLeaving_;
+    heartbeatRecord.isPartitioned_ = isPartitioned_;
     const bool isStoreReached = store_.contact_ == Policy::StoreContact::Reached;
     const auto answered = isStoreReached ? now - store_.answeredSince_ : SteadyTime::duration(0);
     heartbeatRecord.store_ = store_.contact_;
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -34,6 +34,8 @@
 
     /// Sets whether this instance is announced as ready for callers' requests or as leaving.
     void setReady(bool isReady) { isReady_ = isReady; }
+    /// Tells peers whether this instance could run their requests.
+    void setPartitioned(bool isPartitioned) { isPartitioned_ = isPartitioned; }
     void setLeaving();
 
     /// Called whenever this instance's contact with the store may have changed.
@@ -188,6 +190,7 @@
     std::uint64_t rounds_ = 0;
     bool isReady_ = false;
     bool isLeaving_ = false;
+    bool isPartitioned_ = false;
     Policy::StoreStanding store_;
     /// Peers to which a request for rows is in progress.
     std::map<Model::InstanceId, Http::ExchangeControl *> pendingFetches_;
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -29,6 +29,7 @@
 
 constexpr unsigned readyFlag = 1;
 constexpr unsigned leavingFlag = 2;
+constexpr unsigned partitionedFlag = 4;
 
 Policy::StoreContact contactFromNumber(int number)
 {
@@ -43,7 +44,8 @@
 json toJson(const MemberHeartbeat &heartbeatRecord)
 {
     const unsigned flags = (heartbeatRecord.isReady_ ? readyFlag : 0U)
-                           | (heartbeatRecord.isLeaving_ ? leavingFlag : 0U);
+                           | (heartbeatRecord.isLeaving_ ? leavingFlag : 0U)
+                           | (heartbeatRecord.isPartitioned_ ? partitionedFlag : 0U);
     return {heartbeatRecord.id_.value(),
             heartbeatRecord.incarnation_.value(),
             heartbeatRecord.heartbeat_,
@@ -67,6 +69,7 @@
     const auto flags = text.at(Flags).get<unsigned>();
     heartbeatRecord.isReady_ = (flags & readyFlag) != 0;
     heartbeatRecord.isLeaving_ = (flags & leavingFlag) != 0;
+    heartbeatRecord.isPartitioned_ = (flags & partitionedFlag) != 0;
     heartbeatRecord.store_ = contactFromNumber(text.at(Store).get<int>());
     heartbeatRecord.operatorsSeen_ = text.at(Operators).get<std::uint64_t>();
     heartbeatRecord.targetsSeen_ = text.at(Targets).get<std::uint64_t>();
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -105,7 +105,7 @@
 bool PlacementEngine::mayTake(const RequestContext &request, const TargetState &target,
                               SteadyTime now) const
 {
-    if (!target.takesWork() || !Policy::mayTry(target.reachability_, now))
+    if (!target.takesWork() || target.isOutOfReach() || !Policy::mayTry(target.reachability_, now))
         return false;
     if (request.avoidsUnreachable_ && target.reachability_.failures_ > 0
         && !target.acceptsConnections_)
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -64,13 +64,6 @@
     }
     /// Returns the round trip to a region, as measured on connections to its targets.
     Model::Microseconds roundTripTo(const Model::RegionId &region) const;
-    /// Counts the targets that may run \a request by whether this instance has reached them. A
-    /// change is noticed after up to 100 ms.
-    Policy::TargetReach reachOf(const RequestContext &request, Model::SteadyTime now);
-    /// Returns a target of the request's service that has not been reached and is due for a probe,
-    /// or nullptr.
-    std::shared_ptr<TargetState> targetToProbe(const RequestContext &request,
-                                               Model::SteadyTime now) const;
     /// Returns the address at which this instance reaches \a target.
     Model::Address addressToDial(const TargetState &target) const
     {
@@ -96,13 +89,6 @@
         Model::SteadyTime countedAt_ = Model::distantPast;
     };
 
-    /// Whether any target of a service was unreachable at a point in time.
-    struct UnreachableCheck
-    {
-        bool hasAny_ = false;
-        Model::SteadyTime checkedAt_ = Model::distantPast;
-    };
-
     struct RouteState
     {
         Policy::WeightedRoundRobin weightedSplit_;
@@ -149,8 +135,6 @@
     RouteWork &workOf(const Model::Route &route, const Model::ServiceId &service);
     std::size_t entriesSharing(const TargetState &target) const;
     bool isAllowed(const RequestContext &request, std::size_t domain) const;
-    bool hasUnreachable(const Model::ServiceId &service, const ServiceTargets &targets,
-                        Model::SteadyTime now);
 
     const Observe::Settings &settings_;
     const PlatformState &platformState_;
@@ -163,7 +147,6 @@
     std::unordered_map<Model::ServiceId, double> serviceMeanUs_;
     std::unordered_map<Model::ServiceId, Policy::ObjectRetention> memory_;
     std::unordered_map<Model::ServiceId, SlotUse> use_;
-    std::unordered_map<Model::ServiceId, UnreachableCheck> unreachable_;
     /// Round trip to each region, measured on new connections.
     std::vector<Model::Microseconds> roundTrips_;
     /// Refilled for each request; kept to reuse the allocation.
--- a/Libraries/LibSteering/PlacementLearning.cpp
+++ b/Libraries/LibSteering/PlacementLearning.cpp
@@ -13,9 +13,6 @@
 /// Weight of one new connection in the moving average of the round trip to a region.
 constexpr double roundTripWeight = 0.2;
 
-/// How long a look at all targets of a service for unreachable ones counts.
-constexpr Milliseconds unreachableCheckInterval{100};
-
 /// Weight of one answer in the mean processing time of a service's requests.
 constexpr double serviceMeanWeight = 0.02;
 
@@ -93,54 +90,6 @@
     return *std::max_element(roundTrips_.begin(), roundTrips_.end());
 }
 
-/// Spares the requests a look at every target while all are reached.
-bool PlacementEngine::hasUnreachable(const Model::ServiceId &service, const ServiceTargets &targets,
-                                     SteadyTime now)
-{
-    UnreachableCheck &check = unreachable_[service];
-    if (now - check.checkedAt_ < unreachableCheckInterval)
-        return check.hasAny_;
-    check = {false, now};
-    for (const auto &domain : targets.byDomain_) {
-        for (const auto &target : domain)
-            check.hasAny_ = check.hasAny_ || target->reachability_.failures_ > 0;
-    }
-    return check.hasAny_;
-}
-
-Policy::TargetReach PlacementEngine::reachOf(const RequestContext &request, SteadyTime now)
-{
-    Policy::TargetReach reach;
-    const ServiceTargets *targets = registry_.service(request.service_);
-    if (!targets || !hasUnreachable(request.service_, *targets, now))
-        return reach;
-    for (std::size_t i = 0; i < targets->byDomain_.size(); ++i) {
-        if (targets->byDomain_[i].empty() || !isAllowed(request, i))
-            continue;
-        for (const auto &target : targets->byDomain_[i]) {
-            if (target->takesWork())
-                ++(target->reachability_.failures_ > 0 ? reach.unreachable_ : reach.reachable_);
-        }
-    }
-    return reach;
-}
-
-std::shared_ptr<TargetState> PlacementEngine::targetToProbe(const RequestContext &request,
-                                                            SteadyTime now) const
-{
-    const ServiceTargets *targets = registry_.service(request.service_);
-    if (!targets)
-        return nullptr;
-    for (const auto &domain : targets->byDomain_) {
-        for (const auto &target : domain) {
-            if (target->takesWork() && target->reachability_.failures_ > 0
-                && !target->acceptsConnections_ && Policy::mayTry(target->reachability_, now))
-                return target;
-        }
-    }
-    return nullptr;
-}
-
 Milliseconds PlacementEngine::connectTimeoutFor(const TargetState &target) const
 {
     return Policy::connectionTimeout(roundTrips_[target.region_]);
--- a/Libraries/LibSteering/RequestForwarder.cpp
+++ b/Libraries/LibSteering/RequestForwarder.cpp
@@ -79,7 +79,8 @@
     std::vector<Policy::ForwardingPeer> peers;
     for (const auto &[id, member] : peers_.members()) {
         const auto &record = member.heartbeatRecord_;
-        if (id == own.id_ || !record.isReady_ || record.isLeaving_ || !Policy::isAlive(member, now)
+        if (id == own.id_ || !record.isReady_ || record.isLeaving_ || record.isPartitioned_
+            || !Policy::isAlive(member, now)
             || !Policy::mayRunIn(member.instance_.region_, *request.route_, request.workspace_))
             continue;
         const auto inProgress = inProgress_.find(id);
--- a/Libraries/LibSteering/RequestForwarder.h
+++ b/Libraries/LibSteering/RequestForwarder.h
@@ -44,7 +44,8 @@
                      Observe::DecisionLog &log);
 
     /// Returns the peer that takes the next try of \a request, or std::nullopt if none may: peers
-    /// that are ready, not leaving, and in a home region of the route and the workspace.
+    /// that are ready, not leaving, not partitioned themselves, and in a home region of the route
+    /// and the workspace.
     std::optional<Model::Instance> choosePeer(const RequestContext &request, Model::SteadyTime now);
     /// Sends \a request to \a peer and returns how it ended there. Precondition: \a request
     /// outlives the call.
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -68,13 +68,15 @@
     Policy::TargetPause pause_;
     Model::SteadyTime coldUntil_;
     Policy::Reachability reachability_;
+    /// Its failure domain has become out of reach since its registration was first seen.
+    bool isInLostDomain_ = false;
     /// A connection was opened since it last did not answer; a request may probe whether it
     /// answers.
     bool acceptsConnections_ = false;
     /// When it last answered any request.
     Model::SteadyTime lastAnswerAt_ = Model::distantPast;
     Policy::TargetUse use_;
-    /// An idle connection is being opened in advance.
+    /// A connection is being opened in advance or as a probe.
     bool isConnecting_ = false;
     /// Its registration can be read; one that another writer has overwritten names no target.
     bool isRegistrationReadable_ = true;
@@ -97,6 +99,8 @@
     /// When each object was last sent here.
     std::unordered_map<std::uint64_t, Model::SteadyTime> objects_;
 
+    /// A request would probably not reach it.
+    bool isOutOfReach() const { return isInLostDomain_ && !acceptsConnections_; }
     bool isCold(Model::SteadyTime now) const { return now < coldUntil_; }
     /// Another target registered at its address, and has not answered that it is a different one.
     bool isSucceeded() const { return successor_ && !successor_->isReplaced_; }
@@ -163,6 +167,10 @@
 
     /// Returns the targets of \a service, or nullptr.
     const ServiceTargets *service(const Model::ServiceId &service) const;
+    const std::unordered_map<Model::ServiceId, ServiceTargets> &services() const
+    {
+        return services_;
+    }
 
     /// Returns the target loads to send to other instances.
     std::vector<Policy::TargetLoad> loadsToSend(Model::SteadyTime now) const;
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -137,6 +137,7 @@
     , platformState_(port_, settings_, log_)
     , targetRegistry_(port_, platformState_, log_)
     , placementEngine_(settings_, platformState_, targetRegistry_)
+    , reach_(platformState_, targetRegistry_, log_)
 {
 }
 
--- a/Tests/LibSteering/FakePlatform.h
+++ b/Tests/LibSteering/FakePlatform.h
@@ -57,6 +57,7 @@
     Steering::PlatformState platformState_;
     Steering::TargetRegistry targetRegistry_;
     Steering::PlacementEngine placementEngine_;
+    Steering::ReachMonitor reach_;
     Model::SteadyTime now_{std::chrono::seconds(1000)};
     Policy::StoreEvidence evidence_{{.contact_ = Policy::StoreContact::Reached}, {}};
 };
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -126,9 +126,14 @@
                                   instance_.log_};
     Steering::QuotaExchange quotas_{context_, instance_.settings_, instance_.platformState_, peers_,
                                     instance_.log_};
-    Steering::Dispatcher dispatcher_{
-        context_, instance_.port_, instance_.platformState_, instance_.placementEngine_, guard_,
-        quotas_,  instance_.log_};
+    Steering::Dispatcher dispatcher_{context_,
+                                     instance_.port_,
+                                     instance_.platformState_,
+                                     instance_.placementEngine_,
+                                     instance_.reach_,
+                                     guard_,
+                                     quotas_,
+                                     instance_.log_};
     std::vector<std::unique_ptr<Http::Server>> servers_;
     std::map<std::string, Model::Address> addresses_;
     /// What the targets answer.
--- a/Tests/Platform/TestWidePartitions.cpp
+++ b/Tests/Platform/TestWidePartitions.cpp
@@ -81,9 +81,9 @@
                 for (std::size_t at = 0; at < partitioned_.size(); ++at) {
                     const std::string id = prefix + std::to_string(at) + "-" + std::to_string(i);
                     answers.push_back(std::async(std::launch::async, [this, at, i, id] {
-                        const auto answer = fleet_.send(
-                            *partitioned_[at], i % 2 == 0 ? "read" : "order", id, callerTimeoutMs,
-                            id);
+                        const auto answer
+                            = fleet_.send(*partitioned_[at], i % 2 == 0 ? "read" : "order", id,
+                                          callerTimeoutMs, id);
                         return answer && answer->result() == status::ok;
                     }));
                 }
