--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -124,6 +124,29 @@
         ++silences_;
 }
 
+void Store::save()
+{
+    const std::lock_guard lock(mutex_);
+    savedTables_ = tables_;
+    savedRevision_ = revision_;
+}
+
+void Store::returnFromCopy()
+{
+    const std::lock_guard lock(mutex_);
+    tables_ = savedTables_;
+    revision_ = savedRevision_;
+    forgottenBefore_ = std::min(forgottenBefore_, revision_);
+    ++era_;
+}
+
+Http::Response Store::withEra(Http::Response response)
+{
+    const std::lock_guard lock(mutex_);
+    response.set("Store-Era", std::to_string(era_));
+    return response;
+}
+
 Task<Http::Response> Store::answer(Http::IncomingRequest request)
 {
     ++calls_;
@@ -138,7 +161,7 @@
         co_await Http::sleepFor(never);
     }
     if (faults.isRefusing_)
-        co_return jsonAnswer(json::object(), http::status::service_unavailable);
+        co_return withEra(jsonAnswer(json::object(), http::status::service_unavailable));
     const std::string target(request.message_.target());
     Http::Response response;
     if (target.starts_with("/-/rows-feed")) {
@@ -151,7 +174,7 @@
     if (faults.losesAnswers_ || wasSilentSince(silences)) {
         co_await Http::sleepFor(never);
     }
-    co_return response;
+    co_return withEra(std::move(response));
 }
 
 bool Store::wasSilentSince(std::uint64_t silences)
@@ -188,7 +211,7 @@
             const std::lock_guard lock(mutex_);
             if (faults_.isRefusing_)
                 co_return jsonAnswer(json::object(), http::status::service_unavailable);
-            if (after < forgottenBefore_)
+            if (after < forgottenBefore_ || after > revision_)
                 co_return jsonAnswer(json::object(), http::status::gone);
             json rows = rowsSince(table, after);
             if (!rows.empty() || std::chrono::steady_clock::now() >= until) {
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -71,6 +71,11 @@
     void remove(const std::string &table, const std::string &key);
     std::optional<std::string> value(const std::string &table, const std::string &key);
     void setFaults(const StoreFaults &faults);
+    /// Makes a copy of all rows, from which the store can return.
+    void save();
+    /// Returns from the copy: later rows and the history are lost, revisions are given out again,
+    /// and the era rises.
+    void returnFromCopy();
     int calls() const { return calls_; }
 
 private:
@@ -84,6 +89,7 @@
 
     Http::Task<Http::Response> answer(Http::IncomingRequest request);
     bool wasSilentSince(std::uint64_t silences);
+    Http::Response withEra(Http::Response response);
     Http::Task<Http::Response> feed(std::string target);
     Http::Response get(const std::string &target);
     Http::Response transact(const std::string &body);
@@ -94,6 +100,9 @@
     std::mutex mutex_;
     std::map<std::string, Table> tables_;
     std::uint64_t revision_ = 0;
+    std::uint64_t era_ = 1;
+    std::map<std::string, Table> savedTables_;
+    std::uint64_t savedRevision_ = 0;
     std::uint64_t forgottenBefore_ = 0;
     /// Counts silent periods. A call that waited during one stays unanswered.
     std::uint64_t silences_ = 0;
