LibPlatform, LibSteering, platform: Order revisions by the store's era, and let no copy undo what is known

Cause: no code read Store-Era. A replica keeps its rows while their revision is higher, so the rows of the returned store were refused, and the next call started from the old revision, got 410, and so on without a delay, some hundred calls a second, until the counter had passed it. Class: a term of the platform without a reader, and a number taken for one that never falls.

Revision now has the era in its upper bits, so that every comparison, of tables, heartbeats and requests between peers, orders by (era, number). The adapter reads the field: a later era asks for a full read, an earlier one or an unreadable one is refused. A replica recognises the copy's older rows by the revisions that it has seen replaced or removed, and keeps the known state until the row is written again; an operators' row that the copy lacks stays, a target's lapses as after an outage. A lower report count is no restart then. Peers of an earlier era get all rows. Rows that are refused are read again after a pause. Store readers write the instances' records and quarantines again.

--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -103,6 +103,10 @@
          "The call that replaced an abandoned one ended."},
         {RowFetchFailed, Warning, "RowFetchFailed",
          "A peer did not send its newer rows of the store completely."},
+        {StoreReturned, Warning, "StoreReturned",
+         "The store has returned from an older copy; rows that were known to be replaced or "
+         "removed "
+         "are held over."},
         {SettingsReloaded, Info, "SettingsReloaded", "The settings file was reloaded."},
         {SettingsReloadRefused, Error, "SettingsReloadRefused",
          "The new settings are invalid; the previous ones stay in force."},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -73,6 +73,7 @@
     StoreCallAbandoned = 5205,
     StoreCallRepeated = 5206,
     RowFetchFailed = 5207,
+    StoreReturned = 5208,
     SettingsReloaded = 5301,
     SettingsReloadRefused = 5302,
     LinesLeftOut = 5401,
--- a/Libraries/LibPlatform/LibPlatform.h
+++ b/Libraries/LibPlatform/LibPlatform.h
@@ -6,6 +6,7 @@
 
 #include "ClaimBatcher.h"
 #include "Edits.h"
+#include "Revision.h"
 #include "Store.h"
 #include "StoreCall.h"
 #include "TableMirror.h"
--- a/Libraries/LibPlatform/Store.h
+++ b/Libraries/LibPlatform/Store.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Revision.h"
+
 #include <LibHttp/LibHttp.h>
 #include <LibModel/LibModel.h>
 
@@ -10,9 +12,6 @@
 
 namespace Platform {
 
-/// A number that increases with each commit of the platform's table service.
-using Revision = Model::StrongNumber<struct RevisionTag, std::uint64_t>;
-
 /// One thread's client of the platform's table service, object store and instance list.
 ///
 /// Thread safety: none; the pool belongs to the calling thread.
--- a/Libraries/LibSteering/CrashGuard.cpp
+++ b/Libraries/LibSteering/CrashGuard.cpp
@@ -286,6 +286,13 @@
     return records;
 }
 
+void CrashGuard::requeueAllWrites()
+{
+    unwrittenRecords_.clear();
+    for (const auto &[fingerprint, quarantine] : crashRecords_.quarantines_)
+        unwrittenRecords_.push_back(fingerprint);
+}
+
 std::string CrashGuard::listText(SteadyTime now) const
 {
     json quarantined = json::array();
--- a/Libraries/LibSteering/CrashGuard.h
+++ b/Libraries/LibSteering/CrashGuard.h
@@ -67,6 +67,8 @@
                                 Model::SteadyTime now, Model::WallTime wallNow);
     /// Returns the records that are yet to be written to the store, each once.
     std::vector<QuarantineRecord> takeUnwritten(Model::SteadyTime now, Model::WallTime wallNow);
+    /// Has takeUnwritten() return the records of all known quarantines again.
+    void requeueAllWrites();
     /// Has takeUnwritten() return a record again that the store failed to write.
     void requeueWrite(const Policy::RequestFingerprint &fingerprint)
     {
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -38,8 +38,7 @@
         .add("target", target.record_.id_.value())
         .add("sent", wasSent ? "in part" : "no")
         .add("chosen_ms_ago", std::chrono::duration_cast<Microseconds>(steadyNow() - chosenAt))
-        .add("knowing", static_cast<std::int64_t>(
-                            platformState_.replica(StoreTable::Targets).knownRevision().value()))
+        .add("knowing", toText(platformState_.replica(StoreTable::Targets).knownRevision()))
         .add("by", platformState_.targetsSource());
 }
 
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -225,6 +225,7 @@
         parts_->quotas_.tableChanged();
         parts_->entry_.setLimits(entryLimits(platformState.table()->callerLimits()));
     }
+    noteStoreEra();
     parts_->peers_.setStoreStanding(parts_->follower_.standing());
     parts_->targetRegistry_.update(steadyNow(), parts_->peers_.storeEvidence());
     parts_->dispatcher_.dropIdleConnections(parts_->targetRegistry_.takeRestarted());
@@ -233,6 +234,19 @@
     parts_->peers_.announce();
 }
 
+/// Writes this instance's rows again once the store has returned from a copy that may lack them.
+/// All instances know the quarantines, so the store readers' writes suffice.
+void Instance::noteStoreEra()
+{
+    const auto era = parts_->platformState_.storeEra();
+    const auto earlier = std::exchange(storeEra_, era);
+    if (!earlier || era <= *earlier)
+        return;
+    isRecordStored_ = false;
+    if (parts_->follower_.contact() == Policy::StoreContact::Reached)
+        parts_->guard_.requeueAllWrites();
+}
+
 void Instance::updateReadiness()
 {
     const bool isReady = !isStopping_ && parts_->platformState_.table()
--- a/Libraries/LibSteering/Instance.h
+++ b/Libraries/LibSteering/Instance.h
@@ -51,6 +51,7 @@
     void updateEntryCounts();
     void detectSuspend();
     void reload();
+    void noteStoreEra();
     void updateReadiness();
     std::string metricsText() const;
 
@@ -70,6 +71,8 @@
     bool isReady_ = false;
     /// The store holds this instance's record.
     bool isRecordStored_ = false;
+    /// The highest era of the store so far; std::nullopt until a table is known.
+    std::optional<Platform::StoreEra> storeEra_;
     bool isStopping_ = false;
     Model::SteadyTime startedAt_ = Model::distantPast;
 };
--- a/Libraries/LibSteering/PlatformState.cpp
+++ b/Libraries/LibSteering/PlatformState.cpp
@@ -59,16 +59,26 @@
     return table == StoreTable::Operators ? operators_ : targets_;
 }
 
-void PlatformState::replace(StoreTable table, const Platform::StoredRows &rows,
+bool PlatformState::replace(StoreTable table, const Platform::StoredRows &rows,
                             std::string_view source)
 {
     TableReplica &replica = table == StoreTable::Operators ? operators_ : targets_;
+    const auto before = replica.knownRevision();
+    const bool wasKnown = replica.isKnown();
     if (!replica.replace(rows)) {
         log_.line(Event::TableRefused)
             .add("source", source)
-            .add("held", static_cast<std::int64_t>(replica.knownRevision().value()))
-            .add("offered", static_cast<std::int64_t>(rows.revision_.value()));
-        return;
+            .add("held", toText(replica.knownRevision()))
+            .add("offered", toText(rows.revision_));
+        return false;
+    }
+    if (wasKnown && Platform::eraOf(rows.revision_) > Platform::eraOf(before)) {
+        log_.line(Event::StoreReturned)
+            .add("source", source)
+            .add("table", table == StoreTable::Operators ? "operators" : "targets")
+            .add("held", toText(before))
+            .add("offered", toText(rows.revision_))
+            .add("held_over", static_cast<std::int64_t>(replica.heldOver()));
     }
     if (table == StoreTable::Operators) {
         operatorsChanged(source);
@@ -76,6 +86,7 @@
         ++targetChanges_;
         targetsSource_ = source;
     }
+    return true;
 }
 
 void PlatformState::apply(StoreTable table, const Platform::StoredRows &changes,
@@ -154,12 +165,18 @@
         drained += (drained.empty() ? "" : ",") + domain.value();
     log_.line(Event::TableApplied)
         .add("version", static_cast<std::int64_t>(table_->version().value()))
-        .add("position", static_cast<std::int64_t>(operators_.knownRevision().value()))
+        .add("position", toText(operators_.knownRevision()))
         .add("source", source)
         .add("routes", static_cast<std::int64_t>(table_->routes().all().size()))
         .add("drained", drained);
 }
 
+Platform::StoreEra PlatformState::storeEra() const
+{
+    return std::max(Platform::eraOf(operators_.knownRevision()),
+                    Platform::eraOf(targets_.knownRevision()));
+}
+
 KnownRevisions PlatformState::knownRevisions() const
 {
     return {operators_.knownRevision(), targets_.knownRevision()};
@@ -208,16 +225,18 @@
         const bool isWhole = parsed[name].at("whole").get<bool>();
         const TableReplica &held = replica(table);
         const bool isNewer = !held.isKnown() || rows.revision_ > held.knownRevision();
-        // Changes apply to the revision that was held when they were requested; without any rows
-        // they are useless.
-        if (!isNewer || (!isWhole && !held.isKnown()))
+        // Changes apply to the revision that was held when they were requested; without any rows,
+        // or to those of an earlier era, they are useless.
+        const bool isSameEra
+            = Platform::eraOf(rows.revision_) == Platform::eraOf(held.knownRevision());
+        if (!isNewer || (!isWhole && (!held.isKnown() || !isSameEra)))
             return;
         hasChanges = true;
         log_.line(Event::KnowledgeFromPeer)
             .add("peer", peer)
             .add("table", name)
-            .add("held", static_cast<std::int64_t>(held.knownRevision().value()))
-            .add("offered", static_cast<std::int64_t>(rows.revision_.value()))
+            .add("held", toText(held.knownRevision()))
+            .add("offered", toText(rows.revision_))
             .add("rows", static_cast<std::int64_t>(rows.rows_.size()));
         if (isWhole) {
             replace(table, rows, peer);
--- a/Libraries/LibSteering/PlatformState.h
+++ b/Libraries/LibSteering/PlatformState.h
@@ -32,8 +32,9 @@
     PlatformState(const PlatformPort &port, const Observe::Settings &settings,
                   Observe::DecisionLog &log);
 
-    /// Records all rows of a table, or the changes since its revision.
-    void replace(StoreTable table, const Platform::StoredRows &rows, std::string_view source);
+    /// Records all rows of a table, unless they are older than the known ones, or the changes since
+    /// its revision. replace() returns whether it did.
+    bool replace(StoreTable table, const Platform::StoredRows &rows, std::string_view source);
     void apply(StoreTable table, const Platform::StoredRows &changes, std::string_view source);
 
     const TableReplica &replica(StoreTable table) const;
@@ -49,6 +50,8 @@
     /// The source of the latest change of a target's row: "store" or a peer's name.
     const std::string &targetsSource() const { return targetsSource_; }
 
+    /// The highest era of the store that is known here.
+    Platform::StoreEra storeEra() const;
     /// Returns the revisions up to which this instance holds the tables.
     KnownRevisions knownRevisions() const;
     /// Tells whether an instance whose last changes are these holds rows that are missing here.
@@ -73,7 +76,7 @@
     const PlatformPort &port_;
     const Observe::Settings &settings_;
     Observe::DecisionLog &log_;
-    TableReplica operators_;
+    TableReplica operators_{TableWriters::Operators};
     TableReplica targets_;
     std::shared_ptr<const Model::Table> table_;
     std::set<Model::FailureDomainId> drained_;
--- a/Libraries/LibSteering/StoreFollower.cpp
+++ b/Libraries/LibSteering/StoreFollower.cpp
@@ -177,8 +177,7 @@
         log_.line(Event::StoreReading)
             .add("table", nameOf(table))
             .add("reads", isReading ? "yes" : "no")
-            .add("position",
-                 static_cast<std::int64_t>(platformState_.replica(table).knownRevision().value()));
+            .add("position", toText(platformState_.replica(table).knownRevision()));
     }
     if (!isReading)
         progress.answeredSince_.reset();
@@ -193,8 +192,10 @@
         co_return false;
     }
     recordSuccess(table, progress, rows->revision_);
+    // Rows that are older than the known ones are read again after a pause.
+    if (!platformState_.replace(table, *rows, "store"))
+        co_return false;
     progress.needsFullRead_ = false;
-    platformState_.replace(table, *rows, "store");
     changed_();
     co_return true;
 }
@@ -218,7 +219,8 @@
         if (Model::lastReason().code_ == ResultCode::PlatformHistoryGone) {
             log_.line(Event::HistoryLost)
                 .add("table", nameOf(table))
-                .add("position", static_cast<std::int64_t>(knownRevision.value()));
+                .add("position", toText(knownRevision))
+                .add("reason", toText(Model::lastReason()));
             progress.needsFullRead_ = true;
             co_return true;
         }
@@ -240,7 +242,12 @@
     if (!progress.isReached_)
         log_.line(Event::StoreBack).add("table", nameOf(table));
     progress.confirmedAt_ = std::chrono::steady_clock::now();
-    if (progress.failures_ > 0)
+    // A store that has returned from a copy was away, even if no call has shown it.
+    const bool hasReturned = Platform::eraOf(readUpTo) > Platform::eraOf(progress.readUpTo_)
+                             && progress.readUpTo_ != Platform::Revision();
+    if (hasReturned)
+        progress.answeredSince_.reset();
+    if (progress.failures_ > 0 || hasReturned)
         progress.recoveredAt_ = progress.confirmedAt_;
     progress.isReached_ = true;
     progress.failures_ = 0;
--- a/Libraries/LibSteering/TableReplica.h
+++ b/Libraries/LibSteering/TableReplica.h
@@ -2,17 +2,36 @@
 
 #include <LibPlatform/LibPlatform.h>
 
+#include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Steering {
 
+/// Who writes a table's rows, which decides what a copy from which the store returns can undo.
+enum class TableWriters {
+    /// A row that is missing from the copy counts as removed: it lapses unless its target, which
+    /// writes it regularly, does so again.
+    Targets,
+    /// Rows are written once, and again only because the store has lost them: what is missing from
+    /// the copy stays until then.
+    Operators,
+};
+
 /// A local replica of one table of the store, fed by the store and by peers.
 ///
+/// When the store returns from an older copy, rows of the copy that were replaced or removed before
+/// are recognised by their revisions: the known state stays until the row is written again.
 /// Thread safety: none.
 class TableReplica
 {
 public:
+    explicit TableReplica(TableWriters writers = TableWriters::Targets)
+        : writers_(writers)
+    {
+    }
+
     const std::map<std::string, Platform::StoredRow> &rows() const { return rows_; }
     /// The revision up to which rows() has every change.
     Platform::Revision knownRevision() const { return knownRevision_; }
@@ -24,6 +43,9 @@
     /// existed, or its removal has been forgotten.
     std::optional<Platform::Revision> removedAt(const std::string &key) const;
 
+    /// Returns the number of rows whose known state stays in place of the copy's.
+    std::size_t heldOver() const { return heldOver_.size(); }
+
     /// Replaces all rows, unless \a rows is older than the known revision. Returns whether it did.
     bool replace(const Platform::StoredRows &rows);
 
@@ -37,12 +59,29 @@
     Platform::StoredRows snapshot() const;
 
 private:
+    /// An earlier state of a row.
+    struct EarlierState
+    {
+        Platform::Revision revision_;
+        std::size_t valueHash_ = 0;
+    };
+
+    bool isFromCopy(const Platform::StoredRow &row) const;
+    Platform::Revision revisionOf(const std::string &key) const;
+    void holdOver(const std::string &key, Platform::Revision inCopy);
+    void rememberEarlier(const Platform::StoredRow &row);
     void applyRow(const Platform::StoredRow &row);
     void put(const Platform::StoredRow &row);
     void remove(const std::string &key, Platform::Revision at);
     void forgetOldRemovals();
 
+    const TableWriters writers_;
     std::map<std::string, Platform::StoredRow> rows_;
+    /// The last states of rows that were replaced or removed, by key.
+    std::map<std::string, std::vector<EarlierState>> earlier_;
+    /// The revisions of the copy's rows in whose place the known state stays, by key; with number
+    /// zero for a row that the copy lacks.
+    std::map<std::string, Platform::Revision> heldOver_;
     /// The revisions in which removed rows were removed, by key.
     std::map<std::string, Platform::Revision> removedAt_;
     Platform::Revision knownRevision_;
--- a/Libraries/LibSteering/TargetRegistry.cpp
+++ b/Libraries/LibSteering/TargetRegistry.cpp
@@ -34,13 +34,14 @@
 
 /// Returns whether \a record is from a later incarnation than \a current. Targets that do not
 /// report their start time are compared by their report count, which restarts with each
-/// incarnation.
-bool isLaterIncarnation(const Model::TargetRecord &record, const Model::TargetRecord &current)
+/// incarnation; an older copy of the store holds a lower count too.
+bool isLaterIncarnation(const Model::TargetRecord &record, const Model::TargetRecord &current,
+                        bool isSameEra)
 {
     if (record.incarnation_ != current.incarnation_)
         return record.incarnation_ > current.incarnation_;
     const bool hasNoStartTime = record.incarnation_ == Model::Incarnation();
-    return hasNoStartTime && record.reportCount_ < current.reportCount_;
+    return hasNoStartTime && isSameEra && record.reportCount_ < current.reportCount_;
 }
 
 /// Returns whether \a target registered after \a other, a different target at the same address.
@@ -67,13 +68,18 @@
         .add("target", row.key_)
         .add("reason", toText(Model::lastReason()))
         .add("first", isNew ? "yes" : "no")
-        .add("revision", static_cast<std::int64_t>(row.revision_.value()));
+        .add("revision", toText(row.revision_));
 }
 
-std::shared_ptr<TargetState> TargetRegistry::stateFor(const Model::TargetRecord &record)
+std::shared_ptr<TargetState> TargetRegistry::stateFor(const Model::TargetRecord &record,
+                                                      Platform::Revision revision)
 {
     auto &target = targets_[record.id_];
-    const bool isRestarted = target && isLaterIncarnation(record, target->record_);
+    const auto isSameEra = [&](Platform::Revision known) {
+        return Platform::eraOf(known) == Platform::eraOf(revision);
+    };
+    const bool isRestarted
+        = target && isLaterIncarnation(record, target->record_, isSameEra(target->revision_));
     if (isRestarted) {
         restarted_.push_back(target->record_.address_);
         log_.line(Event::TargetRestarted)
@@ -87,7 +93,8 @@
         target->seed_ = Policy::seedOf(record.id_.value());
         const auto dropped = droppedTerms_.find(record.id_);
         if (dropped != droppedTerms_.end()
-            && !isLaterIncarnation(record, dropped->second.record_)) {
+            && !isLaterIncarnation(record, dropped->second.record_,
+                                   isSameEra(dropped->second.revision_))) {
             target->record_.isLeaving_ = dropped->second.record_.isLeaving_;
             target->limit_ = dropped->second.limit_;
             target->pause_ = dropped->second.pause_;
@@ -124,7 +131,7 @@
         log_.line(Event::TargetOutdated).add("target", row.key_);
         return;
     }
-    const auto target = stateFor(*record);
+    const auto target = stateFor(*record, row.revision_);
     if (target->firstRevision_ == Platform::Revision())
         target->firstRevision_ = row.revision_;
     const bool wasLeaving = target->record_.isLeaving_;
@@ -149,7 +156,7 @@
         .add("address", toText(record->address_))
         .add("leaving", target->record_.isLeaving_ ? "yes" : "no")
         .add("cold_ms", static_cast<std::int64_t>(record->remainingColdTime_.count()))
-        .add("revision", static_cast<std::int64_t>(row.revision_.value()));
+        .add("revision", toText(row.revision_));
     if (target->record_.isLeaving_ && !wasLeaving)
         logLeave(*target, "announced", row.revision_, now);
 }
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -120,6 +120,8 @@
     Model::TargetRecord record_;
     Policy::TargetLimit limit_;
     Policy::TargetPause pause_;
+    /// The revision of its last registration.
+    Platform::Revision revision_;
     Model::SteadyTime droppedAt_;
 };
 
@@ -202,7 +204,8 @@
     void noteUnreadable(const Platform::StoredRow &row);
     void logLeave(const TargetState &target, const char *how, Platform::Revision revision,
                   Model::SteadyTime now);
-    std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record);
+    std::shared_ptr<TargetState> stateFor(const Model::TargetRecord &record,
+                                          Platform::Revision revision);
     void findSuccessors();
     void noteMissing(Model::SteadyTime now, const Policy::StoreEvidence &evidence);
     /// Drops a target, and keeps what it has asked for, if anything.
--- a/Libraries/LibSteering/TargetRemovals.cpp
+++ b/Libraries/LibSteering/TargetRemovals.cpp
@@ -47,12 +47,12 @@
     log_.line(Event::TargetLeaveKnown)
         .add("target", target.record_.id_.value())
         .add("how", how)
-        .add("revision", static_cast<std::int64_t>(revision.value()))
+        .add("revision", toText(revision))
         .add("by", platformState_.targetsSource())
         .add("in_progress", target.ownInFlight_)
         .add("last_request", last.request_)
         .add("sent_ms_ago", msSince(last.at_, now))
-        .add("sent_knowing", static_cast<std::int64_t>(last.knownRevision_.value()))
+        .add("sent_knowing", toText(last.knownRevision_))
         .add("store_said_ms_before", msSince(last.freshness_.storeConfirmedAt_, last.at_))
         .add("peers_said_ms_before", msSince(last.freshness_.peersConfirmedAt_, last.at_));
 }
@@ -94,7 +94,7 @@
             target->removedRegistration_ = removed;
             log_.line(Event::TargetMissing)
                 .add("target", id.value())
-                .add("revision", static_cast<std::int64_t>(removed.revision_))
+                .add("revision", toText(Platform::Revision(removed.revision_)))
                 .add("store", nameOf(evidence.own_.contact_))
                 .add("use_ms", std::chrono::duration_cast<Model::Microseconds>(until - now))
                 .add("noticed_ms_ago", msSince(removed.noticedAt_, now))
@@ -170,7 +170,8 @@
     const bool hasTerms
         = target.record_.isLeaving_ || target.limit_.rate_ || Policy::isPausing(target.pause_, now);
     if (hasTerms)
-        droppedTerms_[target.record_.id_] = {target.record_, target.limit_, target.pause_, now};
+        droppedTerms_[target.record_.id_]
+            = {target.record_, target.limit_, target.pause_, target.revision_, now};
 }
 
 void TargetRegistry::forgetRemovals(SteadyTime now)
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -27,6 +27,20 @@
     return {Revision(revision), std::move(list)};
 }
 
+StoredRow inEra(std::uint16_t era, StoredRow row)
+{
+    row.revision_ = Platform::revisionIn(Platform::StoreEra(era), row.revision_.value());
+    return row;
+}
+
+StoredRows inEra(std::uint16_t era, StoredRows list)
+{
+    list.revision_ = Platform::revisionIn(Platform::StoreEra(era), list.revision_.value());
+    for (auto &row : list.rows_)
+        row = inEra(era, row);
+    return list;
+}
+
 class TestTableReplica : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestTableReplica);
@@ -36,9 +50,89 @@
     CPPUNIT_TEST(fullReadCountsAsChanges);
     CPPUNIT_TEST(revisionAdvancesWithoutAChange);
     CPPUNIT_TEST(oldRemovalsAreForgotten);
+    CPPUNIT_TEST(copyUndoesNothingThatIsKnown);
+    CPPUNIT_TEST(peersOfAnEarlierEraGetAllRows);
+    CPPUNIT_TEST(rowsOfAnEarlierEraAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a copy that undoes a change or a removal, in whatever order the store and
+    // peers send it, and against a change that is taken for the copy's.
+    void copyUndoesNothingThatIsKnown()
+    {
+        Support::assertProperty("each row is the last one written", [] {
+            std::map<std::string, StoredRow> known;
+            std::map<std::string, StoredRow> copied;
+            std::uint64_t revision = 0;
+            TableReplica replica(Steering::TableWriters::Operators);
+            TableReplica peer(Steering::TableWriters::Operators);
+            replica.replace(inEra(1, rows(0, {})));
+            peer.replace(inEra(1, rows(0, {})));
+            const auto write = [&](std::uint16_t era, bool isLost) {
+                const std::string key = "k" + std::to_string(*rc::gen::inRange(0, 4));
+                const bool isRemoved = *rc::gen::inRange(0, 3) == 0;
+                ++revision;
+                StoredRow row = isRemoved ? removed(key, revision) : present(key, revision);
+                if (row.value_)
+                    *row.value_ += " of era " + std::to_string(era);
+                known[key] = row;
+                if (!isLost)
+                    copied[key] = row;
+                replica.apply(inEra(era, rows(revision, {row})));
+                peer.apply(inEra(era, rows(revision, {row})));
+            };
+            for (int i = *rc::gen::inRange(0, 8); i > 0; --i)
+                write(1, false);
+            const auto copyRevision = revision;
+            for (int i = *rc::gen::inRange(0, 7); i > 0; --i)
+                write(1, true);
+
+            revision = copyRevision;
+            std::vector<StoredRow> list;
+            for (const auto &[key, row] : copied) {
+                if (row.value_)
+                    list.push_back(row);
+            }
+            const auto copy = inEra(2, rows(copyRevision, list));
+            replica.replace(copy);
+            // The peer receives the rows from the replica, and reads the copy itself afterwards.
+            peer.replace(replica.snapshot());
+            peer.replace(copy);
+            for (int i = *rc::gen::inRange(0, 8); i > 0; --i)
+                write(2, false);
+            for (const auto *each : {&replica, &peer}) {
+                for (const auto &[key, row] : known) {
+                    const auto held = each->rows().find(key);
+                    RC_ASSERT((held != each->rows().end()) == row.value_.has_value());
+                    if (row.value_)
+                        RC_ASSERT(held->second.value_ == row.value_);
+                }
+            }
+        });
+    }
+
+    // Guards against a peer that keeps rows which the store has lost, because it gets changes
+    // alone.
+    void peersOfAnEarlierEraGetAllRows()
+    {
+        TableReplica replica;
+        replica.replace(inEra(1, rows(5, {present("a", 3)})));
+        replica.replace(inEra(2, rows(4, {present("a", 3)})));
+        CPPUNIT_ASSERT(!replica.changesSince(inEra(1, present("", 5)).revision_));
+        CPPUNIT_ASSERT(replica.changesSince(inEra(2, present("", 4)).revision_));
+    }
+
+    // Guards against an answer of an earlier era that arrives after one of the new era.
+    void rowsOfAnEarlierEraAreRefused()
+    {
+        TableReplica replica;
+        replica.replace(inEra(2, rows(4, {present("a", 3)})));
+        CPPUNIT_ASSERT(!replica.replace(inEra(1, rows(90, {present("b", 80)}))));
+        replica.apply(inEra(1, rows(90, {present("a", 80), removed("a", 90)})));
+        CPPUNIT_ASSERT_EQUAL(std::string("value 3"), *replica.rows().at("a").value_);
+        CPPUNIT_ASSERT(replica.knownRevision() == inEra(2, present("", 4)).revision_);
+    }
+
     void changesInAnyOrderLeadToTheSameRows()
     {
         Support::assertProperty("rows are those of the last change of each key", [] {
