--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -134,12 +134,32 @@
 void Store::returnFromCopy()
 {
     const std::lock_guard lock(mutex_);
-    tables_ = savedTables_;
+    lostTables_ = std::exchange(tables_, savedTables_);
     revision_ = savedRevision_;
     forgottenBefore_ = std::min(forgottenBefore_, revision_);
     ++era_;
 }
 
+void Store::writeAgain()
+{
+    const std::lock_guard lock(mutex_);
+    for (const char *table : {"op", "servers"}) {
+        for (const auto &[key, lost] : lostTables_[table]) {
+            const auto found = tables_[table].find(key);
+            const bool isMissing = found == tables_[table].end();
+            if (isMissing && lost.isRemoved_)
+                continue;
+            const bool isOther = isMissing || found->second.isRemoved_ != lost.isRemoved_
+                                 || found->second.value_ != lost.value_;
+            const bool isWrittenSince = !isMissing && found->second.revision_ > savedRevision_;
+            if (!isOther || isWrittenSince)
+                continue;
+            ++revision_;
+            change(table, key, lost.isRemoved_ ? std::nullopt : std::optional(lost.value_));
+        }
+    }
+}
+
 Http::Response Store::withEra(Http::Response response)
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -76,6 +76,9 @@
     /// Returns from the copy: later rows and the history are lost, revisions are given out again,
     /// and the era rises.
     void returnFromCopy();
+    /// Writes the operators' and the targets' rows again that the last return has lost, unless they
+    /// have been written since.
+    void writeAgain();
     int calls() const { return calls_; }
 
 private:
@@ -102,6 +105,8 @@
     std::uint64_t revision_ = 0;
     std::uint64_t era_ = 1;
     std::map<std::string, Table> savedTables_;
+    /// The tables just before the last return.
+    std::map<std::string, Table> lostTables_;
     std::uint64_t savedRevision_ = 0;
     std::uint64_t forgottenBefore_ = 0;
     /// Counts silent periods. A call that waited during one stays unanswered.
--- a/Tests/Soak/Plan.cpp
+++ b/Tests/Soak/Plan.cpp
@@ -24,7 +24,7 @@
 /// Number of kinds drawn for every plan; poison requests are drawn separately.
 constexpr std::size_t drawnKinds = 14;
 
-constexpr std::array<const char *, 18> names = {"InstanceKilled",
+constexpr std::array<const char *, 20> names = {"InstanceKilled",
                                                 "InstancePaused",
                                                 "InstanceStopped",
                                                 "StoreRefuses",
@@ -41,7 +41,9 @@
                                                 "RequestEndsTargets",
                                                 "TargetPauses",
                                                 "TargetAnnouncesLeave",
-                                                "RegistrationsLapse"};
+                                                "RegistrationsLapse",
+                                                "StoreCopied",
+                                                "StoreReturns"};
 
 bool concernsInstance(FaultKind kind)
 {
@@ -98,6 +100,34 @@
     }
 }
 
+/// Mean time between returns of the store, the greatest age of its copy, and the time until what it
+/// has lost is written again.
+constexpr Milliseconds returnInterval{8000};
+constexpr Milliseconds maxCopyAge{4000};
+constexpr Milliseconds minRewriteTime{200};
+constexpr Milliseconds maxRewriteTime{1500};
+
+/// Adds returns of the store from a copy, before the leaves that need an undisturbed store.
+void addReturns(std::vector<Fault> &faults, std::uint64_t seed, const PlanSize &size)
+{
+    std::mt19937_64 random(seed * 5 + 3);
+    const auto draw = [&](Milliseconds from, Milliseconds to) {
+        return Milliseconds(
+            std::uniform_int_distribution<long long>(from.count(), to.count())(random));
+    };
+    const auto end = size.length_ - calmTime - leaveTime;
+    auto at = settleTime;
+    while (true) {
+        const auto copiedAt = at + draw(Milliseconds(0), 2 * returnInterval);
+        const auto returnsAt = copiedAt + draw(Milliseconds(0), maxCopyAge);
+        at = returnsAt + draw(minRewriteTime, maxRewriteTime);
+        if (at >= end)
+            return;
+        faults.push_back({FaultKind::StoreCopied, copiedAt, copiedAt, 0, 0});
+        faults.push_back({FaultKind::StoreReturns, returnsAt, at, 0, 0});
+    }
+}
+
 /// Time from the start of the leaves until the store has been calm for long enough to bind.
 constexpr Milliseconds storeSettleTime{4200};
 constexpr Milliseconds leaveInterval{1500};
@@ -190,6 +220,7 @@
         addEndingRequests(faults, seed, size);
     addLeaves(faults, seed, size);
     addTerms(faults, seed, size);
+    addReturns(faults, seed, size);
     return faults;
 }
 
--- a/Tests/Soak/Plan.h
+++ b/Tests/Soak/Plan.h
@@ -39,6 +39,11 @@
     TargetAnnouncesLeave,
     /// The registrations of most targets are removed and return under the same ids.
     RegistrationsLapse,
+    /// A copy of the store is made.
+    StoreCopied,
+    /// The store returns from the copy; at the end, operators and targets write again what it has
+    /// lost.
+    StoreReturns,
 };
 
 struct Fault
--- a/Tests/Soak/SoakSite.cpp
+++ b/Tests/Soak/SoakSite.cpp
@@ -336,6 +336,11 @@
         return setStoreFaults({.losesAnswers_ = true}, 1);
     case StoreForgets:
         return setStoreFaults({.hasDiscardedHistory_ = true}, 1);
+    case StoreCopied:
+        return fleet_.store_.save();
+    case StoreReturns:
+        fleet_.store_.returnFromCopy();
+        return disturb(store_, 1);
     case StoreWay:
         disturb(subject, 1);
         return switchWays("store-" + number, mode);
@@ -400,6 +405,9 @@
     case StoreLosesAnswers:
     case StoreForgets:
         return setStoreFaults({}, -1);
+    case StoreReturns:
+        fleet_.store_.writeAgain();
+        return disturb(store_, -1);
     case StoreWay:
         switchWays("store-" + number, "pass");
         return disturb(subject, -1);
@@ -429,6 +437,7 @@
         return endTerms(fault);
     case TargetReplaced:
     case TableEdited:
+    case StoreCopied:
         return;
     }
 }
