--- a/Tests/LibSteering/TestIdleConnections.cpp
+++ b/Tests/LibSteering/TestIdleConnections.cpp
@@ -26,7 +26,8 @@
         Steering::QuotaExchange quotas(context, instance.settings_, instance.platformState_, peers,
                                        instance.log_);
         Steering::Dispatcher dispatcher(context, instance.port_, instance.platformState_,
-                                        instance.placementEngine_, instance.reach_, guard, quotas, instance.log_);
+                                        instance.placementEngine_, instance.reach_, guard, quotas,
+                                        instance.log_);
         instance.setTargetRows(2, {Fakes::target("a", "gauging", "s-a", 2)});
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), instance.targetRegistry_.all().size());
         dispatcher.refreshIdleConnections(instance.targetRegistry_);
--- a/Tests/Platform/TestPartitions.cpp
+++ b/Tests/Platform/TestPartitions.cpp
@@ -201,7 +201,8 @@
         double before = 0;
         double inside = 0;
         for (const auto &instance : site.fleet_.instances_) {
-            const double received = site.fleet_.metric(*instance, "cassiacrank_received_forwarded_total");
+            const double received
+                = site.fleet_.metric(*instance, "cassiacrank_received_forwarded_total");
             if (instance->domain_.starts_with("r-")) {
                 inside -= received;
             } else {
