--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -186,9 +186,10 @@
     if (request.isAbandoned_ || now >= request.deadline_)
         return false;
     const auto &route = *request.route_;
-    if (!attempt.wasSent_)
+    if (!attempt.wasSent_) {
         return request.tried_.size() < maxTargetTries
                || Policy::shouldForward(reach_.reachOf(request, now));
+    }
     // No credit is spent on an attempt that no target would take.
     if (attempt.code_ == ResultCode::TargetRefused
         && placementEngine_.retryDelayWhilePausing(request, now))
--- a/Libraries/LibSteering/TargetRemovals.cpp
+++ b/Libraries/LibSteering/TargetRemovals.cpp
@@ -169,9 +169,10 @@
     target.isDropped_ = true;
     const bool hasTerms
         = target.record_.isLeaving_ || target.limit_.rate_ || Policy::isPausing(target.pause_, now);
-    if (hasTerms)
+    if (hasTerms) {
         droppedTerms_[target.record_.id_]
             = {target.record_, target.limit_, target.pause_, target.revision_, now};
+    }
 }
 
 void TargetRegistry::forgetRemovals(SteadyTime now)
