--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -28,6 +28,8 @@
 using Model::Milliseconds;
 
 constexpr std::size_t chunkBytes = 64 * 1024;
+/// Fewer closed links than this are kept.
+constexpr std::size_t minPurgeSize = 1024;
 
 struct Group
 {
@@ -172,9 +174,12 @@
                 continue;
             auto link = std::make_shared<Link>(context_, std::move(socket));
             link->number_ = nextLink_++;
-            links_.remove_if([](const auto &entry) {
-                return entry.first.expired();
-            });
+            if (links_.size() >= purgeSize_) {
+                links_.remove_if([](const auto &entry) {
+                    return entry.first.expired();
+                });
+                purgeSize_ = 2 * links_.size() + minPurgeSize;
+            }
             links_.emplace_back(link, rule.group_);
             Http::asio::co_spawn(context_, forward(link, rule), Http::asio::detached);
         }
@@ -258,6 +263,8 @@
     Http::asio::io_context &context_;
     std::map<std::string, Group> groups_;
     std::list<std::pair<std::weak_ptr<Link>, std::string>> links_;
+    /// Closed links are forgotten when there are this many.
+    std::size_t purgeSize_ = minPurgeSize;
     std::uint64_t nextLink_ = 1;
 };
 
