LibSteering: Take no removal after a return for a loss

An operators' row that is missing from the first read after a return was held over whenever it was missing. An instance that reads late, after an operator has taken a drain back that the copy held, would have kept that drain for good. Now a row is held over only if its number is higher than the returned store's.

Found by reading, not reproduced before the change: the test of it, removalAfterTheReturnIsNotTakenForALoss, was not run on the code before.

--- a/Libraries/LibSteering/TableReplica.cpp
+++ b/Libraries/LibSteering/TableReplica.cpp
@@ -52,7 +52,7 @@
     for (const auto &key : missingKeys) {
         // A peer may have sent a row that it holds over.
         const bool isHeldOver = Platform::numberOf(revisionOf(key)) == 0;
-        if (isHeldOver || (hasReturned && writers_ == TableWriters::Operators)) {
+        if (isHeldOver || (hasReturned && isNewerThanCopy(key, rows.revision_))) {
             holdOver(key, Platform::revisionIn(era, 0));
         } else {
             remove(key, rows.revision_);
@@ -84,6 +84,14 @@
     });
 }
 
+/// Returns whether a copy of at most \a copyRevision lacks the row because it is older. Otherwise
+/// the row was removed after the return.
+bool TableReplica::isNewerThanCopy(const std::string &key, Revision copyRevision) const
+{
+    return writers_ == TableWriters::Operators
+           && Platform::numberOf(revisionOf(key)) > Platform::numberOf(copyRevision);
+}
+
 /// Returns the revision of the known state of a row, which is present or removed.
 Revision TableReplica::revisionOf(const std::string &key) const
 {
--- a/Libraries/LibSteering/TableReplica.h
+++ b/Libraries/LibSteering/TableReplica.h
@@ -14,8 +14,8 @@
     /// A row that is missing from the copy counts as removed: it lapses unless its target, which
     /// writes it regularly, does so again.
     Targets,
-    /// Rows are written once, and again only because the store has lost them: what is missing from
-    /// the copy stays until then.
+    /// Rows are written once, and again only because the store has lost them: a row that is newer
+    /// than the copy stays until then.
     Operators,
 };
 
@@ -67,6 +67,7 @@
     };
 
     bool isFromCopy(const Platform::StoredRow &row) const;
+    bool isNewerThanCopy(const std::string &key, Platform::Revision copyRevision) const;
     Platform::Revision revisionOf(const std::string &key) const;
     void holdOver(const std::string &key, Platform::Revision inCopy);
     void rememberEarlier(const Platform::StoredRow &row);
--- a/Tests/LibSteering/TestTableReplica.cpp
+++ b/Tests/LibSteering/TestTableReplica.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(revisionAdvancesWithoutAChange);
     CPPUNIT_TEST(oldRemovalsAreForgotten);
     CPPUNIT_TEST(copyUndoesNothingThatIsKnown);
+    CPPUNIT_TEST(removalAfterTheReturnIsNotTakenForALoss);
     CPPUNIT_TEST(peersOfAnEarlierEraGetAllRows);
     CPPUNIT_TEST(rowsOfAnEarlierEraAreRefused);
     CPPUNIT_TEST_SUITE_END();
@@ -107,6 +108,20 @@
         });
     }
 
+    // Guards against a row that stays for good although it was removed after the return, before the
+    // first read.
+    void removalAfterTheReturnIsNotTakenForALoss()
+    {
+        TableReplica replica(Steering::TableWriters::Operators);
+        replica.replace(inEra(1, rows(9, {present("copied", 3), present("lost", 8)})));
+        // The copy was made at revision 5, and revision 6 has removed the row that it held.
+        replica.replace(inEra(2, rows(6, {})));
+        CPPUNIT_ASSERT(!replica.rows().contains("copied"));
+        CPPUNIT_ASSERT(replica.rows().contains("lost"));
+        replica.replace(inEra(2, rows(20, {})));
+        CPPUNIT_ASSERT(replica.rows().contains("lost"));
+    }
+
     // Guards against a peer that keeps rows which the store has lost, because it gets changes
     // alone.
     void peersOfAnEarlierEraGetAllRows()
