LibPolicy, LibSteering, platform: Read paces, share hot objects, try rejecting targets one at a time

Downloads were non-idempotent, the fourth figure of load reports was not read, and a request on a connection that its target had closed ended as unknown.

The adapter now reads the pace and marks routes with large answers. Where the targets of a service report their pace, owners above their fair bound share objects with the next owners, a target that rejects everything gets one trial at a time, and a rejection rate that all targets share refuses no request. An idempotent request on a stale connection is sent again on a new one, and the idle limit of the service follows.

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -46,6 +46,7 @@
 {
     std::unique_ptr<Connection> connection_;
     bool isNew_ = false;
+    Model::Milliseconds idleTime_{0};
     /// The remote system refused the connection.
     bool isRefused_ = false;
 };
@@ -56,8 +57,11 @@
     if (options.maxIdle_.count() > 0)
         result.connection_ = pool.takeIdle(options.address_, options.maxIdle_);
     result.isNew_ = !result.connection_;
-    if (result.connection_)
+    if (result.connection_) {
+        result.idleTime_ = std::chrono::duration_cast<Model::Milliseconds>(
+            std::chrono::steady_clock::now() - result.connection_->usedAt_);
         co_return result;
+    }
 
     std::unique_ptr<Connection> connection
         = pool.openNew(options.address_, options.connectionLimit_);
@@ -307,6 +311,9 @@
         result = co_await exchangeOn(*connection, options, request, isOwnAnswer);
     }
     result.isNewConnection_ = connected.isNew_;
+    result.idleTime_ = connected.idleTime_;
+    result.sinceSent_ = std::chrono::duration_cast<Model::Microseconds>(
+        std::chrono::steady_clock::now() - connectedAt);
     if (connected.isNew_) {
         result.connectDuration_
             = std::chrono::duration_cast<Model::Microseconds>(connectedAt - startedAt);
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -85,6 +85,10 @@
     bool isNewConnection_ = false;
     /// The time to establish a new connection; zero for a reused one.
     Model::Microseconds connectDuration_{0};
+    /// How long a reused connection had been idle; zero for a new one.
+    Model::Milliseconds idleTime_{0};
+    /// The time from the start of sending to the end of the exchange.
+    Model::Microseconds sinceSent_{0};
     /// The number of answers to other requests that were dropped.
     int foreignAnswers_ = 0;
     /// The connection was refused because nothing listens at the address.
--- a/Libraries/LibModel/Columns.cpp
+++ b/Libraries/LibModel/Columns.cpp
@@ -140,6 +140,10 @@
      .type_ = YesNo,
      .default_ = "no",
      .meaning_ = "whether requests need no key of a workspace"},
+    {.name_ = "large_answers",
+     .type_ = YesNo,
+     .default_ = "no",
+     .meaning_ = "whether the transfer of an answer takes a notable part of the latency goal"},
 };
 
 const std::vector<Column> workspaceColumns = {
--- a/Libraries/LibModel/ResultCode.h
+++ b/Libraries/LibModel/ResultCode.h
@@ -42,6 +42,8 @@
     WouldBeLate = 212,
     Quarantined = 213,
     QuotaExceeded = 214,
+    TooManyBytesHeld = 215,
+    TooManyConnections = 216,
 
     TargetConnectionLost = 301,
     TargetTimeout = 302,
--- a/Libraries/LibModel/Route.h
+++ b/Libraries/LibModel/Route.h
@@ -43,6 +43,8 @@
     std::vector<RegionId> allowedRegions_;
     /// Whether requests need no key of a workspace.
     bool isPublic_ = false;
+    /// Whether answers are so large that their transfer takes a notable part of the latency goal.
+    bool hasLargeAnswers_ = false;
 };
 
 /// Parses "a" or "a:90, b:10".
--- a/Libraries/LibModel/Table.cpp
+++ b/Libraries/LibModel/Table.cpp
@@ -194,6 +194,7 @@
     route.hasAffinity_ = cellOrDefault(row, "affinity") == "yes";
     route.allowedRegions_ = regionsIn(row, "home_regions");
     route.isPublic_ = cellOrDefault(row, "public") == "yes";
+    route.hasLargeAnswers_ = cellOrDefault(row, "large_answers") == "yes";
     return route;
 }
 
--- a/Libraries/LibModel/Units.h
+++ b/Libraries/LibModel/Units.h
@@ -52,6 +52,9 @@
 /// Distinguishes a run of a process from earlier runs at the same address.
 using Incarnation = StrongNumber<struct IncarnationTag, std::uint64_t>;
 
+/// How long work takes at a target now, relative to its usual time: 2 means twice as long.
+using Pace = StrongNumber<struct PaceTag, double>;
+
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
 /// A wall-clock time in UTC with millisecond resolution.
--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -67,6 +67,8 @@
          "Most targets of a service in a failure domain are not reached from here.", 50},
         {DomainReached, Info, "DomainReached",
          "Targets of a service in a failure domain are reached again.", 50},
+        {StaleConnection, Info, "StaleConnection",
+         "A request was sent on a connection that the target had already closed."},
         {TargetAdded, Info, "TargetAdded", "A target registered itself.", 100},
         {TargetChanged, Info, "TargetChanged", "A target's registration changed.", 100},
         {TargetGone, Info, "TargetGone",
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -54,6 +54,7 @@
     RequestForwarded = 5008,
     DomainUnreached = 5009,
     DomainReached = 5010,
+    StaleConnection = 5011,
     TargetAdded = 5101,
     TargetChanged = 5102,
     TargetGone = 5103,
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -202,6 +202,9 @@
             co_return deliver(request, placement, std::move(attempted));
         if (attempted.isWithdrawn_ && !attempted.wasSent_)
             continue;
+        if (attempted.isStale_ && request.route_->isIdempotent_ && !request.isAbandoned_
+            && steadyNow() < request.deadline_)
+            continue;
         const bool mayTry = mayTryAgain(request, attempted, steadyNow());
         if (!unresolved && attempted.outcome_ != Outcome::NotRun)
             unresolved = attempted;
@@ -227,7 +230,8 @@
     options.deadline_ = request.deadline_ + deadlineSlack;
     options.connectTimeout_ = placementEngine_.connectTimeoutFor(target);
     options.maxIdle_ = request.route_->isIdempotent_ ? maxIdleTime : maxIdleTimeNonIdempotent;
-    if (request.attempts_ > 0)
+    options.maxIdle_ = Policy::idleLimitAt(idleLimits_[request.service_], options.maxIdle_, sentAt);
+    if (request.attempts_ > 0 || request.needsNewConnection_)
         options.maxIdle_ = Milliseconds(0);
     options.connectionLimit_ = maxConnectionsPerTarget;
     const bool isAtLimit = pool_.openCount(options.address_) >= maxConnectionsPerTarget;
@@ -270,7 +274,10 @@
                                  Http::asio::detached);
         }
     }
-    if (result.stage_ != Http::ExchangeStage::NotConnected) {
+    const bool isStaleConnection = isStale(target, result);
+    if (isStaleConnection && request.route_->isIdempotent_) {
+        request.tried_.pop_back();
+    } else if (result.stage_ != Http::ExchangeStage::NotConnected) {
         ++request.attempts_;
     } else if (!result.isWithdrawn_ && !request.control_.isCancelled() && !isAtLimit) {
         reach_.noteContact(target, false, now);
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -23,6 +23,8 @@
     /// Attempts whose target left or was drained before the request was sent completely.
     std::uint64_t withdrawn_ = 0;
     std::uint64_t foreignAnswers_ = 0;
+    /// Requests sent on a connection that the target had already closed.
+    std::uint64_t staleConnections_ = 0;
     /// Requests that were sent to a peer, and those of them that a target answered there.
     std::uint64_t forwarded_ = 0;
     std::uint64_t forwardedAnswered_ = 0;
@@ -99,6 +101,8 @@
         std::optional<Http::Response> answer_;
         bool wasSent_ = false;
         bool isWithdrawn_ = false;
+        /// It was sent on a connection that the target had already closed.
+        bool isStale_ = false;
     };
 
     std::optional<Http::Response> readRequest(RequestContext &request,
@@ -130,6 +134,11 @@
                        Model::SteadyTime chosenAt);
     void noteLoad(TargetState &target, const Http::Response &answer);
     bool notePause(TargetState &target, const Http::Response &answer, Model::SteadyTime now);
+    /// Returns whether \a result shows that the target had closed a reused connection before the
+    /// request arrived.
+    bool isStale(const TargetState &target, const Http::ExchangeResult &result) const;
+    void noteStaleConnection(RequestContext &request, const TargetState &target,
+                             const Http::ExchangeResult &result, Model::SteadyTime now);
     bool mayTryAgain(const RequestContext &request, const Attempt &attempt, Model::SteadyTime now);
 
     Http::Response refuse(RequestContext &request, const Refusal &refusal);
@@ -148,6 +157,7 @@
     Http::ConnectionPool pool_;
     std::list<RequestContext *> requestsInProgress_;
     std::unordered_map<Model::ServiceId, Policy::RetryBudget> retryBudgets_;
+    std::unordered_map<Model::ServiceId, Policy::IdleLimit> idleLimits_;
     std::size_t instances_ = 1;
     std::function<TargetsFreshness()> targetsFreshness_ = [] {
         return TargetsFreshness();
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -47,6 +47,8 @@
     const auto load = port_.parseLoad_(answer);
     if (!load)
         return;
+    if (load->pace_)
+        placementEngine_.notePaceReported(target.record_.service_);
     Policy::learnLoad(target.sharedLoad_, static_cast<double>(load->running_ + load->waiting_),
                       target.record_.slots_, steadyNow());
     const std::int64_t others = load->running_ + load->waiting_ - target.ownInFlight_;
@@ -99,6 +101,14 @@
         const bool isSilent = result.code_ == ResultCode::TargetTimeout;
         // A cancelled attempt proves nothing about reachability; another request may probe.
         target.reachability_.isProbed_ = false;
+        Policy::releaseTrial(target.rejections_);
+        if (isStale(target, result)) {
+            attempted.isStale_ = true;
+            noteStaleConnection(request, target, result, now);
+            // A request that crashes its targets at once looks the same.
+            noteCrash(request, placement, result, now);
+            return attempted;
+        }
         if (result.isWithdrawn_) {
             attempted.isWithdrawn_ = true;
             noteWithdrawn(request, target, attempted.wasSent_, sentAt);
@@ -163,6 +173,27 @@
     return attempted;
 }
 
+bool Dispatcher::isStale(const TargetState &target, const Http::ExchangeResult &result) const
+{
+    return !result.answer_ && result.stage_ == Http::ExchangeStage::Sent && !result.isNewConnection_
+           && !result.isWithdrawn_ && result.code_ == ResultCode::TargetConnectionLost
+           && Policy::isStaleClose(result.sinceSent_, placementEngine_.roundTripTo(target));
+}
+
+/// The target's other idle connections are closed by then. It proves nothing about the target.
+void Dispatcher::noteStaleConnection(RequestContext &request, const TargetState &target,
+                                     const Http::ExchangeResult &result, SteadyTime now)
+{
+    ++counters_.staleConnections_;
+    request.needsNewConnection_ = true;
+    Policy::noteStale(idleLimits_[request.service_], result.idleTime_, now);
+    log_.line(Event::StaleConnection)
+        .add("id", request.id_)
+        .add("target", target.record_.id_.value())
+        .add("idle_ms", static_cast<std::int64_t>(result.idleTime_.count()))
+        .add("since_sent_ms", result.sinceSent_);
+}
+
 void Dispatcher::noteCrash(RequestContext &request, const Placement &placement,
                            const Http::ExchangeResult &result, SteadyTime now)
 {
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -21,6 +21,8 @@
           counters.withdrawn_);
     count("cassiacrank_foreign_answers_total", "Answers dropped as another request's.",
           counters.foreignAnswers_);
+    count("cassiacrank_stale_connections_total",
+          "Requests sent on connections that targets had closed.", counters.staleConnections_);
     count("cassiacrank_forwarded_total", "Requests forwarded to peers.", counters.forwarded_);
     count("cassiacrank_forwarded_answered_total", "Forwarded requests answered by a target.",
           counters.forwardedAnswered_);
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -113,6 +113,9 @@
     if (std::find(request.tried_.begin(), request.tried_.end(), target.record_.id_)
         != request.tried_.end())
         return false;
+    if (current_.reportsPace_ && !Policy::isFailureCommon(current_.failures_)
+        && !Policy::mayTryRejecting(target.rejections_, now))
+        return false;
     if (!Policy::isWithinLimit(target.limit_, now)
         || !Policy::isPauseOver(target.pause_, target.ownInFlight_, now))
         return false;
@@ -189,7 +192,9 @@
         candidate.slowness_ = std::max(candidate.slowness_,
                                        Policy::slownessBySilence(age, oldest.maxUsualLatency_));
     }
-    candidate.failureRate_ = pace.failureRate_;
+    candidate.failureRate_ = current_.reportsPace_
+                                 ? Policy::excessFailureRate(pace.failureRate_, current_.failures_)
+                                 : pace.failureRate_;
     candidate.isKnownWarm_ = isKnownWarm(request, target, now);
     return candidate;
 }
@@ -200,20 +205,18 @@
                              SteadyTime now) const
 {
     Owners owners;
-    std::uint64_t firstScore = 0;
-    std::uint64_t secondScore = 0;
     for (const auto &target : targets) {
         if (!mayTake(request, *target, now))
             continue;
-        const std::uint64_t score = Policy::ownerScore(request.object_, target->seed_);
-        if (!owners.first_ || score > firstScore) {
-            owners.second_ = owners.first_;
-            secondScore = firstScore;
-            owners.first_ = &target;
-            firstScore = score;
-        } else if (!owners.second_ || score > secondScore) {
-            owners.second_ = &target;
-            secondScore = score;
+        auto *other = &target;
+        std::uint64_t score = Policy::ownerScore(request.object_, target->seed_);
+        for (std::size_t i = 0; i < owners.ranked_.size(); ++i) {
+            if (owners.ranked_[i] && score <= owners.scores_[i])
+                continue;
+            std::swap(other, owners.ranked_[i]);
+            std::swap(score, owners.scores_[i]);
+            if (!other)
+                break;
         }
     }
     return owners;
@@ -225,9 +228,9 @@
 {
     const Owners owners = ownersAmong(request, targets, now);
     const auto &others = workOf(*request.route_, request.service_).peerWarmth_;
+    const auto &[first, second, third] = owners.ranked_;
     // If the first owner stays full, the second one takes the excess.
-    const bool isFirstFull
-        = owners.first_ && Policy::isPersistentlyFull((*owners.first_)->sharedLoad_, now);
+    const bool isFirstFull = first && Policy::isPersistentlyFull((*first)->sharedLoad_, now);
     const auto add = [&](const std::shared_ptr<TargetState> &target, bool isOwner) {
         Policy::Candidate candidate = candidateFor(request, *target, now);
         candidate.isHome_ = isOwner && isHome;
@@ -240,10 +243,27 @@
         candidates_.push_back(candidate);
         candidateTargets_.push_back(target);
     };
-    if (owners.first_)
-        add(*owners.first_, true);
-    if (owners.second_ && isHome)
-        add(*owners.second_, false);
+    if (first)
+        add(*first, true);
+    if (!second || !isHome)
+        return;
+    const bool isShared = isOverflowing(request, **first, now);
+    add(*second, isShared);
+    if (third && isShared && isOverflowing(request, **second, now))
+        add(*third, true);
+}
+
+bool PlacementEngine::isOverflowing(const RequestContext &request, TargetState &owner,
+                                    SteadyTime now)
+{
+    if (!current_.reportsPace_)
+        return false;
+    const double load
+        = static_cast<double>(owner.ownInFlight_)
+          + Policy::peerReportedLoadAt(owner.othersLoad_, meanTimeOf(request.service_), now);
+    const double slots = static_cast<double>(owner.record_.slots_.value());
+    Policy::updateOverflow(owner.overflow_, load / slots, use_[request.service_].use_, now);
+    return Policy::isOverflowing(owner.overflow_, request.object_, owner.seed_);
 }
 
 void PlacementEngine::gatherCandidates(const RequestContext &request, const ServiceTargets &targets,
@@ -317,6 +337,7 @@
     if (!platformState_.replica(StoreTable::Targets).isKnown())
         return Refusal{ResultCode::NotReady, retryDelayWhenNotReady, Microseconds(0)};
     const ServiceTargets *targets = registry_.service(request.service_);
+    current_ = results_[request.service_];
     if (targets) {
         gatherCandidates(request, *targets, now);
     } else {
@@ -360,6 +381,7 @@
     placement.expected_ = choice->expected_;
     placement.maxUsualLatency_ = Policy::latestNormalTime(chosen, work);
     Policy::noteTry(placement.target_->reachability_);
+    Policy::noteTrial(placement.target_->rejections_);
     Policy::noteUse(placement.target_->use_, now);
     Policy::countRequest(spillOver_, chosen.leavesHomeRegion_, now);
     TargetState &target = *placement.target_;
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -2,6 +2,7 @@
 
 #include "RequestContext.h"
 
+#include <array>
 #include <random>
 #include <unordered_map>
 #include <variant>
@@ -44,6 +45,12 @@
         registry_.noteLeave(target, "answer at a peer", now);
     }
 
+    /// Records that a target of the service has reported its pace.
+    void notePaceReported(const Model::ServiceId &service)
+    {
+        results_[service].reportsPace_ = true;
+    }
+
     /// Records an answer or a failure of the target that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
                     Model::Microseconds took, Model::SteadyTime now);
@@ -89,6 +96,15 @@
         Model::SteadyTime countedAt_ = Model::distantPast;
     };
 
+    /// What the answers of a service's targets show of all of them.
+    struct ServiceResults
+    {
+        /// Targets report their pace, so they share their machines with other work and differ from
+        /// moment to moment.
+        bool reportsPace_ = false;
+        Policy::CommonFailureRate failures_;
+    };
+
     struct RouteState
     {
         Policy::WeightedRoundRobin weightedSplit_;
@@ -103,12 +119,12 @@
         std::size_t home_ = 0;
     };
 
-    /// The two highest-ranking targets for an object in a failure domain, among those that may take
-    /// it now. Null if there are none.
+    /// The highest-ranking targets for an object in a failure domain, best first, among those that
+    /// may take it now. Null if there are fewer.
     struct Owners
     {
-        const std::shared_ptr<TargetState> *first_ = nullptr;
-        const std::shared_ptr<TargetState> *second_ = nullptr;
+        std::array<const std::shared_ptr<TargetState> *, 3> ranked_{};
+        std::array<std::uint64_t, 3> scores_{};
     };
 
     ObjectView viewOf(const RequestContext &request, const ServiceTargets &targets) const;
@@ -135,6 +151,8 @@
     RouteWork &workOf(const Model::Route &route, const Model::ServiceId &service);
     std::size_t entriesSharing(const TargetState &target) const;
     bool isAllowed(const RequestContext &request, std::size_t domain) const;
+    /// Returns whether the next owner in rendezvous order also takes the request's object.
+    bool isOverflowing(const RequestContext &request, TargetState &owner, Model::SteadyTime now);
 
     const Observe::Settings &settings_;
     const PlatformState &platformState_;
@@ -147,6 +165,9 @@
     std::unordered_map<Model::ServiceId, double> serviceMeanUs_;
     std::unordered_map<Model::ServiceId, Policy::ObjectRetention> memory_;
     std::unordered_map<Model::ServiceId, SlotUse> use_;
+    std::unordered_map<Model::ServiceId, ServiceResults> results_;
+    /// The results of the service of the request that is being placed.
+    ServiceResults current_;
     /// Round trip to each region, measured on new connections.
     std::vector<Model::Microseconds> roundTrips_;
     /// Refilled for each request; kept to reuse the allocation.
--- a/Libraries/LibSteering/PlacementLearning.cpp
+++ b/Libraries/LibSteering/PlacementLearning.cpp
@@ -31,6 +31,8 @@
     target.lastAnswerAt_ = now;
     Policy::noteReached(target.reachability_);
     Policy::learnAnswer(target.pace_, worked, expected, now);
+    Policy::noteAccepted(target.rejections_);
+    Policy::noteResult(results_[request.service_].failures_, false);
 
     std::optional<SteadyTime> sentBefore;
     if (request.hasObject_) {
@@ -65,7 +67,10 @@
 
 void PlacementEngine::noteFailure(const Placement &placement, SteadyTime now)
 {
-    Policy::learnFailure(placement.target_->pace_, now);
+    TargetState &target = *placement.target_;
+    Policy::learnFailure(target.pace_, now);
+    Policy::noteRejection(target.rejections_, now);
+    Policy::noteResult(results_[target.record_.service_].failures_, true);
 }
 
 void PlacementEngine::noteNoAnswer(const Placement &placement, SteadyTime sentAt, bool wasSent,
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -52,6 +52,8 @@
 {
     std::int64_t running_ = 0;
     std::int64_t waiting_ = 0;
+    /// std::nullopt if the target does not report it.
+    std::optional<Model::Pace> pace_;
 };
 
 /// Names of the header fields in the exchanges with callers and targets.
--- a/Libraries/LibSteering/RequestContext.h
+++ b/Libraries/LibSteering/RequestContext.h
@@ -28,6 +28,8 @@
     /// Targets that were tried; attempts_ counts those that may have processed the request.
     std::vector<Model::TargetId> tried_;
     int attempts_ = 0;
+    /// It was sent on a stale connection, so its next attempt uses a new one.
+    bool needsNewConnection_ = false;
     /// HTTP status with which a target last rejected the request; zero if none did.
     unsigned rejectionStatus_ = 0;
     Http::ExchangeControl control_;
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -63,6 +63,8 @@
     Policy::SharedLoad sharedLoad_;
 
     Policy::TargetPace pace_;
+    Policy::RejectionStreak rejections_;
+    Policy::OwnerOverflow overflow_;
     Policy::SlowStart slowStart_;
     Policy::TargetLimit limit_;
     Policy::TargetPause pause_;
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST(malformedRegistrationsAreRefused);
     CPPUNIT_TEST(mutatedRegistrationsAreReadWholeOrRefused);
     CPPUNIT_TEST(loadReportsAreRead);
+    CPPUNIT_TEST(unusablePacesLeaveTheLoadInForce);
+    CPPUNIT_TEST(downloadsAreIdempotentAndHaveLargeAnswers);
     CPPUNIT_TEST(limitsOfTargetsAreRead);
     CPPUNIT_TEST(pausesAndLeavesOfTargetsAreRead);
     CPPUNIT_TEST(lookupsAreReadAndAnswered);
@@ -221,6 +223,41 @@
         // One of the three running requests is the one that this answer belongs to.
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2), load->running_);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(2), load->waiting_);
+        CPPUNIT_ASSERT(!load->pace_);
+        for (const std::string text : {"", "3", "x,2,8", "3,-2,8", "3,1e300,8"}) {
+            answer.set("X-Cassiacrank-Server-Load", text);
+            CPPUNIT_ASSERT_MESSAGE(text, !Adapter::loadReportIn(answer));
+        }
+    }
+
+    // Guards against losing a whole load report for a pace that is missing or implausible.
+    void unusablePacesLeaveTheLoadInForce()
+    {
+        Http::Response answer;
+        answer.set("X-Cassiacrank-Server-Load", "3,2,8,250");
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, Adapter::loadReportIn(answer)->pace_->value(), 1e-9);
+        for (const std::string text :
+             {"", ",", ",0", ",-100", ",1e9", ",nan", ",inf", ",x", ",1x"}) {
+            answer.set("X-Cassiacrank-Server-Load", "3,2,8" + text);
+            const auto load = Adapter::loadReportIn(answer);
+            CPPUNIT_ASSERT_MESSAGE(text, load && !load->pace_);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(2), load->waiting_);
+        }
+    }
+
+    // Guards against treating routes with large answers as non-idempotent, so that their requests
+    // are neither retried nor cancelled.
+    void downloadsAreIdempotentAndHaveLargeAnswers()
+    {
+        auto text = json::parse(config);
+        text["hosts"][0]["paths"][1]["kind"] = "download";
+        auto all = Adapter::decodeOperators({row("config", text.dump())})->rows_;
+        all.push_back({{Model::RowKind::Region, "r"}, {}, {}, false});
+        const auto table = Model::Table::build(Model::TableVersion(26), all, {});
+        CPPUNIT_ASSERT(table);
+        const auto *large = table->routes().find("h.example", "/a/b/c");
+        CPPUNIT_ASSERT(large->isIdempotent_ && large->hasLargeAnswers_);
+        CPPUNIT_ASSERT(!table->routes().find("h.example", "/a/x")->hasLargeAnswers_);
     }
 
     void limitsOfTargetsAreRead()
