LibModel, LibObserve, LibPolicy, LibSteering: List wide entries where answers are large

Look-ups gave each instance the same part of the callers, though some have a twentieth of the link of others: answers of half a megabyte took most of their latency goal on the narrow links, and many instances with few requests each knew little of each target.

Sizes are settings, checked at the start, and go out with member records; heartbeats tell the used part of the tightest resource. Where the table has routes with large answers, look-ups list entries with wide links while these have room.

--- a/Libraries/LibHttp/ConnectionPool.cpp
+++ b/Libraries/LibHttp/ConnectionPool.cpp
@@ -112,4 +112,12 @@
     return found == peers_.end() ? 0 : found->second.open_;
 }
 
+std::size_t ConnectionPool::openCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, peer] : peers_)
+        count += peer.open_;
+    return count;
+}
+
 } // namespace Http
--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -71,6 +71,8 @@
 
     /// Returns the number of open connections to \a address, idle or in use.
     std::size_t openCount(const Model::Address &address) const;
+    /// The same for all addresses.
+    std::size_t openCount() const;
 
 private:
     struct Peer
--- a/Libraries/LibModel/Instance.h
+++ b/Libraries/LibModel/Instance.h
@@ -2,6 +2,7 @@
 
 #include "Address.h"
 #include "Identifiers.h"
+#include "InstanceSize.h"
 #include "Units.h"
 
 namespace Model {
@@ -30,6 +31,7 @@
     RegionId region_;
     FailureDomainId domain_;
     InstanceAddresses addresses_;
+    InstanceSize size_;
     bool isLeaving_ = false;
 
     bool operator==(const Instance &) const = default;
--- a/Libraries/LibModel/LibModel.h
+++ b/Libraries/LibModel/LibModel.h
@@ -9,6 +9,7 @@
 #include "Columns.h"
 #include "Identifiers.h"
 #include "Instance.h"
+#include "InstanceSize.h"
 #include "ResultCode.h"
 #include "Route.h"
 #include "Row.h"
--- a/Libraries/LibModel/Route.cpp
+++ b/Libraries/LibModel/Route.cpp
@@ -65,6 +65,7 @@
 void RouteIndex::add(Route route)
 {
     byHost_[route.host_].insert_or_assign(route.prefix_, routes_.size());
+    hasLargeAnswers_ = hasLargeAnswers_ || route.hasLargeAnswers_;
     routes_.push_back(std::move(route));
 }
 
--- a/Libraries/LibModel/Route.h
+++ b/Libraries/LibModel/Route.h
@@ -69,6 +69,8 @@
     const Route *find(std::string_view host, std::string_view path) const;
 
     const std::vector<Route> &all() const { return routes_; }
+    /// Returns whether a route has large answers.
+    bool hasLargeAnswers() const { return hasLargeAnswers_; }
 
 private:
     struct TextHash
@@ -82,6 +84,7 @@
     using ByPrefix = std::unordered_map<std::string, std::size_t, TextHash, std::equal_to<>>;
 
     std::vector<Route> routes_;
+    bool hasLargeAnswers_ = false;
     std::unordered_map<std::string, ByPrefix, TextHash, std::equal_to<>> byHost_;
 };
 
--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -25,6 +25,8 @@
         {PeerLost, Warning, "PeerLost", "No recent heartbeat of a peer was received."},
         {PeerBack, Info, "PeerBack", "A heartbeat of a new or lost peer was received."},
         {BlocksApplied, Info, "BlocksApplied", "A new map of client blocks was applied."},
+        {LookupListChanged, Info, "LookupListChanged",
+         "Look-ups list another number of entries with wide links."},
         {TargetLeaving, Info, "TargetLeaving", "A target is leaving and gets no new work."},
         {TargetSuspect, Warning, "TargetSuspect", "A target failed and is skipped."},
         {TargetBack, Info, "TargetBack", "A suspect target answered again."},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -24,6 +24,7 @@
     PeerLost = 2006,
     PeerBack = 2007,
     BlocksApplied = 2008,
+    LookupListChanged = 2009,
 
     TargetLeaving = 3001,
     TargetSuspect = 3002,
--- a/Libraries/LibObserve/Settings.cpp
+++ b/Libraries/LibObserve/Settings.cpp
@@ -49,6 +49,13 @@
      "how long a connection may stay idle between requests"},
     {"entry", "request_timeout_ms", "10000", false, Daemons, "10 to 600000",
      "how long a request may take to arrive completely"},
+    {"limits", "cpu_share", "", false, Both, "0.01 to 64",
+     "processor cores that the process may use"},
+    {"limits", "memory_mb", "", false, Both, "16 to 1048576", "memory that the process may use"},
+    {"limits", "descriptors", "", false, Both, "64 to 1048576",
+     "file descriptors that the process may open"},
+    {"limits", "link_mbps", "", false, Both, "0.1 to 400000",
+     "bandwidth of the instance's link, each way"},
     {"lookup", "threads", "1", false, Daemons, "1 to 64", "threads that answer look-ups"},
     {"lookup", "ttl_ms", "2000", false, Both, "100 to 60000",
      "how long callers may keep an answer"},
@@ -142,6 +149,12 @@
         return parsed;
     }
 
+    /// Returns zero if the setting is not given.
+    double optionalNumber(std::string_view section, std::string_view key, bool isWhole)
+    {
+        return text(section, key).empty() ? 0 : number(section, key, isWhole);
+    }
+
     long long whole(std::string_view section, std::string_view key)
     {
         return static_cast<long long>(number(section, key, true));
@@ -258,6 +271,18 @@
     settings.addresses_.controlAdmin_ = reader.address("listen", "control_admin");
 }
 
+Model::InstanceSize sizeIn(Reader &reader)
+{
+    Model::InstanceSize size;
+    size.cpu_ = Model::CpuShare(reader.optionalNumber("limits", "cpu_share", false));
+    size.memory_ = Model::Megabytes(
+        static_cast<std::int64_t>(reader.optionalNumber("limits", "memory_mb", true)));
+    size.descriptors_ = Model::Descriptors(
+        static_cast<std::int64_t>(reader.optionalNumber("limits", "descriptors", true)));
+    size.link_ = Model::MegabitsPerSecond(reader.optionalNumber("limits", "link_mbps", false));
+    return size;
+}
+
 void readLimits(Reader &reader, Settings &settings)
 {
     settings.entryThreads_ = static_cast<int>(reader.whole("entry", "threads"));
@@ -305,6 +330,7 @@
     settings.platformTerms_ = reader.text("platform", "terms");
     settings.domains_ = reader.domains();
     readLimits(reader, settings);
+    settings.size_ = sizeIn(reader);
     settings.dial_ = reader.dialMap();
     reader.checkUnknown();
 
--- a/Libraries/LibObserve/Settings.h
+++ b/Libraries/LibObserve/Settings.h
@@ -32,6 +32,9 @@
     Model::Address entryAdmin_;
     Model::Address lookupAdmin_;
 
+    /// What the process may use; quantities that are not given are zero.
+    Model::InstanceSize size_;
+
     Model::Address platform_;
     Model::Milliseconds platformTimeout_{0};
     std::vector<Model::Address> seeds_;
--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -15,6 +15,7 @@
 #include "DomainReach.h"
 #include "EntryFailures.h"
 #include "EntryRanking.h"
+#include "EntryWeights.h"
 #include "FairQueue.h"
 #include "HomePlacement.h"
 #include "IdleLimit.h"
--- a/Libraries/LibPolicy/Liveness.h
+++ b/Libraries/LibPolicy/Liveness.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Policy {
@@ -44,6 +45,8 @@
     Model::Milliseconds storeAnswered_{0};
     /// The revision up to which it has itself read the targets' rows from the store.
     std::uint64_t targetsRead_ = 0;
+    /// The used part of its tightest resource in percent; std::nullopt if it does not tell.
+    std::optional<std::uint8_t> usePercent_;
 };
 
 /// The full member record of one instance.
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -262,6 +262,10 @@
     --target.ownInFlight_;
     target.sentRequests_.erase(sent);
     const auto now = steadyNow();
+    if (result.stage_ != Http::ExchangeStage::NotConnected)
+        counters_.relayedBytes_ += message.body().size();
+    if (result.answer_)
+        counters_.relayedBytes_ += result.answer_->body().size();
     if (result.connectDuration_.count() > 0) {
         placementEngine_.noteConnect(target, result.connectDuration_);
         // The pool had no idle connection. If connecting is slow, open one more than is in use.
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -25,6 +25,8 @@
     std::uint64_t foreignAnswers_ = 0;
     /// Requests sent on a connection that the target had already closed.
     std::uint64_t staleConnections_ = 0;
+    /// Bytes of the bodies that were passed on, of requests and of answers.
+    std::uint64_t relayedBytes_ = 0;
     /// Requests that were sent to a peer, and those of them that a target answered there.
     std::uint64_t forwarded_ = 0;
     std::uint64_t forwardedAnswered_ = 0;
@@ -90,6 +92,8 @@
     void dropAllIdleConnections(const TargetRegistry &registry);
 
     std::size_t inProgress() const { return requestsInProgress_.size(); }
+    /// Returns the number of open connections to targets, idle or in use.
+    std::size_t openConnections() const { return pool_.openCount(); }
     const DispatchCounters &counters() const { return counters_; }
 
 private:
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -53,6 +53,7 @@
     , signals_(context_, SIGTERM, SIGINT, SIGHUP)
     , storePool_(context_)
     , log_(STDOUT_FILENO)
+    , resources_(settings_.size_)
 {
     store_.address_ = Observe::dialAddress(settings_, settings_.platform_);
     store_.timeout_ = settings_.platformTimeout_;
@@ -182,10 +183,25 @@
         }
         updateEntryCounts();
         updateReadiness();
+        if (resources_.isDue(now))
+            measureResources();
         log_.flush();
     }
 }
 
+void Instance::measureResources()
+{
+    ResourceCount count = countOwnResources();
+    count.descriptors_ = parts_->entry_.openSessions() + parts_->dispatcher_.openConnections();
+    count.linkBytes_ = parts_->dispatcher_.counters().relayedBytes_;
+    resources_.sample(count, steadyNow());
+    constexpr double percent = 100;
+    constexpr double maxPercent = 255;
+    const double use = std::min(tightestUse(resources_.use()) * percent, maxPercent);
+    if (settings_.size_.isKnown())
+        parts_->peers_.setUse(static_cast<std::uint8_t>(use));
+}
+
 void Instance::detectSuspend()
 {
     const auto gap = clockGap();
--- a/Libraries/LibSteering/Instance.h
+++ b/Libraries/LibSteering/Instance.h
@@ -2,6 +2,7 @@
 
 #include "Dispatcher.h"
 #include "PeerExchange.h"
+#include "ResourceMeter.h"
 #include "StoreFollower.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -53,6 +54,10 @@
     void reload();
     void noteStoreEra();
     void updateReadiness();
+    void measureResources();
+    std::vector<Model::Instance> entriesToList(std::vector<Model::Instance> entries,
+                                               Model::SteadyTime now);
+    void noteListed(std::size_t wide, std::size_t candidates);
     std::string metricsText() const;
 
     Observe::Settings settings_;
@@ -67,6 +72,12 @@
     std::uint64_t seenTableChanges_ = 0;
     /// How far CLOCK_BOOTTIME, which advances during a suspend, is ahead of CLOCK_MONOTONIC.
     Model::Microseconds clockGap_{0};
+    ResourceMeter resources_;
+    Policy::NarrowWeight narrowWeight_;
+    /// Entries in the last answer to a look-up, and the wide ones among its candidates.
+    std::size_t listedEntries_ = 0;
+    std::size_t listedWide_ = 0;
+    std::mt19937_64 random_{std::random_device()()};
     Model::SteadyTime idleRefreshedAt_ = Model::distantPast;
     bool isReady_ = false;
     /// The store holds this instance's record.
--- a/Libraries/LibSteering/InstanceAnswers.cpp
+++ b/Libraries/LibSteering/InstanceAnswers.cpp
@@ -1,10 +1,13 @@
 #include "InstanceParts.h"
 
+#include <algorithm>
+
 namespace Steering {
 
 using Http::Task;
 using Model::Milliseconds;
 using Model::SteadyTime;
+using Observe::Event;
 namespace http = Http::http;
 
 namespace {
@@ -43,11 +46,51 @@
     auto entries = Policy::entriesOfRegion(*query, candidates);
     if (entries.empty())
         co_return Http::refusal({Model::ResultCode::NotReady, ""}, version);
+    entries = entriesToList(std::move(entries), now);
     if (entries.size() > maxEntriesListed)
         entries.resize(maxEntriesListed);
     co_return port_.lookupAnswer_(entries, std::min(lookupTtl, port_.terms_.maxLookupTtl_));
 }
 
+/// Returns the entries that an answer lists among \a entries, by their sizes where the table has
+/// routes with large answers.
+std::vector<Model::Instance> Instance::entriesToList(std::vector<Model::Instance> entries,
+                                                     SteadyTime now)
+{
+    const auto &table = parts_->platformState_.table();
+    if (!table || !table->routes().hasLargeAnswers())
+        return entries;
+    std::vector<Policy::SizedEntry> sized;
+    std::vector<double> draws;
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (const auto &entry : entries) {
+        const auto &use = parts_->peers_.members().at(entry.id_).heartbeatRecord_.usePercent_;
+        constexpr double percent = 100;
+        sized.push_back({entry.size_, use ? std::optional<double>(*use / percent) : std::nullopt});
+        draws.push_back(draw(random_));
+    }
+    const auto isWide = Policy::wideEntries(sized);
+    Policy::updateNarrowWeight(narrowWeight_, sized, isWide, now);
+    noteListed(static_cast<std::size_t>(std::count(isWide.begin(), isWide.end(), true)),
+               entries.size());
+    std::vector<Model::Instance> listed;
+    for (const std::size_t i : Policy::entriesToList(isWide, narrowWeight_, draws))
+        listed.push_back(entries[i]);
+    listedEntries_ = listed.size();
+    return listed;
+}
+
+void Instance::noteListed(std::size_t wide, std::size_t candidates)
+{
+    if (listedWide_ == wide)
+        return;
+    listedWide_ = wide;
+    log_.line(Event::LookupListChanged)
+        .add("wide", static_cast<std::int64_t>(wide))
+        .add("entries", static_cast<std::int64_t>(candidates))
+        .add("narrow_percent", static_cast<std::int64_t>(narrowWeight_.weight_ * 100));
+}
+
 Task<Http::Response> Instance::answerReady(Http::IncomingRequest request)
 {
     const unsigned version = request.message_.version();
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -71,6 +71,13 @@
              static_cast<double>(parts_->dispatcher_.inProgress()));
     text.add("cassiacrank_targets", "Targets known.", "gauge",
              static_cast<double>(parts_->targetRegistry_.all().size()));
+    for (std::size_t i = 0; i < resourceCount; ++i) {
+        text.add("cassiacrank_instance_use", "Used part of a resource.", "gauge",
+                 resources_.use()[i],
+                 std::string("resource=\"") + nameOf(static_cast<Resource>(i)) + "\"");
+    }
+    text.add("cassiacrank_lookup_listed", "Entries in the last answer to a look-up.", "gauge",
+             static_cast<double>(listedEntries_));
     const auto now = std::chrono::steady_clock::now();
     std::size_t alive = 0;
     for (const auto &[id, member] : parts_->peers_.members())
--- a/Libraries/LibSteering/LibSteering.h
+++ b/Libraries/LibSteering/LibSteering.h
@@ -14,5 +14,6 @@
 #include "QuotaExchange.h"
 #include "RemovalAges.h"
 #include "RequestForwarder.h"
+#include "ResourceMeter.h"
 #include "StoreFollower.h"
 #include "TargetRegistry.h"
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -78,6 +78,7 @@
     own.instance_.domain_ = settings_.domain_;
     own.instance_.addresses_.entry_ = settings_.addresses_.entry_;
     own.instance_.addresses_.control_ = settings_.addresses_.control_;
+    own.instance_.size_ = settings_.size_;
     own.heartbeatAt_ = now;
     Policy::MemberHeartbeat &heartbeatRecord = own.heartbeatRecord_;
     heartbeatRecord.id_ = settings_.instance_;
@@ -86,6 +87,7 @@
     heartbeatRecord.isReady_ = isReady_;
     heartbeatRecord.isLeaving_ = isLeaving_;
     heartbeatRecord.isPartitioned_ = isPartitioned_;
+    heartbeatRecord.usePercent_ = usePercent_;
     const bool isStoreReached = store_.contact_ == Policy::StoreContact::Reached;
     const auto answered = isStoreReached ? now - store_.answeredSince_ : SteadyTime::duration(0);
     heartbeatRecord.store_ = store_.contact_;
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -36,6 +36,8 @@
     void setReady(bool isReady) { isReady_ = isReady; }
     /// Tells peers whether this instance could run their requests.
     void setPartitioned(bool isPartitioned) { isPartitioned_ = isPartitioned; }
+    /// Tells peers the used part of this instance's tightest resource.
+    void setUse(std::optional<std::uint8_t> percent) { usePercent_ = percent; }
     void setLeaving();
 
     /// Called whenever this instance's contact with the store may have changed.
@@ -191,6 +193,7 @@
     bool isReady_ = false;
     bool isLeaving_ = false;
     bool isPartitioned_ = false;
+    std::optional<std::uint8_t> usePercent_;
     Policy::StoreStanding store_;
     /// Peers to which a request for rows is in progress.
     std::map<Model::InstanceId, Http::ExchangeControl *> pendingFetches_;
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -1,5 +1,6 @@
 #include "PeerMessage.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -25,6 +26,15 @@
     Age,
     StoreAnswered,
     TargetsRead,
+    UsePercent,
+};
+
+// The size of an instance is encoded as an array with these indices.
+enum SizeField {
+    Cpu,
+    Memory,
+    DescriptorCount,
+    Link,
 };
 
 constexpr unsigned readyFlag = 1;
@@ -46,17 +56,20 @@
     const unsigned flags = (heartbeatRecord.isReady_ ? readyFlag : 0U)
                            | (heartbeatRecord.isLeaving_ ? leavingFlag : 0U)
                            | (heartbeatRecord.isPartitioned_ ? partitionedFlag : 0U);
-    return {heartbeatRecord.id_.value(),
-            heartbeatRecord.incarnation_.value(),
-            heartbeatRecord.heartbeat_,
-            flags,
-            static_cast<int>(heartbeatRecord.store_),
-            heartbeatRecord.operatorsSeen_,
-            heartbeatRecord.targetsSeen_,
-            heartbeatRecord.regionEntries_,
-            heartbeatRecord.age_.count(),
-            heartbeatRecord.storeAnswered_.count(),
-            heartbeatRecord.targetsRead_};
+    json array = {heartbeatRecord.id_.value(),
+                  heartbeatRecord.incarnation_.value(),
+                  heartbeatRecord.heartbeat_,
+                  flags,
+                  static_cast<int>(heartbeatRecord.store_),
+                  heartbeatRecord.operatorsSeen_,
+                  heartbeatRecord.targetsSeen_,
+                  heartbeatRecord.regionEntries_,
+                  heartbeatRecord.age_.count(),
+                  heartbeatRecord.storeAnswered_.count(),
+                  heartbeatRecord.targetsRead_};
+    if (heartbeatRecord.usePercent_)
+        array.push_back(*heartbeatRecord.usePercent_);
+    return array;
 }
 
 MemberHeartbeat heartbeatFromJson(const json &text)
@@ -81,17 +94,40 @@
         heartbeatRecord.storeAnswered_ = std::max(Model::Milliseconds(0), answered);
         heartbeatRecord.targetsRead_ = text.at(TargetsRead).get<std::uint64_t>();
     }
+    if (text.size() > UsePercent) {
+        heartbeatRecord.usePercent_ = static_cast<std::uint8_t>(
+            std::clamp<std::int64_t>(text.at(UsePercent).get<std::int64_t>(), 0, 255));
+    }
     return heartbeatRecord;
 }
 
+json toJson(const Model::InstanceSize &size)
+{
+    return {size.cpu_.value(), size.memory_.value(), size.descriptors_.value(), size.link_.value()};
+}
+
+Model::InstanceSize sizeFromJson(const json &text)
+{
+    Model::InstanceSize size;
+    size.cpu_ = Model::CpuShare(std::max(0.0, text.at(Cpu).get<double>()));
+    size.memory_ = Model::Megabytes(std::max<std::int64_t>(0, text.at(Memory).get<std::int64_t>()));
+    size.descriptors_ = Model::Descriptors(
+        std::max<std::int64_t>(0, text.at(DescriptorCount).get<std::int64_t>()));
+    size.link_ = Model::MegabitsPerSecond(std::max(0.0, text.at(Link).get<double>()));
+    return size;
+}
+
 json toJson(const Member &member)
 {
     const auto &instance = member.instance_;
-    return {{"pulse", toJson(member.heartbeatRecord_)},
-            {"region", instance.region_.value()},
-            {"domain", instance.domain_.value()},
-            {"entry", Model::toText(instance.addresses_.entry_)},
-            {"control", Model::toText(instance.addresses_.control_)}};
+    json record = {{"pulse", toJson(member.heartbeatRecord_)},
+                   {"region", instance.region_.value()},
+                   {"domain", instance.domain_.value()},
+                   {"entry", Model::toText(instance.addresses_.entry_)},
+                   {"control", Model::toText(instance.addresses_.control_)}};
+    if (instance.size_.isKnown())
+        record["size"] = toJson(instance.size_);
+    return record;
 }
 
 Model::Address addressFromJson(const json &text)
@@ -113,6 +149,9 @@
     instance.domain_ = Model::FailureDomainId(text.at("domain").get<std::string>());
     instance.addresses_.entry_ = addressFromJson(text.at("entry"));
     instance.addresses_.control_ = addressFromJson(text.at("control"));
+    // Instances of an earlier version do not send their size.
+    if (text.contains("size"))
+        instance.size_ = sizeFromJson(text["size"]);
     member.heartbeatAt_ = now - member.heartbeatRecord_.age_;
     return member;
 }
--- a/Tests/LibObserve/TestObserve.cpp
+++ b/Tests/LibObserve/TestObserve.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(pageListsExactlyTheEvents);
     CPPUNIT_TEST(pageListsExactlyTheSettings);
     CPPUNIT_TEST(validSettingsAreParsed);
+    CPPUNIT_TEST(sizesOfInstancesAreChecked);
     CPPUNIT_TEST(allMistakesAreListedAtOnce);
     CPPUNIT_TEST(dialTranslatesAddresses);
     CPPUNIT_TEST(auditRecordsRoundTrip);
@@ -65,6 +66,30 @@
         CPPUNIT_ASSERT_EQUAL(2, check.settings_->entryThreads_);
     }
 
+    // Guards against starting with a size that cannot be meant, and against demanding one.
+    void sizesOfInstancesAreChecked()
+    {
+        const auto none = Observe::settingsFromText(validSettings + "[limits]\nmemory_mb =\n");
+        CPPUNIT_ASSERT(none.settings_ && !none.settings_->size_.isKnown());
+        const auto check = Observe::settingsFromText(
+            validSettings
+            + "[limits]\ncpu_share = 0.1\nmemory_mb = 160\ndescriptors = 4100\n"
+              "link_mbps = 10.0\n");
+        CPPUNIT_ASSERT(check.settings_);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, check.settings_->size_.cpu_.value(), 1e-9);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(160), check.settings_->size_.memory_.value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4100), check.settings_->size_.descriptors_.value());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(10, check.settings_->size_.link_.value(), 1e-9);
+        for (const std::string wrong : {"cpu_share = 0", "cpu_share = x", "memory_mb = 1.5",
+                                        "descriptors = -1", "link_mbps = 1e9"}) {
+            const auto refused
+                = Observe::settingsFromText(validSettings + "[limits]\n" + wrong + "\n");
+            CPPUNIT_ASSERT_MESSAGE(wrong, !refused.settings_);
+            CPPUNIT_ASSERT_MESSAGE(refused.mistakes_.front(),
+                                   refused.mistakes_.front().starts_with("[603] [limits]"));
+        }
+    }
+
     void allMistakesAreListedAtOnce()
     {
         const auto check = Observe::settingsFromText(
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(damagedBytesAreDecodedOrRefused);
     CPPUNIT_TEST(heartbeatRecordsAreSmall);
     CPPUNIT_TEST(messagesOfAnEarlierVersionAreRead);
+    CPPUNIT_TEST(sizesAndUseAreTold);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +117,34 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), read->sender_.heartbeatRecord_.targetsRead_);
     }
 
+    // Guards against losing sizes and use between instances, and against refusing implausible ones.
+    void sizesAndUseAreTold()
+    {
+        auto member = makeMember("front-koper-a-1");
+        member.instance_.size_.cpu_ = Model::CpuShare(0.5);
+        member.instance_.size_.memory_ = Model::Megabytes(512);
+        member.instance_.size_.descriptors_ = Model::Descriptors(8192);
+        member.instance_.size_.link_ = Model::MegabitsPerSecond(200);
+        member.heartbeatRecord_.usePercent_ = std::uint8_t(130);
+        const auto bytes = Steering::toBytes({member, {}, {}});
+        const auto read = Steering::peerMessageFromBytes(bytes, now);
+        CPPUNIT_ASSERT(read && read->sender_.instance_ == member.instance_);
+        CPPUNIT_ASSERT_EQUAL(130, int(*read->sender_.heartbeatRecord_.usePercent_));
+
+        auto text = nlohmann::json::from_msgpack(bytes);
+        text["sender"]["pulse"].back() = -7;
+        text["sender"]["size"][3] = -1;
+        std::string implausible;
+        nlohmann::json::to_msgpack(text, implausible);
+        const auto bounded = Steering::peerMessageFromBytes(implausible, now);
+        CPPUNIT_ASSERT(bounded && !bounded->sender_.instance_.size_.isKnown());
+        CPPUNIT_ASSERT_EQUAL(0, int(*bounded->sender_.heartbeatRecord_.usePercent_));
+        const auto unknown = Steering::peerMessageFromBytes(
+            Steering::toBytes({makeMember("front-koper-a-2"), {}, {}}), now);
+        CPPUNIT_ASSERT(!unknown->sender_.instance_.size_.isKnown());
+        CPPUNIT_ASSERT(!unknown->sender_.heartbeatRecord_.usePercent_);
+    }
+
     // Guards against gossip that fills a link of 10 Mbit/s as the fleet grows, because every
     // message has full member records.
     void heartbeatRecordsAreSmall()
