LibPolicy, LibSteering: Refuse no request for a free slot, use the share of the retry limit

Where targets differ from moment to moment, one slow answer made an instance refuse requests beside free slots, and half of the retry limit was unused. Only where targets report their pace.

--- a/Libraries/LibPolicy/RequestAdmission.cpp
+++ b/Libraries/LibPolicy/RequestAdmission.cpp
@@ -16,6 +16,8 @@
 {
     if (request.expected_ > request.left_)
         return AdmissionVerdict::TooLate;
+    if (request.hasFreeSlot_)
+        return AdmissionVerdict::Take;
     const auto late = request.expected_ - request.goalLeft_;
     const double goals = static_cast<double>(late.count())
                          / static_cast<double>(
--- a/Libraries/LibPolicy/RequestAdmission.h
+++ b/Libraries/LibPolicy/RequestAdmission.h
@@ -14,6 +14,9 @@
     /// Remaining time of the latency goal; negative once it has passed.
     Model::Microseconds goalLeft_{0};
     int priority_ = 0;
+    /// The target is known to have a free slot, so that refusing the request would save no other
+    /// request any time.
+    bool hasFreeSlot_ = false;
 };
 
 /// A request of priority 0 that will miss its latency goal is admitted up to this many goals late;
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -36,6 +36,9 @@
 /// Fraction of the platform's retry limit for all instances that is used, so that a wrong count of
 /// instances does not exceed the limit.
 constexpr double usedRetryFraction = 0.5;
+/// The same for the part that is a share of the requests, which does not depend on the count. Used
+/// where targets differ from moment to moment and a second one often serves the caller.
+constexpr double usedRetryShare = 0.8;
 constexpr long long maxDeadlineMs = 600000;
 
 SteadyTime steadyNow()
@@ -145,7 +148,8 @@
     }
     request.service_ = placementEngine_.chooseService(*request.route_);
     Policy::RetryTerms terms;
-    terms.share_ = port_.terms_.retryShare_ * usedRetryFraction;
+    const bool isPaced = placementEngine_.reportsPace(request.service_);
+    terms.share_ = port_.terms_.retryShare_ * (isPaced ? usedRetryShare : usedRetryFraction);
     terms.maxCredit_
         = port_.terms_.retryExtra_ * usedRetryFraction / static_cast<double>(instances_);
     Policy::earnRetryCredit(retryBudgets_[request.service_], terms);
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -363,6 +363,8 @@
     admission.goalLeft_
         = std::chrono::duration_cast<Microseconds>(request.arrivedAt_ + route.latencyGoal_ - now);
     admission.priority_ = Policy::priorityOf(route, request.workspace_);
+    const Policy::Candidate &likely = candidates_[choice->candidate_];
+    admission.hasFreeSlot_ = current_.reportsPace_ && likely.load_ + 1 <= likely.slots_;
     const auto admitted = Policy::evaluateAdmission(admission, route.latencyGoal_);
     if (admitted != Policy::AdmissionVerdict::Take) {
         const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -51,6 +51,12 @@
         results_[service].reportsPace_ = true;
     }
 
+    bool reportsPace(const Model::ServiceId &service) const
+    {
+        const auto found = results_.find(service);
+        return found != results_.end() && found->second.reportsPace_;
+    }
+
     /// Records an answer or a failure of the target that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
                     Model::Microseconds took, Model::SteadyTime now);
--- a/Tests/LibPolicy/TestTargetChoice.cpp
+++ b/Tests/LibPolicy/TestTargetChoice.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(oneSlowAnswerIsForgiven);
     CPPUNIT_TEST(workTimesSeparateWarmFromCold);
     CPPUNIT_TEST(urgentRequestsAreTakenLonger);
+    CPPUNIT_TEST(requestForAFreeSlotIsTaken);
     CPPUNIT_TEST(lateRequestsAreRefused);
     CPPUNIT_TEST(retriesOfRefusedCallersAreSpread);
     CPPUNIT_TEST(splitsFollowTheWeights);
@@ -109,6 +110,18 @@
         CPPUNIT_ASSERT(judge(2) == Policy::AdmissionVerdict::NoRoom);
     }
 
+    // Guards against refusing a request while the slot that it would take stays free.
+    void requestForAFreeSlotIsTaken()
+    {
+        Policy::AdmissionInputs request{Milliseconds(2400), Milliseconds(2500), Milliseconds(700),
+                                        2};
+        CPPUNIT_ASSERT(Policy::evaluateAdmission(request, Milliseconds(800))
+                       == Policy::AdmissionVerdict::NoRoom);
+        request.hasFreeSlot_ = true;
+        CPPUNIT_ASSERT(Policy::evaluateAdmission(request, Milliseconds(800))
+                       == Policy::AdmissionVerdict::Take);
+    }
+
     void lateRequestsAreRefused()
     {
         const Policy::AdmissionInputs request{Milliseconds(900), Milliseconds(800),
