LibPolicy, LibSteering: Judge targets by pace and by the distribution of their work

One request in a tail of 3% that takes seven times as long made a target look slow for seconds, and a machine that is slow for half a second taught wrong times of warm and cold work.

Where targets report their pace, a fresh report decides and fades over 0.6 s; measured work is divided by it; the median of five answers, overdue requests among them, is the slowness; a single unanswered request counts only beyond the tail of its route.

--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -296,7 +296,7 @@
         = std::chrono::duration_cast<Microseconds>(now - sentAt) - result.connectDuration_;
     Attempt attempted = judge(request, placement, sentAt, std::move(result));
     if (attempted.answer_)
-        placementEngine_.noteAnswer(request, placement, took, now);
+        placementEngine_.noteAnswer(request, placement, took, now, attempted.pace_);
     co_return attempted;
 }
 
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -107,6 +107,8 @@
         bool isWithdrawn_ = false;
         /// It was sent on a connection that the target had already closed.
         bool isStale_ = false;
+        /// The pace that the target reported in its answer.
+        std::optional<Model::Pace> pace_;
     };
 
     std::optional<Http::Response> readRequest(RequestContext &request,
@@ -136,7 +138,8 @@
     void noteSend(RequestContext &request, TargetState &target);
     void noteWithdrawn(RequestContext &request, const TargetState &target, bool wasSent,
                        Model::SteadyTime chosenAt);
-    void noteLoad(TargetState &target, const Http::Response &answer);
+    /// Records the load in an answer. Returns the pace, if the target reports it.
+    std::optional<Model::Pace> noteLoad(TargetState &target, const Http::Response &answer);
     bool notePause(TargetState &target, const Http::Response &answer, Model::SteadyTime now);
     /// Returns whether \a result shows that the target had closed a reused connection before the
     /// request arrived.
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -42,18 +42,21 @@
         .add("by", platformState_.targetsSource());
 }
 
-void Dispatcher::noteLoad(TargetState &target, const Http::Response &answer)
+std::optional<Model::Pace> Dispatcher::noteLoad(TargetState &target, const Http::Response &answer)
 {
     const auto load = port_.parseLoad_(answer);
     if (!load)
-        return;
-    if (load->pace_)
+        return std::nullopt;
+    if (load->pace_) {
         placementEngine_.notePaceReported(target.record_.service_);
+        Policy::notePace(target.paceReport_, *load->pace_, steadyNow());
+    }
     Policy::learnLoad(target.sharedLoad_, static_cast<double>(load->running_ + load->waiting_),
                       target.record_.slots_, steadyNow());
     const std::int64_t others = load->running_ + load->waiting_ - target.ownInFlight_;
     Policy::learnPeerReportedLoad(target.othersLoad_,
                                   std::max<double>(0, static_cast<double>(others)), steadyNow());
+    return load->pace_;
 }
 
 /// Records the pause that \a answer asks this instance for. Returns whether it asks for one.
@@ -131,7 +134,7 @@
     target.hasEnded_ = false;
     Policy::noteReached(target.reachability_);
     reach_.noteContact(target, true, now);
-    noteLoad(target, *result.answer_);
+    attempted.pace_ = noteLoad(target, *result.answer_);
     const auto status = result.answer_->result();
     const bool isMisdirected = status == http::status::misdirected_request;
     if (!isMisdirected) {
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -186,7 +186,9 @@
     candidate.roundTrip_ = roundTrips_[target.region_];
     const auto pace = Policy::paceAt(target.pace_, now);
     candidate.slowness_ = pace.slowness_;
-    if (!target.sentRequests_.empty()) {
+    if (current_.reportsPace_) {
+        candidate.slowness_ = slownessOf(request, target, now);
+    } else if (!target.sentRequests_.empty()) {
         const SentRequest &oldest = target.sentRequests_.front();
         const auto age = std::chrono::duration_cast<Microseconds>(now - oldest.at_);
         candidate.slowness_ = std::max(candidate.slowness_,
@@ -199,6 +201,28 @@
     return candidate;
 }
 
+double PlacementEngine::slownessOf(const RequestContext &request, const TargetState &target,
+                                   SteadyTime now) const
+{
+    std::array<double, Policy::RecentWork::count> overdue{};
+    std::size_t count = 0;
+    for (const auto &sent : target.sentRequests_) {
+        const auto age = std::chrono::duration_cast<Microseconds>(now - sent.at_);
+        const double ratio = Policy::slownessBySilence(age, sent.maxUsualLatency_);
+        if (ratio <= 1 || count == overdue.size())
+            break;
+        overdue[count++] = ratio;
+    }
+    const double learned
+        = Policy::slownessOf(target.recentWork_, std::span(overdue).first(count), now);
+    const auto route = routes_.find(request.route_->id_);
+    const auto work = route->second.work_.find(request.service_);
+    // A silent target has few requests of each instance in progress.
+    if (count > 0 && overdue[0] >= Policy::tailRatio(work->second.distribution_))
+        return overdue[0];
+    return Policy::slownessByReport(target.paceReport_, learned, now);
+}
+
 PlacementEngine::Owners
 PlacementEngine::ownersAmong(const RequestContext &request,
                              const std::vector<std::shared_ptr<TargetState>> &targets,
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -57,9 +57,11 @@
         return found != results_.end() && found->second.reportsPace_;
     }
 
-    /// Records an answer or a failure of the target that a request was placed on.
+    /// Records an answer, with the pace that the target reported in it, or a failure of the target
+    /// that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
-                    Model::Microseconds took, Model::SteadyTime now);
+                    Model::Microseconds took, Model::SteadyTime now,
+                    std::optional<Model::Pace> pace = std::nullopt);
     void noteFailure(const Placement &placement, Model::SteadyTime now);
     /// Records that no answer arrived to a request that was sent at \a sentAt, or that it could not
     /// be sent.
@@ -93,6 +95,7 @@
     {
         Policy::WorkTimes times_;
         Policy::PeerWarmth peerWarmth_;
+        Policy::WorkDistribution distribution_;
     };
 
     /// The fraction of a service's slots that was in use at a point in time.
@@ -145,6 +148,12 @@
                    bool isHomeOfOthers, Model::SteadyTime now);
     Policy::Candidate candidateFor(const RequestContext &request, const TargetState &target,
                                    Model::SteadyTime now) const;
+    /// Returns the slowness of a target that reports its pace.
+    double slownessOf(const RequestContext &request, const TargetState &target,
+                      Model::SteadyTime now) const;
+    /// Records an answer of a target that reports its pace.
+    void notePacedWork(RouteWork &work, const Placement &placement, Model::Microseconds worked,
+                       Model::SteadyTime now);
     /// Returns the mean processing time of the service's requests, or zero before the first one.
     Model::Microseconds meanTimeOf(const Model::ServiceId &service) const;
     /// Returns the fraction of the service's slots that is in use.
--- a/Libraries/LibSteering/PlacementLearning.cpp
+++ b/Libraries/LibSteering/PlacementLearning.cpp
@@ -22,11 +22,12 @@
 } // namespace
 
 void PlacementEngine::noteAnswer(const RequestContext &request, const Placement &placement,
-                                 Microseconds took, SteadyTime now)
+                                 Microseconds took, SteadyTime now, std::optional<Model::Pace> pace)
 {
     TargetState &target = *placement.target_;
     const auto roundTrip = roundTrips_[target.region_];
-    const auto worked = std::max(took - roundTrip, Microseconds(1));
+    const auto worked = Policy::atUsualPace(std::max(took - roundTrip, Microseconds(1)),
+                                            pace.value_or(Model::Pace(1)));
     const auto expected = std::max(placement.maxUsualLatency_ - roundTrip, Microseconds(1));
     target.lastAnswerAt_ = now;
     Policy::noteReached(target.reachability_);
@@ -48,6 +49,11 @@
     if (!hadSlot || target.isCold(now))
         return;
     RouteWork &work = workOf(*request.route_, request.service_);
+    if (pace) {
+        notePacedWork(work, placement, worked, now);
+        if (placement.isKnownWarm_ && !Policy::looksWarm(work.times_, worked))
+            return;
+    }
     if (sentBefore) {
         const auto age = std::chrono::duration_cast<Milliseconds>(now - *sentBefore);
         Policy::learnRetention(memory_[request.service_], age,
@@ -65,6 +71,17 @@
         mean->second += (value - mean->second) * serviceMeanWeight;
 }
 
+/// Answers of loaded objects show the distribution; a cold load would look like its tail.
+void PlacementEngine::notePacedWork(RouteWork &work, const Placement &placement,
+                                    Microseconds worked, SteadyTime now)
+{
+    const auto usual = placement.isKnownWarm_ ? work.times_.warmUs_ : work.times_.coldUs_;
+    const double ratio = static_cast<double>(worked.count()) / std::max(1.0, usual);
+    Policy::noteWork(placement.target_->recentWork_, ratio, now);
+    if (placement.isKnownWarm_)
+        work.distribution_.add(ratio);
+}
+
 void PlacementEngine::noteFailure(const Placement &placement, SteadyTime now)
 {
     TargetState &target = *placement.target_;
--- a/Libraries/LibSteering/ResourceMeter.cpp
+++ b/Libraries/LibSteering/ResourceMeter.cpp
@@ -1,8 +1,8 @@
 #include "ResourceMeter.h"
 
 #include <algorithm>
-#include <ctime>
 #include <malloc.h>
+#include <sys/resource.h>
 #include <utility>
 
 namespace Steering {
@@ -13,6 +13,11 @@
 /// Weight of one sample: the average covers about two seconds.
 constexpr double sampleWeight = 0.25;
 
+Model::Microseconds durationOf(const timeval &time)
+{
+    return std::chrono::seconds(time.tv_sec) + Model::Microseconds(time.tv_usec);
+}
+
 double partOf(double used, double available)
 {
     return available > 0 ? used / available : 0;
@@ -43,9 +48,9 @@
 ResourceCount countOwnResources()
 {
     ResourceCount count;
-    timespec cpu{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &cpu);
-    count.cpuTime_ = Model::Microseconds(cpu.tv_sec * 1000000LL + cpu.tv_nsec / 1000);
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    count.cpuTime_ = durationOf(used.ru_utime) + durationOf(used.ru_stime);
     const auto heap = mallinfo2();
     count.memoryBytes_ = heap.arena + heap.hblkhd;
     return count;
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -63,6 +63,9 @@
     Policy::SharedLoad sharedLoad_;
 
     Policy::TargetPace pace_;
+    /// In place of pace_ where targets report their pace.
+    Policy::RecentWork recentWork_;
+    Policy::TargetPaceReport paceReport_;
     Policy::RejectionStreak rejections_;
     Policy::OwnerOverflow overflow_;
     Policy::SlowStart slowStart_;
