--- a/Libraries/LibModel/Route.h
+++ b/Libraries/LibModel/Route.h
@@ -43,6 +43,8 @@
     std::vector<RegionId> allowedRegions_;
     /// Whether requests need no key of a workspace.
     bool isPublic_ = false;
+    /// Whether answers are so large that their transfer takes a notable part of the latency goal.
+    bool hasLargeAnswers_ = false;
 };
 
 /// Parses "a" or "a:90, b:10".
@@ -67,6 +69,8 @@
     const Route *find(std::string_view host, std::string_view path) const;
 
     const std::vector<Route> &all() const { return routes_; }
+    /// Returns whether a route has large answers.
+    bool hasLargeAnswers() const { return hasLargeAnswers_; }
 
 private:
     struct TextHash
@@ -80,6 +84,7 @@
     using ByPrefix = std::unordered_map<std::string, std::size_t, TextHash, std::equal_to<>>;
 
     std::vector<Route> routes_;
+    bool hasLargeAnswers_ = false;
     std::unordered_map<std::string, ByPrefix, TextHash, std::equal_to<>> byHost_;
 };
 
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -24,6 +24,7 @@
     PeerLost = 2006,
     PeerBack = 2007,
     BlocksApplied = 2008,
+    LookupListChanged = 2009,
 
     TargetLeaving = 3001,
     TargetSuspect = 3002,
@@ -54,6 +55,7 @@
     RequestForwarded = 5008,
     DomainUnreached = 5009,
     DomainReached = 5010,
+    StaleConnection = 5011,
     TargetAdded = 5101,
     TargetChanged = 5102,
     TargetGone = 5103,
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -36,6 +36,9 @@
 /// Fraction of the platform's retry limit for all instances that is used, so that a wrong count of
 /// instances does not exceed the limit.
 constexpr double usedRetryFraction = 0.5;
+/// The same for the part that is a share of the requests, which does not depend on the count. Used
+/// where targets differ from moment to moment and a second one often serves the caller.
+constexpr double usedRetryShare = 0.8;
 constexpr long long maxDeadlineMs = 600000;
 
 SteadyTime steadyNow()
@@ -145,7 +148,8 @@
     }
     request.service_ = placementEngine_.chooseService(*request.route_);
     Policy::RetryTerms terms;
-    terms.share_ = port_.terms_.retryShare_ * usedRetryFraction;
+    const bool isPaced = placementEngine_.reportsPace(request.service_);
+    terms.share_ = port_.terms_.retryShare_ * (isPaced ? usedRetryShare : usedRetryFraction);
     terms.maxCredit_
         = port_.terms_.retryExtra_ * usedRetryFraction / static_cast<double>(instances_);
     Policy::earnRetryCredit(retryBudgets_[request.service_], terms);
@@ -202,6 +206,9 @@
             co_return deliver(request, placement, std::move(attempted));
         if (attempted.isWithdrawn_ && !attempted.wasSent_)
             continue;
+        if (attempted.isStale_ && request.route_->isIdempotent_ && !request.isAbandoned_
+            && steadyNow() < request.deadline_)
+            continue;
         const bool mayTry = mayTryAgain(request, attempted, steadyNow());
         if (!unresolved && attempted.outcome_ != Outcome::NotRun)
             unresolved = attempted;
@@ -227,7 +234,8 @@
     options.deadline_ = request.deadline_ + deadlineSlack;
     options.connectTimeout_ = placementEngine_.connectTimeoutFor(target);
     options.maxIdle_ = request.route_->isIdempotent_ ? maxIdleTime : maxIdleTimeNonIdempotent;
-    if (request.attempts_ > 0)
+    options.maxIdle_ = Policy::idleLimitAt(idleLimits_[request.service_], options.maxIdle_, sentAt);
+    if (request.attempts_ > 0 || request.needsNewConnection_)
         options.maxIdle_ = Milliseconds(0);
     options.connectionLimit_ = maxConnectionsPerTarget;
     const bool isAtLimit = pool_.openCount(options.address_) >= maxConnectionsPerTarget;
@@ -258,6 +266,10 @@
     --target.ownInFlight_;
     target.sentRequests_.erase(sent);
     const auto now = steadyNow();
+    if (result.stage_ != Http::ExchangeStage::NotConnected)
+        counters_.relayedBytes_ += message.body().size();
+    if (result.answer_)
+        counters_.relayedBytes_ += result.answer_->body().size();
     if (result.connectDuration_.count() > 0) {
         placementEngine_.noteConnect(target, result.connectDuration_);
         // The pool had no idle connection. If connecting is slow, open one more than is in use.
@@ -270,7 +282,10 @@
                                  Http::asio::detached);
         }
     }
-    if (result.stage_ != Http::ExchangeStage::NotConnected) {
+    const bool isStaleConnection = isStale(target, result);
+    if (isStaleConnection && request.route_->isIdempotent_) {
+        request.tried_.pop_back();
+    } else if (result.stage_ != Http::ExchangeStage::NotConnected) {
         ++request.attempts_;
     } else if (!result.isWithdrawn_ && !request.control_.isCancelled() && !isAtLimit) {
         reach_.noteContact(target, false, now);
@@ -281,7 +296,7 @@
         = std::chrono::duration_cast<Microseconds>(now - sentAt) - result.connectDuration_;
     Attempt attempted = judge(request, placement, sentAt, std::move(result));
     if (attempted.answer_)
-        placementEngine_.noteAnswer(request, placement, took, now);
+        placementEngine_.noteAnswer(request, placement, took, now, attempted.pace_);
     co_return attempted;
 }
 
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -23,6 +23,10 @@
     /// Attempts whose target left or was drained before the request was sent completely.
     std::uint64_t withdrawn_ = 0;
     std::uint64_t foreignAnswers_ = 0;
+    /// Requests sent on a connection that the target had already closed.
+    std::uint64_t staleConnections_ = 0;
+    /// Bytes of the bodies that were passed on, of requests and of answers.
+    std::uint64_t relayedBytes_ = 0;
     /// Requests that were sent to a peer, and those of them that a target answered there.
     std::uint64_t forwarded_ = 0;
     std::uint64_t forwardedAnswered_ = 0;
@@ -88,6 +92,8 @@
     void dropAllIdleConnections(const TargetRegistry &registry);
 
     std::size_t inProgress() const { return requestsInProgress_.size(); }
+    /// Returns the number of open connections to targets, idle or in use.
+    std::size_t openConnections() const { return pool_.openCount(); }
     const DispatchCounters &counters() const { return counters_; }
 
 private:
@@ -99,6 +105,10 @@
         std::optional<Http::Response> answer_;
         bool wasSent_ = false;
         bool isWithdrawn_ = false;
+        /// It was sent on a connection that the target had already closed.
+        bool isStale_ = false;
+        /// The pace that the target reported in its answer.
+        std::optional<Model::Pace> pace_;
     };
 
     std::optional<Http::Response> readRequest(RequestContext &request,
@@ -128,8 +138,14 @@
     void noteSend(RequestContext &request, TargetState &target);
     void noteWithdrawn(RequestContext &request, const TargetState &target, bool wasSent,
                        Model::SteadyTime chosenAt);
-    void noteLoad(TargetState &target, const Http::Response &answer);
+    /// Records the load in an answer. Returns the pace, if the target reports it.
+    std::optional<Model::Pace> noteLoad(TargetState &target, const Http::Response &answer);
     bool notePause(TargetState &target, const Http::Response &answer, Model::SteadyTime now);
+    /// Returns whether \a result shows that the target had closed a reused connection before the
+    /// request arrived.
+    bool isStale(const TargetState &target, const Http::ExchangeResult &result) const;
+    void noteStaleConnection(RequestContext &request, const TargetState &target,
+                             const Http::ExchangeResult &result, Model::SteadyTime now);
     bool mayTryAgain(const RequestContext &request, const Attempt &attempt, Model::SteadyTime now);
 
     Http::Response refuse(RequestContext &request, const Refusal &refusal);
@@ -148,6 +164,7 @@
     Http::ConnectionPool pool_;
     std::list<RequestContext *> requestsInProgress_;
     std::unordered_map<Model::ServiceId, Policy::RetryBudget> retryBudgets_;
+    std::unordered_map<Model::ServiceId, Policy::IdleLimit> idleLimits_;
     std::size_t instances_ = 1;
     std::function<TargetsFreshness()> targetsFreshness_ = [] {
         return TargetsFreshness();
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -21,6 +21,8 @@
           counters.withdrawn_);
     count("cassiacrank_foreign_answers_total", "Answers dropped as another request's.",
           counters.foreignAnswers_);
+    count("cassiacrank_stale_connections_total",
+          "Requests sent on connections that targets had closed.", counters.staleConnections_);
     count("cassiacrank_forwarded_total", "Requests forwarded to peers.", counters.forwarded_);
     count("cassiacrank_forwarded_answered_total", "Forwarded requests answered by a target.",
           counters.forwardedAnswered_);
@@ -69,6 +71,13 @@
              static_cast<double>(parts_->dispatcher_.inProgress()));
     text.add("cassiacrank_targets", "Targets known.", "gauge",
              static_cast<double>(parts_->targetRegistry_.all().size()));
+    for (std::size_t i = 0; i < resourceCount; ++i) {
+        text.add("cassiacrank_instance_use", "Used part of a resource.", "gauge",
+                 resources_.use()[i],
+                 std::string("resource=\"") + nameOf(static_cast<Resource>(i)) + "\"");
+    }
+    text.add("cassiacrank_lookup_listed", "Entries in the last answer to a look-up.", "gauge",
+             static_cast<double>(listedEntries_));
     const auto now = std::chrono::steady_clock::now();
     std::size_t alive = 0;
     for (const auto &[id, member] : parts_->peers_.members())
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -113,6 +113,9 @@
     if (std::find(request.tried_.begin(), request.tried_.end(), target.record_.id_)
         != request.tried_.end())
         return false;
+    if (current_.reportsPace_ && !Policy::isFailureCommon(current_.failures_)
+        && !Policy::mayTryRejecting(target.rejections_, now))
+        return false;
     if (!Policy::isWithinLimit(target.limit_, now)
         || !Policy::isPauseOver(target.pause_, target.ownInFlight_, now))
         return false;
@@ -183,37 +186,61 @@
     candidate.roundTrip_ = roundTrips_[target.region_];
     const auto pace = Policy::paceAt(target.pace_, now);
     candidate.slowness_ = pace.slowness_;
-    if (!target.sentRequests_.empty()) {
+    if (current_.reportsPace_) {
+        candidate.slowness_ = slownessOf(request, target, now);
+    } else if (!target.sentRequests_.empty()) {
         const SentRequest &oldest = target.sentRequests_.front();
         const auto age = std::chrono::duration_cast<Microseconds>(now - oldest.at_);
         candidate.slowness_ = std::max(candidate.slowness_,
                                        Policy::slownessBySilence(age, oldest.maxUsualLatency_));
     }
-    candidate.failureRate_ = pace.failureRate_;
+    candidate.failureRate_ = current_.reportsPace_
+                                 ? Policy::excessFailureRate(pace.failureRate_, current_.failures_)
+                                 : pace.failureRate_;
     candidate.isKnownWarm_ = isKnownWarm(request, target, now);
     return candidate;
 }
 
+double PlacementEngine::slownessOf(const RequestContext &request, const TargetState &target,
+                                   SteadyTime now) const
+{
+    std::array<double, Policy::RecentWork::count> overdue{};
+    std::size_t count = 0;
+    for (const auto &sent : target.sentRequests_) {
+        const auto age = std::chrono::duration_cast<Microseconds>(now - sent.at_);
+        const double ratio = Policy::slownessBySilence(age, sent.maxUsualLatency_);
+        if (ratio <= 1 || count == overdue.size())
+            break;
+        overdue[count++] = ratio;
+    }
+    const double learned
+        = Policy::slownessOf(target.recentWork_, std::span(overdue).first(count), now);
+    const auto route = routes_.find(request.route_->id_);
+    const auto work = route->second.work_.find(request.service_);
+    // A silent target has few requests of each instance in progress.
+    if (count > 0 && overdue[0] >= Policy::tailRatio(work->second.distribution_))
+        return overdue[0];
+    return Policy::slownessByReport(target.paceReport_, learned, now);
+}
+
 PlacementEngine::Owners
 PlacementEngine::ownersAmong(const RequestContext &request,
                              const std::vector<std::shared_ptr<TargetState>> &targets,
                              SteadyTime now) const
 {
     Owners owners;
-    std::uint64_t firstScore = 0;
-    std::uint64_t secondScore = 0;
     for (const auto &target : targets) {
         if (!mayTake(request, *target, now))
             continue;
-        const std::uint64_t score = Policy::ownerScore(request.object_, target->seed_);
-        if (!owners.first_ || score > firstScore) {
-            owners.second_ = owners.first_;
-            secondScore = firstScore;
-            owners.first_ = &target;
-            firstScore = score;
-        } else if (!owners.second_ || score > secondScore) {
-            owners.second_ = &target;
-            secondScore = score;
+        auto *other = &target;
+        std::uint64_t score = Policy::ownerScore(request.object_, target->seed_);
+        for (std::size_t i = 0; i < owners.ranked_.size(); ++i) {
+            if (owners.ranked_[i] && score <= owners.scores_[i])
+                continue;
+            std::swap(other, owners.ranked_[i]);
+            std::swap(score, owners.scores_[i]);
+            if (!other)
+                break;
         }
     }
     return owners;
@@ -225,9 +252,9 @@
 {
     const Owners owners = ownersAmong(request, targets, now);
     const auto &others = workOf(*request.route_, request.service_).peerWarmth_;
+    const auto &[first, second, third] = owners.ranked_;
     // If the first owner stays full, the second one takes the excess.
-    const bool isFirstFull
-        = owners.first_ && Policy::isPersistentlyFull((*owners.first_)->sharedLoad_, now);
+    const bool isFirstFull = first && Policy::isPersistentlyFull((*first)->sharedLoad_, now);
     const auto add = [&](const std::shared_ptr<TargetState> &target, bool isOwner) {
         Policy::Candidate candidate = candidateFor(request, *target, now);
         candidate.isHome_ = isOwner && isHome;
@@ -240,10 +267,27 @@
         candidates_.push_back(candidate);
         candidateTargets_.push_back(target);
     };
-    if (owners.first_)
-        add(*owners.first_, true);
-    if (owners.second_ && isHome)
-        add(*owners.second_, false);
+    if (first)
+        add(*first, true);
+    if (!second || !isHome)
+        return;
+    const bool isShared = isOverflowing(request, **first, now);
+    add(*second, isShared);
+    if (third && isShared && isOverflowing(request, **second, now))
+        add(*third, true);
+}
+
+bool PlacementEngine::isOverflowing(const RequestContext &request, TargetState &owner,
+                                    SteadyTime now)
+{
+    if (!current_.reportsPace_)
+        return false;
+    const double load
+        = static_cast<double>(owner.ownInFlight_)
+          + Policy::peerReportedLoadAt(owner.othersLoad_, meanTimeOf(request.service_), now);
+    const double slots = static_cast<double>(owner.record_.slots_.value());
+    Policy::updateOverflow(owner.overflow_, load / slots, use_[request.service_].use_, now);
+    return Policy::isOverflowing(owner.overflow_, request.object_, owner.seed_);
 }
 
 void PlacementEngine::gatherCandidates(const RequestContext &request, const ServiceTargets &targets,
@@ -317,6 +361,7 @@
     if (!platformState_.replica(StoreTable::Targets).isKnown())
         return Refusal{ResultCode::NotReady, retryDelayWhenNotReady, Microseconds(0)};
     const ServiceTargets *targets = registry_.service(request.service_);
+    current_ = results_[request.service_];
     if (targets) {
         gatherCandidates(request, *targets, now);
     } else {
@@ -342,6 +387,8 @@
     admission.goalLeft_
         = std::chrono::duration_cast<Microseconds>(request.arrivedAt_ + route.latencyGoal_ - now);
     admission.priority_ = Policy::priorityOf(route, request.workspace_);
+    const Policy::Candidate &likely = candidates_[choice->candidate_];
+    admission.hasFreeSlot_ = current_.reportsPace_ && likely.load_ + 1 <= likely.slots_;
     const auto admitted = Policy::evaluateAdmission(admission, route.latencyGoal_);
     if (admitted != Policy::AdmissionVerdict::Take) {
         const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
@@ -360,6 +407,7 @@
     placement.expected_ = choice->expected_;
     placement.maxUsualLatency_ = Policy::latestNormalTime(chosen, work);
     Policy::noteTry(placement.target_->reachability_);
+    Policy::noteTrial(placement.target_->rejections_);
     Policy::noteUse(placement.target_->use_, now);
     Policy::countRequest(spillOver_, chosen.leavesHomeRegion_, now);
     TargetState &target = *placement.target_;
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -2,6 +2,7 @@
 
 #include "RequestContext.h"
 
+#include <array>
 #include <random>
 #include <unordered_map>
 #include <variant>
@@ -44,9 +45,23 @@
         registry_.noteLeave(target, "answer at a peer", now);
     }
 
-    /// Records an answer or a failure of the target that a request was placed on.
+    /// Records that a target of the service has reported its pace.
+    void notePaceReported(const Model::ServiceId &service)
+    {
+        results_[service].reportsPace_ = true;
+    }
+
+    bool reportsPace(const Model::ServiceId &service) const
+    {
+        const auto found = results_.find(service);
+        return found != results_.end() && found->second.reportsPace_;
+    }
+
+    /// Records an answer, with the pace that the target reported in it, or a failure of the target
+    /// that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
-                    Model::Microseconds took, Model::SteadyTime now);
+                    Model::Microseconds took, Model::SteadyTime now,
+                    std::optional<Model::Pace> pace = std::nullopt);
     void noteFailure(const Placement &placement, Model::SteadyTime now);
     /// Records that no answer arrived to a request that was sent at \a sentAt, or that it could not
     /// be sent.
@@ -80,6 +95,7 @@
     {
         Policy::WorkTimes times_;
         Policy::PeerWarmth peerWarmth_;
+        Policy::WorkDistribution distribution_;
     };
 
     /// The fraction of a service's slots that was in use at a point in time.
@@ -89,6 +105,15 @@
         Model::SteadyTime countedAt_ = Model::distantPast;
     };
 
+    /// What the answers of a service's targets show of all of them.
+    struct ServiceResults
+    {
+        /// Targets report their pace, so they share their machines with other work and differ from
+        /// moment to moment.
+        bool reportsPace_ = false;
+        Policy::CommonFailureRate failures_;
+    };
+
     struct RouteState
     {
         Policy::WeightedRoundRobin weightedSplit_;
@@ -103,12 +128,12 @@
         std::size_t home_ = 0;
     };
 
-    /// The two highest-ranking targets for an object in a failure domain, among those that may take
-    /// it now. Null if there are none.
+    /// The highest-ranking targets for an object in a failure domain, best first, among those that
+    /// may take it now. Null if there are fewer.
     struct Owners
     {
-        const std::shared_ptr<TargetState> *first_ = nullptr;
-        const std::shared_ptr<TargetState> *second_ = nullptr;
+        std::array<const std::shared_ptr<TargetState> *, 3> ranked_{};
+        std::array<std::uint64_t, 3> scores_{};
     };
 
     ObjectView viewOf(const RequestContext &request, const ServiceTargets &targets) const;
@@ -123,6 +148,12 @@
                    bool isHomeOfOthers, Model::SteadyTime now);
     Policy::Candidate candidateFor(const RequestContext &request, const TargetState &target,
                                    Model::SteadyTime now) const;
+    /// Returns the slowness of a target that reports its pace.
+    double slownessOf(const RequestContext &request, const TargetState &target,
+                      Model::SteadyTime now) const;
+    /// Records an answer of a target that reports its pace.
+    void notePacedWork(RouteWork &work, const Placement &placement, Model::Microseconds worked,
+                       Model::SteadyTime now);
     /// Returns the mean processing time of the service's requests, or zero before the first one.
     Model::Microseconds meanTimeOf(const Model::ServiceId &service) const;
     /// Returns the fraction of the service's slots that is in use.
@@ -135,6 +166,8 @@
     RouteWork &workOf(const Model::Route &route, const Model::ServiceId &service);
     std::size_t entriesSharing(const TargetState &target) const;
     bool isAllowed(const RequestContext &request, std::size_t domain) const;
+    /// Returns whether the next owner in rendezvous order also takes the request's object.
+    bool isOverflowing(const RequestContext &request, TargetState &owner, Model::SteadyTime now);
 
     const Observe::Settings &settings_;
     const PlatformState &platformState_;
@@ -147,6 +180,9 @@
     std::unordered_map<Model::ServiceId, double> serviceMeanUs_;
     std::unordered_map<Model::ServiceId, Policy::ObjectRetention> memory_;
     std::unordered_map<Model::ServiceId, SlotUse> use_;
+    std::unordered_map<Model::ServiceId, ServiceResults> results_;
+    /// The results of the service of the request that is being placed.
+    ServiceResults current_;
     /// Round trip to each region, measured on new connections.
     std::vector<Model::Microseconds> roundTrips_;
     /// Refilled for each request; kept to reuse the allocation.
