Tests/Platform: Send limited targets requests for new objects

targetGetsNoMoreThanItsLimitFromAllInstances wants half of a target's limit to be used, and got 9 requests of 10 once beside load. Its callers sent 97 recurring objects only. While the limit holds, the other target loads nearly all of them and keeps them, so the limited target was asked for only when one of the four to eight objects came round that it had itself loaded, 0.6 s apart by the callers' pace. Where the pace of the window differs from that before, they come round too rarely, or just before the limit's interval is over and are sent elsewhere.

Every second request now asks for a new object, half of which belong to the limited target, so that there is demand for all of the limit at any pace. The recurring objects stay, and so do all bounds. No product code changed.

--- a/Tests/Platform/TestTargetLimits.cpp
+++ b/Tests/Platform/TestTargetLimits.cpp
@@ -25,7 +25,11 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Sends requests for many objects through every instance until \a isOver.
+    /// Sends requests through every instance until \a isOver: half of them for objects that recur,
+    /// half for new ones.
+    ///
+    /// An object that the other target has loaded stays there, so recurring objects alone ask for
+    /// the limited target only as often as those few recur that it loaded before the limit.
     static std::vector<std::thread> startCallers(Fleet &fleet, std::atomic<bool> &isOver)
     {
         std::vector<std::thread> callers;
@@ -33,7 +37,8 @@
             callers.emplace_back([&fleet, &instance, &isOver] {
                 for (int i = 0; !isOver; ++i) {
                     const std::string id = instance->name_ + "-" + std::to_string(i);
-                    fleet.send(*instance, "read", id, 1000, std::to_string(i % 97));
+                    const std::string object = i % 2 == 0 ? std::to_string(i % 97) : id;
+                    fleet.send(*instance, "read", id, 1000, object);
                     Harness::pause(Milliseconds(20));
                 }
             });
