--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -178,7 +178,8 @@
 
 bool Dispatcher::isStale(const TargetState &target, const Http::ExchangeResult &result) const
 {
-    return !result.answer_ && result.stage_ == Http::ExchangeStage::Sent && !result.isNewConnection_
+    return placementEngine_.reportsPace(target.record_.service_) && !result.answer_
+           && result.stage_ == Http::ExchangeStage::Sent && !result.isNewConnection_
            && !result.isWithdrawn_ && result.code_ == ResultCode::TargetConnectionLost
            && Policy::isStaleClose(result.sinceSent_, placementEngine_.roundTripTo(target));
 }
