--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -17,6 +17,7 @@
 #include "EntryRanking.h"
 #include "EntryWeights.h"
 #include "FairQueue.h"
+#include "HeldBytes.h"
 #include "HomePlacement.h"
 #include "IdleLimit.h"
 #include "LeaveSpans.h"
