LibHttp: Count held bytes and refuse requests and connections beyond bounds

Cause: an answer that its caller does not read stays in memory until the write times out, and a caller that pipelines can fill the memory over one connection. No further pipelined request is read while more than 1 MB of answers waits. An answer's memory is released when it is written, no longer when all answers before the next pause are. An exchange asks before it keeps an answer. Without bounds nothing is refused. Red without session->waitingAnswerBytes_ += bytes in answerOne, and with held_.set(0) in place of held_.set(bytes).

--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -132,6 +132,16 @@
 
 namespace {
 
+/// Asks to hold an answer's bytes beyond the \a held ones, up to \a bytes.
+bool holdUpTo(const ExchangeOptions &options, std::size_t &held, std::size_t bytes)
+{
+    if (!options.holdAnswer_ || bytes <= held)
+        return true;
+    const std::size_t more = bytes - held;
+    held = bytes;
+    return options.holdAnswer_(more);
+}
+
 /// Reads one complete answer without checking to which request it belongs.
 Task<ExchangeResult> readAnswer(Connection &connection, const ExchangeOptions &options)
 {
@@ -145,10 +155,20 @@
     if (!options.acceptsUnframed_ && !hasLength(parser))
         co_return failed(ResultCode::TruncatedAnswer);
     AnswerProgress progress(connection, options);
-    while (!error && !parser.is_done()) {
+    std::size_t heldBytes = 0;
+    // The parser allocates a body of known length at once.
+    const auto length = parser.content_length();
+    bool isHeld = length ? holdUpTo(options, heldBytes, static_cast<std::size_t>(*length)) : true;
+    while (isHeld && !error && !parser.is_done()) {
         progress.noteReceived();
         co_await http::async_read_some(connection.stream_, connection.buffer_, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
+        isHeld = holdUpTo(options, heldBytes, parser.get().body().size());
+    }
+    if (!isHeld) {
+        auto result = failed(ResultCode::TruncatedAnswer);
+        result.isAnswerNotHeld_ = true;
+        co_return result;
     }
     if (error) {
         const bool isCut = error != beast::error::timeout;
@@ -321,7 +341,8 @@
     if (!result.answer_) {
         pool.discard(options.address_, std::move(connection));
         // Cancellation is no evidence against the other connections.
-        if (!options.control_ || !options.control_->isCancelled())
+        const bool wasCancelled = options.control_ && options.control_->isCancelled();
+        if (!wasCancelled && !result.isAnswerNotHeld_)
             pool.dropIdle(options.address_);
         co_return result;
     }
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -61,6 +61,9 @@
     /// The number of answers to other requests that may be dropped before the matching one. With
     /// zero, the first such answer closes the connection.
     int maxForeignAnswers_ = 0;
+    /// Called with the size of each further part of the answer before it is kept, with the whole
+    /// length where the answer states it. If it returns false, the answer is not read.
+    std::function<bool(std::size_t)> holdAnswer_;
     /// If set, outlives the exchange.
     ExchangeControl *control_ = nullptr;
     /// Called on an established connection just before the first byte is sent: if it returns false,
@@ -93,6 +96,8 @@
     int foreignAnswers_ = 0;
     /// The connection was refused because nothing listens at the address.
     bool isRefused_ = false;
+    /// ExchangeOptions::holdAnswer_ returned false: nothing is wrong with the target.
+    bool isAnswerNotHeld_ = false;
     /// ExchangeOptions::maySend_ returned false before the request was sent completely.
     bool isWithdrawn_ = false;
 };
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -1,6 +1,7 @@
 #include "Server.h"
 
 #include "Exchange.h"
+#include "Refusal.h"
 #include "ServerSession.h"
 
 #include <algorithm>
@@ -17,6 +18,15 @@
 constexpr std::size_t maxLingerBytes = 256 * 1024;
 constexpr std::size_t sessionsBeforeSweep = 64;
 
+/// Returns the bytes of an answer's head and body in memory.
+std::size_t sizeOf(const Response &answer)
+{
+    std::size_t bytes = answer.body().size();
+    for (const auto &field : answer)
+        bytes += field.name_string().size() + field.value().size();
+    return bytes;
+}
+
 } // namespace
 
 Server::Server(asio::io_context &context, ServerLimits limits, Handler handler)
@@ -81,16 +91,49 @@
             return weak.expired();
         });
     }
+    const bool isRefused = bounds_.mayOpen_ && !bounds_.mayOpen_();
     sessions_.push_back(session);
     ++openSessions_;
-    asio::co_spawn(context_, serve(session), asio::detached);
+    if (isRefused) {
+        asio::co_spawn(context_, refuseConnection(session), asio::detached);
+    } else {
+        asio::co_spawn(context_, serve(session), asio::detached);
+    }
+}
+
+Task<void> Server::refuseConnection(std::shared_ptr<Session> session)
+{
+    if (bounds_.onRefused_)
+        bounds_.onRefused_(ResultCode::TooManyConnections);
+    ++refusalsOpen_;
+    session->isBetweenRequests_ = false;
+    session->isClosing_ = true;
+    Pending pending{HeldPart(heldBytes_)};
+    pending.answer_ = refusal(Model::Reason{ResultCode::TooManyConnections, ""}, 11);
+    pending.answer_->keep_alive(false);
+    const bool isWritten = co_await write(*session, pending);
+    if (isWritten && refusalsOpen_ <= bounds_.lingeringRefusals_) {
+        co_await lingeringClose(*session);
+    }
+    ErrorCode ignored;
+    session->stream_.socket().close(ignored);
+    --refusalsOpen_;
+    --openSessions_;
+}
+
+/// Returns whether a further request of the session may be read while earlier ones are in progress.
+bool Server::mayRead(const Session &session) const
+{
+    const bool isFull = bounds_.mayHold_ && !session.isBroken_
+                        && session.waitingAnswerBytes_ > bounds_.waitingAnswerBytes_;
+    return session.pending_.size() < limits_.pipelineDepth_ && !isFull;
 }
 
 Task<void> Server::serve(std::shared_ptr<Session> session)
 {
     bool shouldContinue = true;
     while (shouldContinue && !session->isClosing_) {
-        if (session->pending_.size() >= limits_.pipelineDepth_) {
+        if (!mayRead(*session)) {
             co_await waitForChange(*session);
             continue;
         }
@@ -118,6 +161,9 @@
                              IncomingRequest incoming)
 {
     pending->answer_ = co_await handler_(std::move(incoming));
+    const std::size_t bytes = sizeOf(*pending->answer_);
+    pending->held_.set(bytes);
+    session->waitingAnswerBytes_ += bytes;
     co_await deliver(session);
 }
 
@@ -135,6 +181,7 @@
         front->answer_->keep_alive(!isLast);
         const bool isWritten = co_await write(session, *front);
         session.isBroken_ = session.isBroken_ || !isWritten;
+        releaseAnswer(session, *front);
         if (!session.pending_.empty()) {
             session.pending_.pop_front();
             --inProgress_;
@@ -154,8 +201,17 @@
     session.notify();
 }
 
+/// The coroutine that writes may be that of an earlier request, which keeps its Pending alive.
+void Server::releaseAnswer(Session &session, Pending &pending)
+{
+    session.waitingAnswerBytes_ -= std::min(session.waitingAnswerBytes_, pending.held_.bytes());
+    pending.answer_.reset();
+    pending.held_.set(0);
+}
+
 void Server::dropPending(Session &session)
 {
+    session.waitingAnswerBytes_ = 0;
     inProgress_ -= session.pending_.size();
     session.pending_.clear();
 }
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -21,6 +21,23 @@
     std::size_t pipelineDepth_ = 1;
 };
 
+/// Bounds on what a server's sessions hold. By default nothing is bounded.
+struct ServerBounds
+{
+    /// Returns whether that many more bytes of a request may be held. Without it, nothing is
+    /// refused for its size, and sessions read on while answers wait.
+    std::function<bool(std::size_t)> mayHold_;
+    /// Returns whether one more connection may be served.
+    std::function<bool()> mayOpen_;
+    /// Called for each request and each connection that is refused by one of the two.
+    std::function<void(Model::ResultCode)> onRefused_;
+    /// A session reads no further request while more bytes of its answers wait to be written.
+    std::size_t waitingAnswerBytes_ = 1024 * 1024;
+    /// Refused connections that may stay open until the peer has read the refusal; others are
+    /// closed at once.
+    std::size_t lingeringRefusals_ = 0;
+};
+
 /// A complete request with its connection's data.
 struct IncomingRequest
 {
@@ -54,6 +71,9 @@
     /// Sets the limits for all further reads. Buffers of open connections keep their size.
     void setLimits(const ServerLimits &limits) { limits_ = limits; }
 
+    /// Sets the bounds for all further requests and connections.
+    void setBounds(ServerBounds bounds) { bounds_ = std::move(bounds); }
+
     /// Closes each connection with its next answer, which announces this to the peer.
     void beginLeaving() { isLeaving_ = true; }
 
@@ -65,10 +85,14 @@
 
     std::size_t openSessions() const { return openSessions_; }
     std::size_t requestsInProgress() const { return inProgress_; }
+    /// Returns the bytes of requests whose answers are not known yet, and of answers that were not
+    /// written yet.
+    std::size_t heldBytes() const { return *heldBytes_; }
 
 private:
     struct Session;
     struct Pending;
+    class HeldPart;
     class ReadLimit;
 
     Task<void> acceptLoop(std::shared_ptr<tcp::acceptor> acceptor);
@@ -77,7 +101,11 @@
     Task<bool> awaitFirstByte(std::shared_ptr<Session> sharedSession);
     void limitIdle(const std::shared_ptr<Session> &session);
     Task<bool> readOne(std::shared_ptr<Session> sharedSession);
-    Task<Model::ResultCode> readRequest(Session &session, Request &request);
+    Task<Model::ResultCode> readRequest(Session &session, Request &request, HeldPart &held);
+    bool holdMore(HeldPart &held, std::size_t bytes) const;
+    bool mayRead(const Session &session) const;
+    void releaseAnswer(Session &session, Pending &pending);
+    Task<void> refuseConnection(std::shared_ptr<Session> session);
     Task<void> answerOne(std::shared_ptr<Session> session, std::shared_ptr<Pending> pending,
                          IncomingRequest incoming);
     Task<void> deliver(std::shared_ptr<Session> sharedSession);
@@ -93,6 +121,10 @@
     std::vector<std::weak_ptr<Session>> sessions_;
     std::size_t openSessions_ = 0;
     std::size_t inProgress_ = 0;
+    ServerBounds bounds_;
+    std::size_t refusalsOpen_ = 0;
+    /// Shared with the parts, since a handler may outlive the server.
+    std::shared_ptr<std::size_t> heldBytes_ = std::make_shared<std::size_t>(0);
     bool isLeaving_ = false;
 };
 
--- a/Libraries/LibHttp/ServerReading.cpp
+++ b/Libraries/LibHttp/ServerReading.cpp
@@ -97,9 +97,10 @@
     }
     IncomingRequest incoming;
     ResultCode code = ResultCode::Ok;
+    HeldPart held(heldBytes_);
     {
         const ReadLimit limit(sharedSession, limits_.request_);
-        code = co_await readRequest(session, incoming.message_);
+        code = co_await readRequest(session, incoming.message_, held);
     }
     if (code != ResultCode::Ok && session.isTooSlow_)
         code = ResultCode::RequestTooSlow;
@@ -107,10 +108,13 @@
     if (session.isClosing_ || session.isBroken_)
         co_return false;
 
-    auto pending = std::make_shared<Pending>();
+    auto pending = std::make_shared<Pending>(std::move(held));
     session.pending_.push_back(pending);
     ++inProgress_;
     if (code != ResultCode::Ok) {
+        if (code == ResultCode::TooManyBytesHeld && bounds_.onRefused_)
+            bounds_.onRefused_(code);
+        pending->held_.set(0);
         pending->answer_ = refusal(Model::Reason{code, ""}, 11);
         pending->wantsKeepAlive_ = false;
         co_await deliver(sharedSession);
@@ -132,20 +136,34 @@
     co_return shouldContinue;
 }
 
-Task<ResultCode> Server::readRequest(Session &session, Request &request)
+/// Counts \a bytes more as held. Returns false, and counts nothing, if they may not be held.
+bool Server::holdMore(HeldPart &held, std::size_t bytes) const
+{
+    if (bounds_.mayHold_ && !bounds_.mayHold_(bytes))
+        return false;
+    held.set(held.bytes() + bytes);
+    return true;
+}
+
+Task<ResultCode> Server::readRequest(Session &session, Request &request, HeldPart &held)
 {
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.headBytes_));
     parser.body_limit(limits_.bodyBytes_);
     ErrorCode error;
-    co_await http::async_read_header(session.stream_, session.buffer_, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    const std::size_t headBytes = co_await http::async_read_header(
+        session.stream_, session.buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return codeOf(error);
     const ResultCode headCode = checkHead(parser);
     if (headCode != ResultCode::Ok)
         co_return headCode;
 
+    // The parser allocates a body of known length at once.
+    const auto length = parser.content_length();
+    const std::size_t bodyBytes = length ? static_cast<std::size_t>(*length) : 0;
+    if (!holdMore(held, headBytes + bodyBytes))
+        co_return ResultCode::TooManyBytesHeld;
     if (parser.get().count(http::field::expect) > 0 && !parser.is_done()) {
         http::response<http::empty_body> continueResponse(http::status::continue_, 11);
         co_await http::async_write(session.stream_, continueResponse,
@@ -153,8 +171,14 @@
         if (error)
             co_return codeOf(error);
     }
-    co_await http::async_read(session.stream_, session.buffer_, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    while (!error && !parser.is_done()) {
+        co_await http::async_read_some(session.stream_, session.buffer_, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t known = held.bytes() - headBytes;
+        const std::size_t received = parser.get().body().size();
+        if (!error && received > known && !holdMore(held, received - known))
+            co_return ResultCode::TooManyBytesHeld;
+    }
     if (error)
         co_return codeOf(error);
     request = parser.release();
--- a/Libraries/LibHttp/ServerSession.h
+++ b/Libraries/LibHttp/ServerSession.h
@@ -7,9 +7,46 @@
 
 namespace Http {
 
+/// Bytes that count as held until this object releases them.
+class Server::HeldPart
+{
+public:
+    explicit HeldPart(std::shared_ptr<std::size_t> total)
+        : total_(std::move(total))
+    {
+    }
+    HeldPart(HeldPart &&other) noexcept
+        : total_(other.total_)
+        , bytes_(std::exchange(other.bytes_, 0))
+    {
+    }
+    HeldPart(const HeldPart &) = delete;
+    HeldPart &operator=(const HeldPart &) = delete;
+    ~HeldPart() { set(0); }
+
+    std::size_t bytes() const { return bytes_; }
+    void set(std::size_t bytes)
+    {
+        *total_ += bytes;
+        *total_ -= bytes_;
+        bytes_ = bytes;
+    }
+
+private:
+    std::shared_ptr<std::size_t> total_;
+    std::size_t bytes_ = 0;
+};
+
 /// A request that was read, and its answer when available.
 struct Server::Pending
 {
+    explicit Pending(HeldPart held)
+        : held_(std::move(held))
+    {
+    }
+
+    /// The bytes of the request and, once it is available, of the answer in its place.
+    HeldPart held_;
     std::optional<Response> answer_;
     bool wantsKeepAlive_ = true;
     bool isHead_ = false;
@@ -37,6 +74,8 @@
     asio::steady_timer changed_;
     /// Requests that were read and not answered yet, in order of arrival.
     std::deque<std::shared_ptr<Pending>> pending_;
+    /// The bytes of the available answers in pending_.
+    std::size_t waitingAnswerBytes_ = 0;
     /// The session waits for the first byte of a request.
     bool isBetweenRequests_ = true;
     bool isReading_ = false;
