LibSteering: Refuse with 215 and 216 what an instance or a target cannot hold

Cause: nothing limits what an instance holds; no code refuses with 215 or 216. Change: the Dispatcher counts bodies in progress at targets and answers being received, and asks before each attempt, for the instance (with room for a mean answer to each request in progress) and for the target; a request over a target's bound goes to another target. An answer that does not fit is not read: unknown outcome (304), and nothing is held against its target. A crashed target's bound carries over to its next incarnation. Instance bounds the callers' server where [limits] names memory or descriptors. Metrics cassiacrank_held_bytes and cassiacrank_held_bytes_limit.

--- a/Libraries/LibSteering/CrashGuard.cpp
+++ b/Libraries/LibSteering/CrashGuard.cpp
@@ -71,8 +71,10 @@
     if (std::find(targetsWithLosses_.begin(), targetsWithLosses_.end(), sharedTarget)
         == targetsWithLosses_.end())
         targetsWithLosses_.push_back(sharedTarget);
-    if (now - target.lastLossAt_ > Policy::connectionLossWindow)
+    const bool isFirst = now - target.lastLossAt_ > Policy::connectionLossWindow;
+    if (isFirst)
         target.lostRequests_.clear();
+    Policy::noteConnectionLost(target.bytes_, isFirst);
     target.lastLossAt_ = now;
     if (target.lostRequests_.size() < Policy::maxSuspectsPerCrash)
         target.lostRequests_.push_back(fingerprintFor(request, port_.headers_));
@@ -130,6 +132,7 @@
         Policy::targetIncarnationKeyOf(target.record_.id_, target.record_.incarnation_),
         target.lostRequests_, now);
     target.lostRequests_.clear();
+    Policy::noteTargetCrashed(target.bytes_);
 }
 
 void CrashGuard::noteAnswered(RequestContext &request, SteadyTime now)
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -1,4 +1,5 @@
 #include "Dispatcher.h"
+#include "HeldAttempt.h"
 #include "InProgressEntry.h"
 
 #include <algorithm>
@@ -183,7 +184,10 @@
     // The first attempt after which the request may have run. Its outcome stays unknown regardless
     // of the results of later attempts.
     std::optional<Attempt> unresolved;
+    bool isOverBytes = false;
     while (true) {
+        if (const auto tooMuch = checkHeldBytes(request))
+            co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *tooMuch);
         if (const auto withheld = guard_.check(request, steadyNow()))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *withheld);
         const auto peer = peerFor(request, steadyNow());
@@ -197,8 +201,10 @@
                     continue;
                 co_return failRequest(request, unresolved ? *unresolved : forwarded);
             }
-            co_return unresolved ? failRequest(request, *unresolved)
-                                 : refuse(request, std::get<Refusal>(placed));
+            Refusal refusal = std::get<Refusal>(placed);
+            if (isOverBytes)
+                refusal.code_ = ResultCode::TooManyBytesHeld;
+            co_return unresolved ? failRequest(request, *unresolved) : refuse(request, refusal);
         }
         const Placement placement = std::get<Placement>(placed);
         Attempt attempted = co_await attempt(request, placement);
@@ -206,6 +212,7 @@
             co_return deliver(request, placement, std::move(attempted));
         if (attempted.isWithdrawn_ && !attempted.wasSent_)
             continue;
+        isOverBytes = isOverBytes || attempted.isOverBytes_;
         if (attempted.isStale_ && request.route_->isIdempotent_ && !request.isAbandoned_
             && steadyNow() < request.deadline_)
             continue;
@@ -214,6 +221,8 @@
             unresolved = attempted;
         if (!mayTry)
             co_return failRequest(request, unresolved ? *unresolved : attempted);
+        if (attempted.isOverBytes_)
+            continue;
         log_.line(Event::RequestRetried)
             .add("id", request.id_)
             .add("after", Model::describe(attempted.code_))
@@ -227,8 +236,15 @@
 {
     TargetState &target = *placement.target_;
     request.tried_.push_back(target.record_.id_);
+    if (!mayHoldAt(target, request.incoming_.message_.body().size())) {
+        Attempt unsent;
+        unsent.code_ = ResultCode::TooManyBytesHeld;
+        unsent.isOverBytes_ = true;
+        co_return unsent;
+    }
     const auto sentAt = steadyNow();
     const Http::Request message = messageFor(request, target, sentAt);
+    HeldAttempt held(held_, placement.target_, message.body().size());
     Http::ExchangeOptions options;
     options.address_ = placementEngine_.addressToDial(target);
     options.deadline_ = request.deadline_ + deadlineSlack;
@@ -242,6 +258,12 @@
     options.acceptsUnframed_ = true;
     options.maxForeignAnswers_ = maxForeignAnswersSkipped;
     options.control_ = &request.control_;
+    if (held_->limit_) {
+        options.holdAnswer_ = [this, &held](std::size_t more) {
+            heldBytes();
+            return held.holdAnswer(more);
+        };
+    }
     bool hasBegun = false;
     options.maySend_ = [&] {
         // A pause that begins while the request is being sent does not cut it off.
@@ -268,8 +290,11 @@
     const auto now = steadyNow();
     if (result.stage_ != Http::ExchangeStage::NotConnected)
         counters_.relayedBytes_ += message.body().size();
-    if (result.answer_)
-        counters_.relayedBytes_ += result.answer_->body().size();
+    if (result.answer_) {
+        const std::size_t bytes = result.answer_->body().size();
+        counters_.relayedBytes_ += bytes;
+        Policy::learnAnswerSize(*held_, Policy::Bytes(static_cast<std::int64_t>(bytes)));
+    }
     if (result.connectDuration_.count() > 0) {
         placementEngine_.noteConnect(target, result.connectDuration_);
         // The pool had no idle connection. If connecting is slow, open one more than is in use.
@@ -277,6 +302,7 @@
             options.control_ = nullptr;
             options.maySend_ = nullptr;
             options.onFirstByte_ = nullptr;
+            options.holdAnswer_ = nullptr;
             options.deadline_ = now + options.connectTimeout_;
             Http::asio::co_spawn(context_, openIdleConnection(placement.target_, options),
                                  Http::asio::detached);
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -73,6 +73,15 @@
     /// Sets how many instances share the retry budget.
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
+    /// Bounds what is held. \a bytesForCallers returns the bytes that the servers hold for callers
+    /// and for peers that forward requests. Without a call, nothing is bounded.
+    void setHeldBytes(std::optional<Policy::Bytes> limit,
+                      std::function<std::size_t()> bytesForCallers);
+    /// Returns what is held now.
+    const Policy::HeldBytes &heldBytes();
+    /// Counts and logs a request or a connection that a server refused before it was read.
+    void noteRefusedUnread(Model::ResultCode code);
+
     /// Sets the function that returns when the targets' rows were last confirmed.
     void setTargetsFreshness(std::function<TargetsFreshness()> news)
     {
@@ -105,6 +114,8 @@
         std::optional<Http::Response> answer_;
         bool wasSent_ = false;
         bool isWithdrawn_ = false;
+        /// The target holds too many bytes; nothing was sent.
+        bool isOverBytes_ = false;
         /// It was sent on a connection that the target had already closed.
         bool isStale_ = false;
         /// The pace that the target reported in its answer.
@@ -135,6 +146,8 @@
     Attempt judge(RequestContext &request, const Placement &placement, Model::SteadyTime sentAt,
                   Http::ExchangeResult result);
     bool maySendTo(const TargetState &target) const;
+    bool mayHoldAt(TargetState &target, std::size_t body);
+    std::optional<Refusal> checkHeldBytes(const RequestContext &request);
     void noteSend(RequestContext &request, TargetState &target);
     void noteWithdrawn(RequestContext &request, const TargetState &target, bool wasSent,
                        Model::SteadyTime chosenAt);
@@ -165,6 +178,9 @@
     std::list<RequestContext *> requestsInProgress_;
     std::unordered_map<Model::ServiceId, Policy::RetryBudget> retryBudgets_;
     std::unordered_map<Model::ServiceId, Policy::IdleLimit> idleLimits_;
+    /// Shared with attempts that outlive the dispatcher.
+    std::shared_ptr<Policy::HeldBytes> held_ = std::make_shared<Policy::HeldBytes>();
+    std::function<std::size_t()> bytesForCallers_;
     std::size_t instances_ = 1;
     std::function<TargetsFreshness()> targetsFreshness_ = [] {
         return TargetsFreshness();
--- /dev/null
+++ b/Libraries/LibSteering/DispatcherBytes.cpp
@@ -0,0 +1,57 @@
+#include "Dispatcher.h"
+
+namespace Steering {
+
+using Model::Microseconds;
+using Model::ResultCode;
+
+void Dispatcher::setHeldBytes(std::optional<Policy::Bytes> limit,
+                              std::function<std::size_t()> bytesForCallers)
+{
+    held_->limit_ = limit;
+    bytesForCallers_ = std::move(bytesForCallers);
+}
+
+const Policy::HeldBytes &Dispatcher::heldBytes()
+{
+    if (bytesForCallers_)
+        held_->forCallers_ = Policy::Bytes(static_cast<std::int64_t>(bytesForCallers_()));
+    return *held_;
+}
+
+void Dispatcher::noteRefusedUnread(ResultCode code)
+{
+    ++counters_.requests_;
+    ++counters_.refused_;
+    ++counters_.byCode_[code];
+    log_.line(Observe::Event::RequestRefused)
+        .add("code", static_cast<std::int64_t>(Model::number(code)))
+        .add("held_bytes", totalOf(heldBytes()).value());
+}
+
+/// Returns the refusal of a request whose sending would exceed the instance's bound, or
+/// std::nullopt if it may be sent.
+std::optional<Refusal> Dispatcher::checkHeldBytes(const RequestContext &request)
+{
+    const auto body = static_cast<std::int64_t>(request.incoming_.message_.body().size());
+    const ResultCode code = Policy::verdictOnSending(heldBytes(), Policy::Bytes(body));
+    if (code == ResultCode::Ok)
+        return std::nullopt;
+    const auto comeBack
+        = Policy::refusalRetryDelay(Microseconds(0), request.route_->latencyGoal_, 0.5);
+    return Refusal{code, comeBack, Microseconds(0)};
+}
+
+/// Returns whether \a target takes a body of \a body bytes more; if not, its turn to be probed is
+/// given back.
+bool Dispatcher::mayHoldAt(TargetState &target, std::size_t body)
+{
+    const Policy::Bytes bytes(static_cast<std::int64_t>(body));
+    if (!held_->limit_ || Policy::verdictOnTarget(target.bytes_, bytes) == ResultCode::Ok)
+        return true;
+    target.reachability_.isProbed_ = false;
+    Policy::releaseTrial(target.rejections_);
+    return false;
+}
+
+} // namespace Steering
--- a/Libraries/LibSteering/DispatcherForwarding.cpp
+++ b/Libraries/LibSteering/DispatcherForwarding.cpp
@@ -1,4 +1,5 @@
 #include "Dispatcher.h"
+#include "HeldAttempt.h"
 #include "InProgressEntry.h"
 
 namespace Steering {
@@ -56,6 +57,7 @@
 {
     ++request.forwardingTries_;
     ++counters_.forwarded_;
+    const HeldAttempt held(held_, nullptr, request.incoming_.message_.body().size());
     ForwardingResult result = co_await forwarder_->forward(request, std::move(peer));
     if (result.leavingTarget_)
         placementEngine_.noteLeaveAtPeer(*result.leavingTarget_, steadyNow());
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -117,6 +117,8 @@
             noteWithdrawn(request, target, attempted.wasSent_, sentAt);
             return attempted;
         }
+        if (result.isAnswerNotHeld_)
+            return attempted;
         noteCrash(request, placement, result, now);
         if (!request.isAbandoned_ && (isSilent || !attempted.wasSent_)) {
             placementEngine_.noteNoAnswer(placement, sentAt, attempted.wasSent_, now);
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -66,6 +66,41 @@
 {
     port_ = std::move(port);
     parts_ = std::make_unique<Parts>(*this);
+    boundHeldBytes();
+}
+
+/// Bounds what the callers' server and the dispatcher hold, as far as the instance's size is known.
+void Instance::boundHeldBytes()
+{
+    const auto bytes = Policy::heldBytesLimit(settings_.size_);
+    const auto connections = Policy::connectionLimit(settings_.size_);
+    parts_->dispatcher_.setHeldBytes(bytes, [this] {
+        return parts_->entry_.heldBytes() + parts_->peers_.heldBytes();
+    });
+    Http::ServerBounds bounds;
+    if (bytes) {
+        bounds.mayHold_ = [this](std::size_t more) {
+            return Policy::mayHold(parts_->dispatcher_.heldBytes(),
+                                   Policy::Bytes(static_cast<std::int64_t>(more)));
+        };
+    }
+    if (connections) {
+        bounds.mayOpen_ = [this, connections] {
+            return Policy::verdictOnConnection(openDescriptors(), connections)
+                   == Model::ResultCode::Ok;
+        };
+    }
+    bounds.onRefused_ = [this](Model::ResultCode code) {
+        parts_->dispatcher_.noteRefusedUnread(code);
+    };
+    bounds.waitingAnswerBytes_ = static_cast<std::size_t>(Policy::maxUnreadAnswers.value());
+    bounds.lingeringRefusals_ = Policy::lingeringRefusals(settings_.size_);
+    parts_->entry_.setBounds(std::move(bounds));
+}
+
+std::size_t Instance::openDescriptors() const
+{
+    return parts_->entry_.openSessions() + parts_->dispatcher_.openConnections();
 }
 
 bool Instance::start()
@@ -192,7 +227,7 @@
 void Instance::measureResources()
 {
     ResourceCount count = countOwnResources();
-    count.descriptors_ = parts_->entry_.openSessions() + parts_->dispatcher_.openConnections();
+    count.descriptors_ = openDescriptors();
     count.linkBytes_ = parts_->dispatcher_.counters().relayedBytes_;
     resources_.sample(count, steadyNow());
     constexpr double percent = 100;
--- a/Libraries/LibSteering/Instance.h
+++ b/Libraries/LibSteering/Instance.h
@@ -55,6 +55,8 @@
     void noteStoreEra();
     void updateReadiness();
     void measureResources();
+    void boundHeldBytes();
+    std::size_t openDescriptors() const;
     std::vector<Model::Instance> entriesToList(std::vector<Model::Instance> entries,
                                                Model::SteadyTime now);
     void noteListed(std::size_t wide, std::size_t candidates);
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -76,6 +76,12 @@
                  resources_.use()[i],
                  std::string("resource=\"") + nameOf(static_cast<Resource>(i)) + "\"");
     }
+    text.add("cassiacrank_held_bytes", "Bytes held for callers and targets.", "gauge",
+             static_cast<double>(totalOf(parts_->dispatcher_.heldBytes()).value()));
+    if (const auto limit = Policy::heldBytesLimit(settings_.size_)) {
+        text.add("cassiacrank_held_bytes_limit", "Bound of the bytes held.", "gauge",
+                 static_cast<double>(limit->value()));
+    }
     text.add("cassiacrank_lookup_listed", "Entries in the last answer to a look-up.", "gauge",
              static_cast<double>(listedEntries_));
     const auto now = std::chrono::steady_clock::now();
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -72,6 +72,9 @@
     void setRemovalExchange(std::function<RemovalAges()> provide,
                             std::function<void(const RemovalAges &)> receive);
 
+    /// Returns the bytes that are held for peers, most of them of forwarded requests.
+    std::size_t heldBytes() const { return server_.heldBytes(); }
+
     /// Sets the function that answers other instances' requests to \a path.
     void setRequestHandler(const std::string &path,
                            std::function<Http::Response(const Http::Request &)> answer)
--- a/Libraries/LibSteering/TargetRegistry.cpp
+++ b/Libraries/LibSteering/TargetRegistry.cpp
@@ -89,7 +89,11 @@
     // Requests that are still in progress at the earlier incarnation keep its state, so that their
     // results are not attributed to the new one.
     if (!target || isRestarted) {
+        const auto bytes
+            = target ? Policy::bytesOfNextIncarnation(target->bytes_, target->record_.isLeaving_)
+                     : Policy::TargetBytes();
         target = std::make_shared<TargetState>();
+        target->bytes_ = bytes;
         target->seed_ = Policy::seedOf(record.id_.value());
         const auto dropped = droppedTerms_.find(record.id_);
         if (dropped != droppedTerms_.end()
--- a/Libraries/LibSteering/TargetRegistry.h
+++ b/Libraries/LibSteering/TargetRegistry.h
@@ -58,6 +58,7 @@
     std::int64_t ownInFlight_ = 0;
     /// The requests in progress, oldest first.
     std::list<SentRequest> sentRequests_;
+    Policy::TargetBytes bytes_;
     LastSend lastSend_;
     Policy::PeerReportedLoad othersLoad_;
     Policy::SharedLoad sharedLoad_;
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -21,7 +21,9 @@
                     const std::string target(request.message_["Expected"]);
                     receivingTargets_.push_back(target);
                     received_.push_back(request.message_);
-                    auto answer = Http::textAnswer(status_, "text/plain", target, 11);
+                    auto answer = Http::textAnswer(
+                        status_, "text/plain",
+                        answerBytes_ > 0 ? std::string(answerBytes_, 'x') : target, 11);
                     answer.set("Id", std::string(request.message_["Id"]));
                     for (const auto &[name, value] : fields_)
                         answer.set(name, value);
@@ -72,6 +74,19 @@
         return answer_->result();
     }
 
+    /// The same for a request with a body.
+    http::status answerWithBody(std::size_t bytes)
+    {
+        answer_.reset();
+        auto incoming = incomingRequest("/read/x");
+        incoming.message_.method(http::verb::post);
+        incoming.message_.body() = std::string(bytes, 'x');
+        incoming.message_.prepare_payload();
+        Http::asio::co_spawn(context_, answerRequest(std::move(incoming)), Http::asio::detached);
+        waitForAnswer();
+        return answer_->result();
+    }
+
     static Http::IncomingRequest incomingRequest(const std::string &path)
     {
         Http::IncomingRequest incoming;
@@ -139,6 +154,8 @@
     /// What the targets answer.
     http::status status_ = http::status::ok;
     std::map<std::string, std::string> fields_;
+    /// The size of the targets' answers; zero for the target's id.
+    std::size_t answerBytes_ = 0;
     std::vector<std::string> receivingTargets_;
     std::vector<Http::Request> received_;
     std::optional<Http::Response> answer_;
@@ -157,6 +174,11 @@
     CPPUNIT_TEST(targetGetsTheWorkspaceAndNotTheKey);
     CPPUNIT_TEST(publicRouteNeedsNoKey);
     CPPUNIT_TEST(requestBeyondTheQuotaReachesNoTarget);
+    CPPUNIT_TEST(answersThatAreNotReadKeepFurtherRequestsFromTargets);
+    CPPUNIT_TEST(answerBeyondTheBoundIsNotReadAndNotHeldAgainstItsTarget);
+    CPPUNIT_TEST(withoutABoundNothingIsRefusedForItsBytes);
+    CPPUNIT_TEST(requestGoesToATargetThatHoldsLess);
+    CPPUNIT_TEST(crashedTargetsBoundIsHalvedForItsNextIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -293,6 +315,127 @@
         CPPUNIT_ASSERT(fixture.receivingTargets_.size() < 5);
     }
 
+    static bool isRefusedForBytes(const DispatcherFixture &fixture)
+    {
+        return fixture.answer_->result() == http::status::service_unavailable
+               && (*fixture.answer_)["Cassiacrank-Code"] == "215";
+    }
+
+    // Guards against exceeding the bound, or sending requests whose answers cannot be taken, while
+    // callers do not read large answers.
+    void answersThatAreNotReadKeepFurtherRequestsFromTargets()
+    {
+        DispatcherFixture fixture;
+        constexpr std::size_t limit = 3000000;
+        std::size_t unread = 0;
+        fixture.dispatcher_.setHeldBytes(Policy::Bytes(limit), [&] {
+            return unread;
+        });
+        fixture.answerBytes_ = 540000;
+        std::size_t answered = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto status = fixture.answerTo("/read/x", "Other", "");
+            CPPUNIT_ASSERT(status == http::status::ok || isRefusedForBytes(fixture));
+            answered += status == http::status::ok ? 1 : 0;
+            unread += status == http::status::ok ? fixture.answer_->body().size() : 0;
+            CPPUNIT_ASSERT(unread <= limit);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), answered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), fixture.receivingTargets_.size());
+        CPPUNIT_ASSERT(fixture.answer_->count(http::field::retry_after) == 1);
+        CPPUNIT_ASSERT(fixture.dispatcher_.heldBytes().forTargets_ == Policy::Bytes(0));
+        unread = 0;
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Other", "") == http::status::ok);
+    }
+
+    // Guards against reading an answer that does not fit, and against taking the target for a
+    // failed one because of it. The request may have run.
+    void answerBeyondTheBoundIsNotReadAndNotHeldAgainstItsTarget()
+    {
+        DispatcherFixture fixture;
+        fixture.dispatcher_.setHeldBytes(Policy::Bytes(100000), [] {
+            return std::size_t(0);
+        });
+        fixture.answerBytes_ = 200000;
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Other", "") == http::status::bad_gateway);
+        CPPUNIT_ASSERT((*fixture.answer_)["Cassiacrank-Code"] == "304");
+        CPPUNIT_ASSERT(fixture.dispatcher_.heldBytes().forTargets_ == Policy::Bytes(0));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), fixture.dispatcher_.heldBytes().awaitedAnswers_);
+        for (const auto &[id, target] : fixture.instance_.targetRegistry_.all())
+            CPPUNIT_ASSERT(target->lostRequests_.empty());
+    }
+
+    // Guards against a change for deployments that set no limits.
+    void withoutABoundNothingIsRefusedForItsBytes()
+    {
+        DispatcherFixture fixture;
+        fixture.dispatcher_.setHeldBytes(std::nullopt, [] {
+            return std::size_t(1) << 50;
+        });
+        for (const auto &[id, target] : fixture.instance_.targetRegistry_.all()) {
+            target->bytes_.held_ = Policy::Bytes(10);
+            target->bytes_.limit_ = Policy::Bytes(0);
+        }
+        fixture.answerBytes_ = 1000000;
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Other", "") == http::status::ok);
+    }
+
+    // Guards against sending a body to a target beyond its bound, and against a refusal while
+    // another target takes it.
+    void requestGoesToATargetThatHoldsLess()
+    {
+        DispatcherFixture fixture;
+        fixture.dispatcher_.setHeldBytes(Policy::Bytes(1000000), [] {
+            return std::size_t(0);
+        });
+        const auto fill = [&](const char *id) {
+            auto &bytes = fixture.instance_.targetRegistry_.all().at(Model::TargetId(id))->bytes_;
+            bytes.held_ = Policy::Bytes(1000);
+            bytes.limit_ = Policy::Bytes(1000);
+        };
+        fill("a");
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(fixture.answerWithBody(100) == http::status::ok);
+        CPPUNIT_ASSERT(fixture.receivingTargets_ == std::vector<std::string>(4, "b"));
+        fill("b");
+        fixture.answerWithBody(100);
+        CPPUNIT_ASSERT(isRefusedForBytes(fixture));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), fixture.receivingTargets_.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.dispatcher_.counters().retried_);
+    }
+
+    // Guards against crashing a target again with as many bytes as before. The connections break
+    // first; the new registration arrives later.
+    void crashedTargetsBoundIsHalvedForItsNextIncarnation()
+    {
+        DispatcherFixture fixture;
+        const auto &registry = fixture.instance_.targetRegistry_;
+        const auto stateOf = [&](const char *id) {
+            return registry.all().at(Model::TargetId(id));
+        };
+        const auto now = std::chrono::steady_clock::now();
+        const auto crashed = stateOf("a");
+        auto request = Fakes::requestContext(fixture.instance_, "read", 1);
+        crashed->bytes_.held_ = Policy::Bytes(3000);
+        CPPUNIT_ASSERT(fixture.guard_.noteLost(request, crashed, now));
+        crashed->bytes_.held_ = Policy::Bytes(0);
+        fixture.guard_.noteListening(*crashed, Http::Listening::No, now);
+        CPPUNIT_ASSERT(crashed->bytes_.limit_ == Policy::Bytes(1500));
+        const auto restart = [&](const std::string &id, int incarnation, std::uint64_t revision) {
+            auto row = fixture.row(id, revision);
+            row.value_ = *row.value_ + " " + std::to_string(incarnation) + " 1";
+            return row;
+        };
+        fixture.instance_.setTargetRows(3, {restart("a", 1, 3), fixture.row("b", 2)});
+        CPPUNIT_ASSERT(stateOf("a") != crashed);
+        CPPUNIT_ASSERT(stateOf("a")->bytes_.limit_ == Policy::Bytes(1500));
+        // A restart with requests in progress is a crash as well.
+        stateOf("b")->bytes_.held_ = Policy::Bytes(800);
+        fixture.instance_.setTargetRows(4, {restart("a", 2, 4), restart("b", 1, 4)});
+        CPPUNIT_ASSERT(stateOf("a")->bytes_.limit_ == Policy::TargetBytes().limit_);
+        CPPUNIT_ASSERT(stateOf("b")->bytes_.limit_ == Policy::Bytes(400));
+    }
+
     // The same for a target whose registration was removed.
     void requestThatWaitsForAConnectionIsNotSentToATargetThatIsGone()
     {
