--- a/Libraries/LibPolicy/HeldBytes.cpp
+++ b/Libraries/LibPolicy/HeldBytes.cpp
@@ -71,7 +71,7 @@
 
 void noteTargetCrashed(TargetBytes &target)
 {
-    if (target.atLoss_ <= Bytes(0))
+    if (target.atLoss_ < minBytesOfCrash)
         return;
     target.hasCrashed_ = true;
     target.limit_ = Bytes(target.atLoss_.value() / 2);
--- a/Libraries/LibPolicy/HeldBytes.h
+++ b/Libraries/LibPolicy/HeldBytes.h
@@ -46,6 +46,9 @@
 /// A caller that pipelines requests and does not read its answers keeps at most this and the
 /// answers to the requests that were read before.
 constexpr Bytes maxUnreadAnswers{1024 * 1024};
+/// A target that crashed while it held less of this instance than this did not run out of memory
+/// because of it. Half of a few small requests as the bound would leave most of its slots unused.
+constexpr Bytes minBytesOfCrash{1024 * 1024};
 /// Weight of one answer in the mean size.
 constexpr double answerSizeWeight = 0.05;
 
@@ -88,8 +91,8 @@
 /// losses of one crash are noticed one after the other, so the largest count is kept; \a isFirst
 /// begins a new count. Thread safety: as verdictOnTarget().
 void noteConnectionLost(TargetBytes &target, bool isFirst);
-/// Sets the bound to half of what the target held when it crashed. A crash without bytes in
-/// progress says nothing about them and leaves the bound. Thread safety: as verdictOnTarget().
+/// Sets the bound to half of what the target held when it crashed, unless that was less than
+/// minBytesOfCrash. Thread safety: as verdictOnTarget().
 void noteTargetCrashed(TargetBytes &target);
 /// Returns the state for the incarnation that follows \a earlier: a bound that a crash of \a
 /// earlier has set applies to the next incarnation only. \a wasLeaving tells that it ended as
--- a/Tests/LibPolicy/TestHeldBytes.cpp
+++ b/Tests/LibPolicy/TestHeldBytes.cpp
@@ -16,6 +16,11 @@
     return size;
 }
 
+Bytes mebibytes(std::int64_t count)
+{
+    return Bytes(count * 1024 * 1024);
+}
+
 class TestHeldBytes : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(TestHeldBytes);
@@ -26,7 +31,7 @@
     CPPUNIT_TEST(crashHalvesTheBoundUntilTheNextRestart);
     CPPUNIT_TEST(lossesOfOneCrashCountTogether);
     CPPUNIT_TEST(restartWithRequestsInProgressIsACrash);
-    CPPUNIT_TEST(crashWithoutBytesLeavesTheBound);
+    CPPUNIT_TEST(crashWithFewBytesLeavesTheBound);
     CPPUNIT_TEST(idleTargetTakesAnyRequest);
     CPPUNIT_TEST_SUITE_END();
 
@@ -107,15 +112,16 @@
     void crashHalvesTheBoundUntilTheNextRestart()
     {
         Policy::TargetBytes target;
-        target.held_ = Bytes(1000);
+        target.held_ = mebibytes(1000);
         Policy::noteConnectionLost(target, true);
         Policy::noteTargetCrashed(target);
-        target.held_ = Bytes(400);
-        CPPUNIT_ASSERT(Policy::verdictOnTarget(target, Bytes(100)) == ResultCode::Ok);
-        CPPUNIT_ASSERT(Policy::verdictOnTarget(target, Bytes(101)) == ResultCode::TooManyBytesHeld);
+        target.held_ = mebibytes(400);
+        CPPUNIT_ASSERT(Policy::verdictOnTarget(target, mebibytes(100)) == ResultCode::Ok);
+        CPPUNIT_ASSERT(Policy::verdictOnTarget(target, mebibytes(101))
+                       == ResultCode::TooManyBytesHeld);
         target.held_ = Bytes(0);
         const auto second = Policy::bytesOfNextIncarnation(target, false);
-        CPPUNIT_ASSERT(second.limit_ == Bytes(500));
+        CPPUNIT_ASSERT(second.limit_ == mebibytes(500));
         const auto third = Policy::bytesOfNextIncarnation(second, false);
         CPPUNIT_ASSERT(third.limit_ == Policy::TargetBytes().limit_);
     }
@@ -125,27 +131,28 @@
     {
         Policy::TargetBytes target;
         for (const int held : {900, 600, 300}) {
-            target.held_ = Bytes(held);
+            target.held_ = mebibytes(held);
             Policy::noteConnectionLost(target, held == 900);
         }
         Policy::noteTargetCrashed(target);
-        CPPUNIT_ASSERT(target.limit_ == Bytes(450));
+        CPPUNIT_ASSERT(target.limit_ == mebibytes(450));
     }
 
     // Guards against a crash that is noticed by the new registration before any connection breaks.
     void restartWithRequestsInProgressIsACrash()
     {
         Policy::TargetBytes target;
-        target.held_ = Bytes(800);
-        CPPUNIT_ASSERT(Policy::bytesOfNextIncarnation(target, false).limit_ == Bytes(400));
+        target.held_ = mebibytes(800);
+        CPPUNIT_ASSERT(Policy::bytesOfNextIncarnation(target, false).limit_ == mebibytes(400));
         CPPUNIT_ASSERT(Policy::bytesOfNextIncarnation(target, true).limit_
                        == Policy::TargetBytes().limit_);
     }
 
-    // Guards against a bound of zero after a crash that had nothing to do with bytes.
-    void crashWithoutBytesLeavesTheBound()
+    // Guards against a bound of next to nothing after a crash that had nothing to do with bytes.
+    void crashWithFewBytesLeavesTheBound()
     {
         Policy::TargetBytes target;
+        target.held_ = Policy::minBytesOfCrash - Bytes(1);
         Policy::noteConnectionLost(target, true);
         Policy::noteTargetCrashed(target);
         CPPUNIT_ASSERT(target.limit_ == Policy::TargetBytes().limit_);
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -416,11 +416,11 @@
         const auto now = std::chrono::steady_clock::now();
         const auto crashed = stateOf("a");
         auto request = Fakes::requestContext(fixture.instance_, "read", 1);
-        crashed->bytes_.held_ = Policy::Bytes(3000);
+        crashed->bytes_.held_ = Policy::Bytes(3000 * 1024);
         CPPUNIT_ASSERT(fixture.guard_.noteLost(request, crashed, now));
         crashed->bytes_.held_ = Policy::Bytes(0);
         fixture.guard_.noteListening(*crashed, Http::Listening::No, now);
-        CPPUNIT_ASSERT(crashed->bytes_.limit_ == Policy::Bytes(1500));
+        CPPUNIT_ASSERT(crashed->bytes_.limit_ == Policy::Bytes(1500 * 1024));
         const auto restart = [&](const std::string &id, int incarnation, std::uint64_t revision) {
             auto row = fixture.row(id, revision);
             row.value_ = *row.value_ + " " + std::to_string(incarnation) + " 1";
