--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -37,6 +37,7 @@
 #include "Shares.h"
 #include "SlowStart.h"
 #include "SpareConnections.h"
+#include "SpeculativeRetry.h"
 #include "SpillMeter.h"
 #include "StoreReaders.h"
 #include "TargetChoice.h"
