LibSteering, LibObserve: Send a slow idempotent request to a second target

An idempotent request that met a silent target, or one of the three in a hundred that take seven times as long, waited for its one target.

Where the service's targets report their pace, the dispatcher now makes the second try that LibPolicy decides on, once the first byte of the first try has been sent. It runs on its own copy of the request. The first complete answer is delivered and the other attempt is cancelled; nothing is learned about its target. The route's distribution takes the time of an overtaken first try as a lower bound, so that its quantiles do not fall by the answers that are replaced.

TestLibSteering: 92 passed, 0 failed. The tests of TestSecondTry also pass with the address sanitizer in the dispatcher, the exchange and the test (11 passed); the full sanitizer build was not run. Mutants tried: the winning second try does not cancel the first (secondTargetAnswersForASilentOne red), judge() without the branch for overtaken attempts (two tests red), the second's unknown outcome is dropped (outcomeIsUnknownIfOnlyTheSecondMayHaveRun red), sweepAbandoned() without the second attempt (callerThatLeavesEndsBothTries red).

--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -71,6 +71,7 @@
          "Targets of a service in a failure domain are reached again.", 50},
         {StaleConnection, Info, "StaleConnection",
          "A request was sent on a connection that the target had already closed."},
+        {SecondTry, Info, "SecondTry", "A slow request is also sent to a second target."},
         {TargetAdded, Info, "TargetAdded", "A target registered itself.", 100},
         {TargetChanged, Info, "TargetChanged", "A target's registration changed.", 100},
         {TargetGone, Info, "TargetGone",
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -200,8 +200,8 @@
             co_return unresolved ? failRequest(request, *unresolved)
                                  : refuse(request, std::get<Refusal>(placed));
         }
-        const Placement placement = std::get<Placement>(placed);
-        Attempt attempted = co_await attempt(request, placement);
+        Placement placement = std::get<Placement>(placed);
+        Attempt attempted = co_await attemptWithSecondTry(request, placement);
         if (attempted.answer_)
             co_return deliver(request, placement, std::move(attempted));
         if (attempted.isWithdrawn_ && !attempted.wasSent_)
@@ -282,7 +282,7 @@
                                  Http::asio::detached);
         }
     }
-    const bool isStaleConnection = isStale(target, result);
+    const bool isStaleConnection = !request.isOvertaken() && isStale(target, result);
     if (isStaleConnection && request.route_->isIdempotent_) {
         request.tried_.pop_back();
     } else if (result.stage_ != Http::ExchangeStage::NotConnected) {
@@ -295,7 +295,7 @@
     const auto took
         = std::chrono::duration_cast<Microseconds>(now - sentAt) - result.connectDuration_;
     Attempt attempted = judge(request, placement, sentAt, std::move(result));
-    if (attempted.answer_)
+    if (attempted.answer_ && !request.isOvertaken())
         placementEngine_.noteAnswer(request, placement, took, now, attempted.pace_);
     co_return attempted;
 }
@@ -365,6 +365,8 @@
 void Dispatcher::noteSend(RequestContext &request, TargetState &target)
 {
     const auto now = steadyNow();
+    if (request.onAttemptSent_)
+        request.onAttemptSent_();
     if (request.workspace_ && !request.isCountedAsSent_) {
         request.isCountedAsSent_ = true;
         quotas_.noteSent(*request.workspace_);
@@ -388,8 +390,11 @@
         if (request->isAbandoned_ || !request->route_ || !request->incoming_.hasPeerClosed_())
             continue;
         request->isAbandoned_ = true;
-        if (request->route_->isIdempotent_)
-            request->control_.cancel();
+        if (!request->route_->isIdempotent_)
+            continue;
+        request->control_.cancel();
+        if (request->onAbandoned_)
+            request->onAbandoned_();
     }
 }
 
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -18,6 +18,9 @@
     std::uint64_t refused_ = 0;
     std::uint64_t unknown_ = 0;
     std::uint64_t retried_ = 0;
+    /// Slow requests that were also sent to a second target, and those that it answered.
+    std::uint64_t secondTries_ = 0;
+    std::uint64_t secondTriesWon_ = 0;
     std::uint64_t abandoned_ = 0;
     std::uint64_t refusedByTargets_ = 0;
     /// Attempts whose target left or was drained before the request was sent completely.
@@ -111,6 +114,9 @@
         std::optional<Model::Pace> pace_;
     };
 
+    struct SecondTry;
+    class SecondTryScope;
+
     std::optional<Http::Response> readRequest(RequestContext &request,
                                               const ForwardedRequest *forwarded = nullptr);
     Http::Task<Http::Response> process(RequestContext &request,
@@ -124,6 +130,11 @@
     std::optional<Http::Response> identifyCaller(RequestContext &request);
     Http::Task<Http::Response> sendWithRetries(RequestContext &request);
     Http::Task<Attempt> attempt(RequestContext &request, const Placement &placement);
+    /// Makes an attempt and, if it is slow, a second one at another target. Sets \a placement to
+    /// that of the attempt that is returned.
+    Http::Task<Attempt> attemptWithSecondTry(RequestContext &request, Placement &placement);
+    Http::Task<void> runSecondTry(std::shared_ptr<SecondTry> second, Model::Microseconds delay);
+    bool beginSecondTry(SecondTry &second);
     Http::Task<void> openIdleConnection(std::shared_ptr<TargetState> target,
                                         Http::ExchangeOptions options);
     Http::ExchangeOptions connectOptions(const TargetState &target, Model::SteadyTime now) const;
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -105,6 +105,10 @@
         // A cancelled attempt proves nothing about reachability; another request may probe.
         target.reachability_.isProbed_ = false;
         Policy::releaseTrial(target.rejections_);
+        if (request.isOvertaken()) {
+            noteCrash(request, placement, result, now);
+            return attempted;
+        }
         if (isStale(target, result)) {
             attempted.isStale_ = true;
             noteStaleConnection(request, target, result, now);
@@ -135,6 +139,8 @@
     Policy::noteReached(target.reachability_);
     reach_.noteContact(target, true, now);
     attempted.pace_ = noteLoad(target, *result.answer_);
+    if (request.isOvertaken())
+        Policy::releaseTrial(target.rejections_);
     const auto status = result.answer_->result();
     const bool isMisdirected = status == http::status::misdirected_request;
     if (!isMisdirected) {
@@ -157,7 +163,7 @@
             log_.line(Event::TargetGone)
                 .add("target", target.record_.id_.value())
                 .add("by", "another target at its address");
-        } else if (!asksForPause) {
+        } else if (!asksForPause && !request.isOvertaken()) {
             placementEngine_.noteFailure(placement, now);
         }
         return attempted;
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -14,6 +14,10 @@
     count("cassiacrank_refused_total", "Requests refused, not run.", counters.refused_);
     count("cassiacrank_unknown_total", "Requests with an unknown outcome.", counters.unknown_);
     count("cassiacrank_retried_total", "Second attempts.", counters.retried_);
+    count("cassiacrank_second_tries_total", "Slow requests also sent to a second target.",
+          counters.secondTries_);
+    count("cassiacrank_second_tries_won_total", "Requests that the second target answered.",
+          counters.secondTriesWon_);
     count("cassiacrank_abandoned_total", "Requests whose caller left.", counters.abandoned_);
     count("cassiacrank_refused_by_targets_total", "Attempts that a target refused.",
           counters.refusedByTargets_);
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -355,6 +355,19 @@
     return Policy::retryDelayWhilePausing(pauses, draw);
 }
 
+std::optional<Microseconds> PlacementEngine::nextExpected(std::size_t chosen,
+                                                          const Policy::WorkEstimate &work) const
+{
+    std::optional<Microseconds> shortest;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+        if (i == chosen)
+            continue;
+        const auto expected = Policy::expectedTime(candidates_[i], work);
+        shortest = std::min(shortest.value_or(expected), expected);
+    }
+    return shortest;
+}
+
 std::variant<Placement, Refusal> PlacementEngine::place(const RequestContext &request,
                                                         SteadyTime now)
 {
@@ -406,6 +419,8 @@
     placement.load_ = chosen.load_;
     placement.expected_ = choice->expected_;
     placement.maxUsualLatency_ = Policy::latestNormalTime(chosen, work);
+    if (current_.reportsPace_)
+        placement.nextExpected_ = nextExpected(choice->candidate_, work);
     Policy::noteTry(placement.target_->reachability_);
     Policy::noteTrial(placement.target_->rejections_);
     Policy::noteUse(placement.target_->use_, now);
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -71,6 +71,26 @@
     /// answers no request is probed by one request at a time.
     void noteNoAnswer(const Placement &placement, Model::SteadyTime sentAt, bool wasSent,
                       Model::SteadyTime now);
+    /// Withdraws a placement of which no request is sent.
+    void withdraw(const Placement &placement);
+
+    /// Returns how long after its first byte an unanswered request, placed by \a placement, is due
+    /// for a second try. Policy::secondTryDelay() gives the rule.
+    Model::Microseconds secondTryDelay(const RequestContext &request, const Placement &placement,
+                                       Model::SteadyTime now);
+    /// Records in the route's distribution that an attempt had taken \a took when the answer to
+    /// another attempt ended it. Records nothing about the target.
+    ///
+    /// Without it, the distribution loses the slow answers that second tries replace, so its
+    /// quantiles fall and second tries start earlier and earlier.
+    void noteOvertaken(const RequestContext &request, const Placement &placement,
+                       Model::Microseconds took, Model::SteadyTime now);
+    /// Returns the part of the service's slots that was in use when a request was last placed.
+    double slotUse(const Model::ServiceId &service) const
+    {
+        const auto found = use_.find(service);
+        return found == use_.end() ? 0 : found->second.use_;
+    }
     /// Returns the round trip to \a target as measured for its region. Precondition: the target
     /// takes work.
     Model::Microseconds roundTripTo(const TargetState &target) const
@@ -154,6 +174,9 @@
     /// Records an answer of a target that reports its pace.
     void notePacedWork(RouteWork &work, const Placement &placement, Model::Microseconds worked,
                        Model::SteadyTime now);
+    /// Returns the shortest expected time among the candidates other than \a chosen.
+    std::optional<Model::Microseconds> nextExpected(std::size_t chosen,
+                                                    const Policy::WorkEstimate &work) const;
     /// Returns the mean processing time of the service's requests, or zero before the first one.
     Model::Microseconds meanTimeOf(const Model::ServiceId &service) const;
     /// Returns the fraction of the service's slots that is in use.
--- a/Libraries/LibSteering/PlacementLearning.cpp
+++ b/Libraries/LibSteering/PlacementLearning.cpp
@@ -82,6 +82,40 @@
         work.distribution_.add(ratio);
 }
 
+void PlacementEngine::withdraw(const Placement &placement)
+{
+    placement.target_->reachability_.isProbed_ = false;
+    Policy::releaseTrial(placement.target_->rejections_);
+}
+
+Microseconds PlacementEngine::secondTryDelay(const RequestContext &request,
+                                             const Placement &placement, SteadyTime now)
+{
+    const RouteWork &work = workOf(*request.route_, request.service_);
+    Policy::SecondTryTimes times;
+    times.usual_ = placement.maxUsualLatency_;
+    times.warm_ = Microseconds(static_cast<long long>(work.times_.warmUs_));
+    const auto cold = Microseconds(static_cast<long long>(work.times_.coldUs_));
+    times.second_ = placement.nextExpected_.value_or(cold);
+    times.goalLeft_ = std::chrono::duration_cast<Microseconds>(
+        request.arrivedAt_ + request.route_->latencyGoal_ - now);
+    return Policy::secondTryDelay(times, work.distribution_);
+}
+
+void PlacementEngine::noteOvertaken(const RequestContext &request, const Placement &placement,
+                                    Microseconds took, SteadyTime now)
+{
+    const TargetState &target = *placement.target_;
+    const bool hadSlot = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
+    if (!hadSlot || !placement.isKnownWarm_ || target.isCold(now))
+        return;
+    RouteWork &work = workOf(*request.route_, request.service_);
+    const double pace = Policy::slownessByReport(target.paceReport_, 1, now);
+    const auto worked = std::max(took - roundTrips_[target.region_], Microseconds(1));
+    work.distribution_.add(static_cast<double>(worked.count())
+                           / std::max(1.0, work.times_.warmUs_ * pace));
+}
+
 void PlacementEngine::noteFailure(const Placement &placement, SteadyTime now)
 {
     TargetState &target = *placement.target_;
--- a/Libraries/LibSteering/RequestContext.h
+++ b/Libraries/LibSteering/RequestContext.h
@@ -3,6 +3,7 @@
 #include "TargetRegistry.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -34,6 +35,12 @@
     unsigned rejectionStatus_ = 0;
     Http::ExchangeControl control_;
     bool isAbandoned_ = false;
+    /// It runs beside a first try that has not been answered yet.
+    bool isSecondTry_ = false;
+    /// Called when an attempt begins to be sent, and when the caller of an idempotent request has
+    /// left. Unset while no second try may follow.
+    std::function<void()> onAttemptSent_;
+    std::function<void()> onAbandoned_;
     /// Its first attempt has been sent and counted against the workspace's quota.
     bool isCountedAsSent_ = false;
     /// Computed on first use.
@@ -52,6 +59,10 @@
     /// Holds the instance's only slot for serialized probes, that is, for requests suspected of
     /// crashing targets.
     bool holdsProbeSlot_ = false;
+
+    /// Its attempt was cancelled because another attempt was answered first, which proves nothing
+    /// about its target.
+    bool isOvertaken() const { return control_.isCancelled() && !isAbandoned_; }
 };
 
 /// Return the request's fingerprint prefix and its fingerprint. \a names are the platform's.
@@ -71,6 +82,9 @@
     Model::Microseconds expected_{0};
     /// Upper bound of the time that a healthy target takes.
     Model::Microseconds maxUsualLatency_{0};
+    /// The shortest expected time of the other candidates, if there are any and the service's
+    /// targets report their pace.
+    std::optional<Model::Microseconds> nextExpected_;
 };
 
 /// Time within which an instance expects to receive the table and the targets after its start.
