LibObserve: Add the setting of the waiting queue and its event

The waiting queue must take effect only where a deployment asks for it. [admission] queue is on or off, default off; another value is error 603. Event 5020 tells why a request found no room.

--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -71,6 +71,8 @@
          "Targets of a service in a failure domain are reached again.", 50},
         {StaleConnection, Info, "StaleConnection",
          "A request was sent on a connection that the target had already closed."},
+        {RequestFoundNoRoom, Info, "RequestFoundNoRoom",
+         "A request found no place in the queue for room, or left it without being placed.", 30},
         {TargetAdded, Info, "TargetAdded", "A target registered itself.", 100},
         {TargetChanged, Info, "TargetChanged", "A target's registration changed.", 100},
         {TargetGone, Info, "TargetGone",
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -56,6 +56,7 @@
     DomainUnreached = 5009,
     DomainReached = 5010,
     StaleConnection = 5011,
+    RequestFoundNoRoom = 5020,
     TargetAdded = 5101,
     TargetChanged = 5102,
     TargetGone = 5103,
--- a/Libraries/LibObserve/Settings.cpp
+++ b/Libraries/LibObserve/Settings.cpp
@@ -56,6 +56,8 @@
      "file descriptors that the process may open"},
     {"limits", "link_mbps", "", false, Both, "0.1 to 400000",
      "bandwidth of the instance's link, each way"},
+    {"admission", "queue", "off", false, OneProcess, "on or off",
+     "whether requests that find no room wait at the instance"},
     {"lookup", "threads", "1", false, Daemons, "1 to 64", "threads that answer look-ups"},
     {"lookup", "ttl_ms", "2000", false, Both, "100 to 60000",
      "how long callers may keep an answer"},
@@ -155,6 +157,14 @@
         return text(section, key).empty() ? 0 : number(section, key, isWhole);
     }
 
+    bool isOn(std::string_view section, std::string_view key)
+    {
+        const std::string value = text(section, key);
+        if (value != "on" && value != "off")
+            add(ResultCode::SettingsBadValue, info(section, key), value);
+        return value == "on";
+    }
+
     long long whole(std::string_view section, std::string_view key)
     {
         return static_cast<long long>(number(section, key, true));
@@ -331,6 +341,7 @@
     settings.domains_ = reader.domains();
     readLimits(reader, settings);
     settings.size_ = sizeIn(reader);
+    settings.waitsForRoom_ = reader.isOn("admission", "queue");
     settings.dial_ = reader.dialMap();
     reader.checkUnknown();
 
--- a/Libraries/LibObserve/Settings.h
+++ b/Libraries/LibObserve/Settings.h
@@ -54,6 +54,9 @@
     Model::Milliseconds idleTimeout_{0};
     Model::Milliseconds requestTimeout_{0};
 
+    /// Requests that find no room at a target wait at the instance.
+    bool waitsForRoom_ = false;
+
     int lookupThreads_ = 1;
     Model::Milliseconds lookupTimeToLive_{0};
     int lookupEntries_ = 0;
--- a/Tests/LibObserve/TestObserve.cpp
+++ b/Tests/LibObserve/TestObserve.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(pageListsExactlyTheSettings);
     CPPUNIT_TEST(validSettingsAreParsed);
     CPPUNIT_TEST(sizesOfInstancesAreChecked);
+    CPPUNIT_TEST(queueIsOnOrOff);
     CPPUNIT_TEST(allMistakesAreListedAtOnce);
     CPPUNIT_TEST(dialTranslatesAddresses);
     CPPUNIT_TEST(auditRecordsRoundTrip);
@@ -90,6 +91,24 @@
         }
     }
 
+    // Guards against a queue in a deployment that has not asked for it, and against a misspelt
+    // value that is taken for "off".
+    void queueIsOnOrOff()
+    {
+        CPPUNIT_ASSERT(!Observe::settingsFromText(validSettings).settings_->waitsForRoom_);
+        const auto on = Observe::settingsFromText(validSettings + "[admission]\nqueue = on\n");
+        CPPUNIT_ASSERT(on.settings_ && on.settings_->waitsForRoom_);
+        const auto off = Observe::settingsFromText(validSettings + "[admission]\nqueue = off\n");
+        CPPUNIT_ASSERT(off.settings_ && !off.settings_->waitsForRoom_);
+        for (const std::string wrong : {"yes", "On", ""}) {
+            const auto refused
+                = Observe::settingsFromText(validSettings + "[admission]\nqueue = " + wrong + "\n");
+            CPPUNIT_ASSERT_MESSAGE(wrong, !refused.settings_);
+            CPPUNIT_ASSERT_MESSAGE(refused.mistakes_.front(),
+                                   refused.mistakes_.front().starts_with("[603] [admission]"));
+        }
+    }
+
     void allMistakesAreListedAtOnce()
     {
         const auto check = Observe::settingsFromText(
