--- a/Libraries/LibPolicy/Room.cpp
+++ b/Libraries/LibPolicy/Room.cpp
@@ -10,7 +10,7 @@
         return true;
     const auto instances = static_cast<double>(std::max<std::size_t>(1, region.instances_));
     const double room = std::max(1.0, region.slots_ / instances);
-    if (static_cast<double>(inProgress) + 1 <= room)
+    if (static_cast<double>(inProgress) < room)
         return true;
     return region.slots_ - region.taken_ > region.slots_ * freePartToBorrow;
 }
--- a/Libraries/LibPolicy/Room.h
+++ b/Libraries/LibPolicy/Room.h
@@ -15,7 +15,7 @@
 
 /// While more than this part of the slots is free, no instance is short of room, and each may use
 /// what others leave. A smaller rest is that of slots between two requests.
-constexpr double freePartToBorrow = 0.05;
+constexpr double freePartToBorrow = 0.03;
 
 /// Returns whether an instance with \a inProgress requests at the targets may start another one
 /// there.
