LibSteering: Let requests wait at the instance

With [admission] queue = on, a request refused with OverCapacity or WouldBeLate waits in RequestQueue and is placed again when an attempt of its service ends or on the tick. With the setting off, nothing waits.

--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -89,6 +89,7 @@
     , guard_(guard)
     , quotas_(quotas)
     , log_(log)
+    , queue_(context, port.headers_, log)
     , pool_(context)
 {
 }
@@ -109,6 +110,7 @@
     if (refused)
         co_return std::move(*refused);
     Http::Response response = co_await sendWithRetries(request);
+    queue_.leave(request);
     guard_.release(request);
     if (request.isAbandoned_)
         ++counters_.abandoned_;
@@ -183,13 +185,18 @@
     // The first attempt after which the request may have run. Its outcome stays unknown regardless
     // of the results of later attempts.
     std::optional<Attempt> unresolved;
+    if (queue_.shouldYield(request))
+        co_await queue_.letWaitingGoFirst(request.service_);
     while (true) {
         if (const auto withheld = guard_.check(request, steadyNow()))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *withheld);
         const auto peer = peerFor(request, steadyNow());
+        request.hasRoom_
+            = queue_.hasRoom(request, placementEngine_.regionSlotsOf(request.service_));
         const auto placed = placementEngine_.place(request, steadyNow());
         if (std::holds_alternative<Refusal>(placed)) {
             if (peer) {
+                queue_.leave(request);
                 Attempt forwarded = co_await forward(request, *peer);
                 if (forwarded.answer_)
                     co_return deliverForwarded(request, std::move(forwarded));
@@ -197,11 +204,17 @@
                     continue;
                 co_return failRequest(request, unresolved ? *unresolved : forwarded);
             }
-            co_return unresolved ? failRequest(request, *unresolved)
-                                 : refuse(request, std::get<Refusal>(placed));
+            if (unresolved)
+                co_return failRequest(request, *unresolved);
+            Refusal refusal = std::get<Refusal>(placed);
+            if (co_await queue_.waitForRoom(request, refusal))
+                continue;
+            co_return refuse(request, refusal);
         }
+        queue_.notePlaced(request, steadyNow());
         const Placement placement = std::get<Placement>(placed);
         Attempt attempted = co_await attempt(request, placement);
+        queue_.noteAttemptEnded(request.service_, attempted.wasSent_, steadyNow());
         if (attempted.answer_)
             co_return deliver(request, placement, std::move(attempted));
         if (attempted.isWithdrawn_ && !attempted.wasSent_)
@@ -391,6 +404,7 @@
         if (request->route_->isIdempotent_)
             request->control_.cancel();
     }
+    queue_.tick(steadyNow());
 }
 
 void Dispatcher::dropIdleConnections(const std::vector<Model::Address> &addresses)
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "QuotaExchange.h"
 #include "ReachMonitor.h"
 #include "RequestForwarder.h"
+#include "RequestQueue.h"
 
 #include <list>
 
@@ -70,6 +71,9 @@
     /// to domains that are.
     void probeReach();
 
+    /// Sets whether requests that find no room wait for it. Off by default.
+    void setWaitsForRoom(bool waits) { queue_.setEnabled(waits); }
+
     /// Sets how many instances share the retry budget.
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
@@ -91,6 +95,7 @@
     /// closed them.
     void dropAllIdleConnections(const TargetRegistry &registry);
 
+    const RequestQueue &queue() const { return queue_; }
     std::size_t inProgress() const { return requestsInProgress_.size(); }
     /// Returns the number of open connections to targets, idle or in use.
     std::size_t openConnections() const { return pool_.openCount(); }
@@ -160,6 +165,7 @@
     CrashGuard &guard_;
     QuotaExchange &quotas_;
     Observe::DecisionLog &log_;
+    RequestQueue queue_;
     RequestForwarder *forwarder_ = nullptr;
     Http::ConnectionPool pool_;
     std::list<RequestContext *> requestsInProgress_;
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -58,6 +58,23 @@
                  static_cast<double>(number),
                  "code=\"" + std::to_string(Model::number(code)) + "\"");
     }
+    const auto &queue = parts_->dispatcher_.queue();
+    text.add("cassiacrank_waiting", "Requests that wait here for room at a target.", "gauge",
+             static_cast<double>(queue.waiting()));
+    count("cassiacrank_waited_total", "Requests that waited here for room at a target.",
+          queue.counters().waited_);
+    count("cassiacrank_displaced_total", "Waiting requests refused for more urgent ones.",
+          queue.counters().displaced_);
+    count("cassiacrank_returns_announced_total", "Refusals with a scheduled Retry-After.",
+          queue.counters().returnsAnnounced_);
+    count("cassiacrank_returns_kept_total", "Refused requests that returned as announced.",
+          queue.counters().returnsKept_);
+    for (const auto &[key, number] : queue.counters().refused_) {
+        text.add("cassiacrank_refused_for_room_total", "Refusals for want of room.", "counter",
+                 static_cast<double>(number),
+                 "code=\"" + std::to_string(Model::number(key.first)) + "\",rank=\""
+                     + std::to_string(key.second) + "\"");
+    }
     for (const auto &[what, bytes] : parts_->peers_.traffic().bytes_) {
         text.add("cassiacrank_peer_bytes_total", "Bytes of calls to other instances, both ways.",
                  "counter", static_cast<double>(bytes),
--- a/Libraries/LibSteering/InstanceParts.cpp
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -60,6 +60,7 @@
         return instance.answerAdmin(std::move(request));
     })
 {
+    dispatcher_.setWaitsForRoom(instance.settings_.waitsForRoom_);
     dispatcher_.setForwarder(forwarder_);
     peers_.setForwardingHandler(RequestForwarder::path, [this](Http::IncomingRequest request) {
         return dispatcher_.answerForwarded(std::move(request));
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -145,6 +145,9 @@
     const auto workTime = meanTimeOf(service);
     double taken = 0;
     double slots = 0;
+    Policy::RegionSlots region;
+    if (localRegion_ < entries_.size())
+        region.instances_ = entries_[localRegion_];
     for (const auto &domain : targets.byDomain_) {
         for (const auto &target : domain) {
             // Its load goes to the others.
@@ -155,9 +158,13 @@
                                 + Policy::peerReportedLoadAt(target->othersLoad_, workTime, now);
             slots += own;
             taken += std::min(own, load);
+            if (target->region_ != localRegion_)
+                continue;
+            region.slots_ += own;
+            region.taken_ += std::min(own, load);
         }
     }
-    use = {slots > 0 ? taken / slots : 0, now};
+    use = {slots > 0 ? taken / slots : 0, region, now};
     return use.use_;
 }
 
@@ -389,13 +396,17 @@
     admission.priority_ = Policy::priorityOf(route, request.workspace_);
     const Policy::Candidate &likely = candidates_[choice->candidate_];
     admission.hasFreeSlot_ = current_.reportsPace_ && likely.load_ + 1 <= likely.slots_;
-    const auto admitted = Policy::evaluateAdmission(admission, route.latencyGoal_);
+    auto admitted = Policy::evaluateAdmission(admission, route.latencyGoal_);
+    if (!request.hasRoom_ && admitted == Policy::AdmissionVerdict::Take)
+        admitted = Policy::AdmissionVerdict::NoRoom;
     if (admitted != Policy::AdmissionVerdict::Take) {
         const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
         const bool isTooLate = admitted == Policy::AdmissionVerdict::TooLate;
+        const auto expectedWithSlot
+            = likely.roundTrip_ + (likely.isKnownWarm_ ? work.warm_ : work.cold_);
         return Refusal{isTooLate ? ResultCode::WouldBeLate : ResultCode::OverCapacity,
                        Policy::refusalRetryDelay(choice->expected_, route.latencyGoal_, draw),
-                       choice->expected_};
+                       choice->expected_, expectedWithSlot};
     }
     const Policy::Candidate &chosen = candidates_[choice->candidate_];
     Placement placement;
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -57,6 +57,13 @@
         return found != results_.end() && found->second.reportsPace_;
     }
 
+    /// Returns the service's slots in this region, as counted last.
+    Policy::RegionSlots regionSlotsOf(const Model::ServiceId &service) const
+    {
+        const auto found = use_.find(service);
+        return found == use_.end() ? Policy::RegionSlots() : found->second.region_;
+    }
+
     /// Records an answer, with the pace that the target reported in it, or a failure of the target
     /// that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
@@ -102,6 +109,7 @@
     struct SlotUse
     {
         double use_ = 0;
+        Policy::RegionSlots region_;
         Model::SteadyTime countedAt_ = Model::distantPast;
     };
 
--- a/Libraries/LibSteering/RequestContext.h
+++ b/Libraries/LibSteering/RequestContext.h
@@ -52,6 +52,12 @@
     /// Holds the instance's only slot for serialized probes, that is, for requests suspected of
     /// crashing targets.
     bool holdsProbeSlot_ = false;
+    /// Identifies it in the queue for room; zero if it does not wait there.
+    Policy::WaiterId waiter_ = 0;
+    /// The instance may have one more request in progress at the targets.
+    bool hasRoom_ = true;
+    /// When it was first refused, if it has returned as announced.
+    std::optional<Model::SteadyTime> firstRefusedAt_;
 };
 
 /// Return the request's fingerprint prefix and its fingerprint. \a names are the platform's.
@@ -82,6 +88,8 @@
     Model::ResultCode code_ = Model::ResultCode::OverCapacity;
     Model::Milliseconds retryAfter_{0};
     Model::Microseconds expected_{0};
+    /// Expected time at a target with a free slot.
+    Model::Microseconds expectedWithSlot_{0};
 };
 
 } // namespace Steering
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -101,6 +101,23 @@
         answer_ = co_await dispatcher_.answer(std::move(incoming));
     }
 
+    /// Changes the load of each target as this instance counts it.
+    void addLoad(int requests)
+    {
+        for (const auto &[id, target] : instance_.targetRegistry_.all())
+            target->ownInFlight_ += requests;
+    }
+
+    /// Starts a request that finds no room, and returns once it waits.
+    void startWaitingRequest(std::function<bool()> hasPeerClosed)
+    {
+        auto incoming = incomingRequest("/read/waiting");
+        incoming.hasPeerClosed_ = std::move(hasPeerClosed);
+        Http::asio::co_spawn(context_, answerRequest(std::move(incoming)), Http::asio::detached);
+        while (dispatcher_.queue().waiting() == 0)
+            CPPUNIT_ASSERT(context_.poll_one() > 0);
+    }
+
     /// Returns the target that was chosen for the request, or an empty string.
     std::string chosenTarget() const
     {
@@ -157,6 +174,10 @@
     CPPUNIT_TEST(targetGetsTheWorkspaceAndNotTheKey);
     CPPUNIT_TEST(publicRouteNeedsNoKey);
     CPPUNIT_TEST(requestBeyondTheQuotaReachesNoTarget);
+    CPPUNIT_TEST(requestWithoutRoomIsRefusedAtOnceWithTheQueueOff);
+    CPPUNIT_TEST(requestWithoutRoomWaitsForTheEndOfAnother);
+    CPPUNIT_TEST(requestThatWaitsInVainReachesNoTarget);
+    CPPUNIT_TEST(waitingRequestOfACallerThatLeftReachesNoTarget);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -316,6 +337,74 @@
         CPPUNIT_ASSERT(fixture.receivingTargets_.empty());
         CPPUNIT_ASSERT(fixture.answer_->result() == http::status::service_unavailable);
     }
+
+    /// Load at which no target can answer before the caller stops waiting.
+    static constexpr int fullLoad = 1000;
+
+    // Without the setting, an instance keeps no request.
+    void requestWithoutRoomIsRefusedAtOnceWithTheQueueOff()
+    {
+        DispatcherFixture fixture;
+        fixture.addLoad(fullLoad);
+        const auto before = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(fixture.answerTo("/read/x", "Other", "")
+                       == http::status::service_unavailable);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - before < Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.dispatcher_.queue().counters().waited_);
+    }
+
+    // Guards against a request that waits until the next tick, or is refused, while a slot is free.
+    void requestWithoutRoomWaitsForTheEndOfAnother()
+    {
+        DispatcherFixture fixture;
+        fixture.dispatcher_.setWaitsForRoom(true);
+        fixture.startRequest();
+        fixture.addLoad(fullLoad);
+        fixture.startWaitingRequest([] {
+            return false;
+        });
+        fixture.addLoad(-fullLoad);
+        fixture.waitForAnswer();
+        fixture.answer_.reset();
+        fixture.waitForAnswer();
+        CPPUNIT_ASSERT(fixture.answer_->result() == http::status::ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.receivingTargets_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.dispatcher_.queue().waiting());
+    }
+
+    // Guards against a refusal that promises what is not true: the request must not have run.
+    void requestThatWaitsInVainReachesNoTarget()
+    {
+        DispatcherFixture fixture;
+        fixture.dispatcher_.setWaitsForRoom(true);
+        fixture.addLoad(fullLoad);
+        fixture.startWaitingRequest([] {
+            return false;
+        });
+        fixture.waitForAnswer();
+        CPPUNIT_ASSERT(fixture.answer_->result() == http::status::service_unavailable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.answer_->count(http::field::retry_after));
+        CPPUNIT_ASSERT(fixture.receivingTargets_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), fixture.dispatcher_.queue().counters().expired_);
+    }
+
+    // Guards against work for nobody.
+    void waitingRequestOfACallerThatLeftReachesNoTarget()
+    {
+        DispatcherFixture fixture;
+        fixture.dispatcher_.setWaitsForRoom(true);
+        fixture.addLoad(fullLoad);
+        bool hasLeft = false;
+        fixture.startWaitingRequest([&hasLeft] {
+            return hasLeft;
+        });
+        hasLeft = true;
+        fixture.addLoad(-fullLoad);
+        fixture.dispatcher_.sweepAbandoned();
+        fixture.waitForAnswer();
+        CPPUNIT_ASSERT(fixture.receivingTargets_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), fixture.dispatcher_.queue().counters().left_);
+    }
 };
 
 } // namespace
