--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -72,6 +72,8 @@
         {StaleConnection, Info, "StaleConnection",
          "A request was sent on a connection that the target had already closed."},
         {SecondTry, Info, "SecondTry", "A slow request is also sent to a second target."},
+        {RequestFoundNoRoom, Info, "RequestFoundNoRoom",
+         "A request found no place in the queue for room, or left it without being placed.", 30},
         {TargetAdded, Info, "TargetAdded", "A target registered itself.", 100},
         {TargetChanged, Info, "TargetChanged", "A target's registration changed.", 100},
         {TargetGone, Info, "TargetGone",
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -57,6 +57,7 @@
     DomainReached = 5010,
     StaleConnection = 5011,
     SecondTry = 5012,
+    RequestFoundNoRoom = 5020,
     TargetAdded = 5101,
     TargetChanged = 5102,
     TargetGone = 5103,
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -90,6 +90,7 @@
     , guard_(guard)
     , quotas_(quotas)
     , log_(log)
+    , queue_(context, port.headers_, log)
     , pool_(context)
 {
 }
@@ -110,6 +111,7 @@
     if (refused)
         co_return std::move(*refused);
     Http::Response response = co_await sendWithRetries(request);
+    queue_.leave(request);
     guard_.release(request);
     if (request.isAbandoned_)
         ++counters_.abandoned_;
@@ -185,15 +187,20 @@
     // of the results of later attempts.
     std::optional<Attempt> unresolved;
     bool isOverBytes = false;
+    if (queue_.shouldYield(request))
+        co_await queue_.letWaitingGoFirst(request.service_);
     while (true) {
         if (const auto tooMuch = checkHeldBytes(request))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *tooMuch);
         if (const auto withheld = guard_.check(request, steadyNow()))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *withheld);
         const auto peer = peerFor(request, steadyNow());
+        request.hasRoom_
+            = queue_.hasRoom(request, placementEngine_.regionSlotsOf(request.service_));
         const auto placed = placementEngine_.place(request, steadyNow());
         if (std::holds_alternative<Refusal>(placed)) {
             if (peer) {
+                queue_.leave(request);
                 Attempt forwarded = co_await forward(request, *peer);
                 if (forwarded.answer_)
                     co_return deliverForwarded(request, std::move(forwarded));
@@ -201,13 +208,20 @@
                     continue;
                 co_return failRequest(request, unresolved ? *unresolved : forwarded);
             }
+            if (unresolved)
+                co_return failRequest(request, *unresolved);
             Refusal refusal = std::get<Refusal>(placed);
-            if (isOverBytes)
+            if (isOverBytes) {
                 refusal.code_ = ResultCode::TooManyBytesHeld;
-            co_return unresolved ? failRequest(request, *unresolved) : refuse(request, refusal);
+            } else if (co_await queue_.waitForRoom(request, refusal)) {
+                continue;
+            }
+            co_return refuse(request, refusal);
         }
+        queue_.notePlaced(request, steadyNow());
         Placement placement = std::get<Placement>(placed);
         Attempt attempted = co_await attemptWithSecondTry(request, placement);
+        queue_.noteAttemptEnded(request.service_, attempted.wasSent_, steadyNow());
         if (attempted.answer_)
             co_return deliver(request, placement, std::move(attempted));
         if (attempted.isWithdrawn_ && !attempted.wasSent_)
@@ -422,6 +436,7 @@
         if (request->onAbandoned_)
             request->onAbandoned_();
     }
+    queue_.tick(steadyNow());
 }
 
 void Dispatcher::dropIdleConnections(const std::vector<Model::Address> &addresses)
