--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -35,6 +35,7 @@
 #include "RequestFingerprint.h"
 #include "RequestForwarding.h"
 #include "Shares.h"
+#include "Shortage.h"
 #include "SlowStart.h"
 #include "SpareConnections.h"
 #include "SpillMeter.h"
