LibSteering: Exchange demand in a region and know a shortage

The decisions of Policy::Shortage had neither inputs nor users.

Gossip messages between instances of a region get the list "demand"; a missing list means unknown, an empty one no requests. ShortageMonitor counts requests, is asked by the dispatcher before a request is placed, refuses with 201 (or with WouldBeLate), logs ShortageBegan (3014) and ShortageEnded (3015) and gives the metrics. It is off by the constant handlesShortage in InstanceParts.cpp: nothing is counted, refused or sent. The mean time in a slot is learned beside the mean processing time, which leaves out long requests and slow moments of targets.

--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -39,6 +39,8 @@
     QuarantinesUnread = 3011,
     QuotaReached = 3012,
     QuotaFree = 3013,
+    ShortageBegan = 3014,
+    ShortageEnded = 3015,
 
     SnapshotApplied = 4001,
     ControlLost = 4002,
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -147,6 +147,10 @@
         return std::nullopt;
     }
     request.service_ = placementEngine_.chooseService(*request.route_);
+    const auto shortage
+        = shortage_ ? shortage_->check(request, steadyNow()) : std::optional<Refusal>();
+    if (shortage)
+        return refuse(request, *shortage);
     Policy::RetryTerms terms;
     const bool isPaced = placementEngine_.reportsPace(request.service_);
     terms.share_ = port_.terms_.retryShare_ * (isPaced ? usedRetryShare : usedRetryFraction);
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -5,6 +5,7 @@
 #include "QuotaExchange.h"
 #include "ReachMonitor.h"
 #include "RequestForwarder.h"
+#include "ShortageMonitor.h"
 
 #include <list>
 
@@ -60,6 +61,10 @@
     /// dispatcher.
     void setForwarder(RequestForwarder &forwarder) { forwarder_ = &forwarder; }
 
+    /// Sets what decides which requests are admitted during a shortage; without it, all are.
+    /// \a monitor must outlive the dispatcher.
+    void setShortageMonitor(ShortageMonitor &monitor) { shortage_ = &monitor; }
+
     /// Cancels the attempts of idempotent requests whose callers have disconnected.
     ///
     /// Without it, under overload, targets keep processing requests whose callers have
@@ -161,6 +166,7 @@
     QuotaExchange &quotas_;
     Observe::DecisionLog &log_;
     RequestForwarder *forwarder_ = nullptr;
+    ShortageMonitor *shortage_ = nullptr;
     Http::ConnectionPool pool_;
     std::list<RequestContext *> requestsInProgress_;
     std::unordered_map<Model::ServiceId, Policy::RetryBudget> retryBudgets_;
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -102,6 +102,13 @@
         [this](const auto &reports, const std::string &peer) {
             parts_->targetRegistry_.receiveLimits(reports, peer, steadyNow());
         });
+    parts_->peers_.setDemandExchange(
+        [this] {
+            return parts_->shortage_.demandToSend(steadyNow());
+        },
+        [this](const auto &items, const Model::InstanceId &peer) {
+            parts_->shortage_.receiveDemand(items, peer, steadyNow());
+        });
     parts_->peers_.setCrashExchange(
         [this] {
             return parts_->guard_.news(steadyNow());
@@ -177,6 +184,8 @@
         parts_->dispatcher_.probeReach();
         parts_->peers_.setPartitioned(parts_->reach_.isPartitioned(now));
         parts_->guard_.judge(now);
+        parts_->shortage_.update(
+            Policy::entriesIn(parts_->peers_.members(), settings_.region_, now), now);
         if (now - idleRefreshedAt_ >= idleRefreshInterval) {
             idleRefreshedAt_ = now;
             parts_->dispatcher_.refreshIdleConnections(parts_->targetRegistry_);
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -78,6 +78,25 @@
     }
     text.add("cassiacrank_lookup_listed", "Entries in the last answer to a look-up.", "gauge",
              static_cast<double>(listedEntries_));
+    for (const auto &[service, shortage] : parts_->shortage_.services()) {
+        const std::string label = "service=\"" + service.value() + "\"";
+        text.add("cassiacrank_shortage", "Whether the region is short of a service's slots.",
+                 "gauge", shortage.isShort_ ? 1 : 0, label);
+        const auto shares = Policy::measuredShares(shortage);
+        for (std::size_t rank = 0; rank < shares.size(); ++rank) {
+            if (shortage.ownArrivals_[rank] <= 0)
+                continue;
+            text.add("cassiacrank_admitted_share", "Admitted part of a rank's requests.", "gauge",
+                     shares[rank], label + ",rank=\"" + std::to_string(rank) + "\"");
+        }
+        const auto extremes = Policy::workspaceShares(shortage);
+        text.add("cassiacrank_workspace_admitted_share",
+                 "Admitted part of the requests of the workspaces with the least and the most.",
+                 "gauge", extremes.least_, label + ",which=\"least\"");
+        text.add("cassiacrank_workspace_admitted_share",
+                 "Admitted part of the requests of the workspaces with the least and the most.",
+                 "gauge", extremes.most_, label + ",which=\"most\"");
+    }
     const auto now = std::chrono::steady_clock::now();
     std::size_t alive = 0;
     for (const auto &[id, member] : parts_->peers_.members())
--- a/Libraries/LibSteering/InstanceParts.cpp
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -11,6 +11,8 @@
 /// Added to the table's idle limit, so that a caller that keeps the limit does not use a connection
 /// at the moment it is closed.
 constexpr Milliseconds idleTimeoutMargin{2000};
+/// Whether demand is exchanged, and requests are refused during a shortage.
+constexpr bool handlesShortage = false;
 
 } // namespace
 
@@ -30,6 +32,8 @@
     , targetRegistry_(instance.port_, platformState_, instance.log_)
     , reach_(platformState_, targetRegistry_, instance.log_)
     , placementEngine_(instance.settings_, platformState_, targetRegistry_)
+    , shortage_(instance.settings_, platformState_, targetRegistry_, placementEngine_,
+                instance.log_, handlesShortage)
     , guard_(instance.port_, instance.log_)
     , peers_(instance.context_, instance.settings_, platformState_, instance.log_)
     , quotas_(instance.context_, instance.settings_, platformState_, peers_, instance.log_)
@@ -61,6 +65,7 @@
     })
 {
     dispatcher_.setForwarder(forwarder_);
+    dispatcher_.setShortageMonitor(shortage_);
     peers_.setForwardingHandler(RequestForwarder::path, [this](Http::IncomingRequest request) {
         return dispatcher_.answerForwarded(std::move(request));
     });
--- a/Libraries/LibSteering/InstanceParts.h
+++ b/Libraries/LibSteering/InstanceParts.h
@@ -16,6 +16,7 @@
     TargetRegistry targetRegistry_;
     ReachMonitor reach_;
     PlacementEngine placementEngine_;
+    ShortageMonitor shortage_;
     CrashGuard guard_;
     PeerExchange peers_;
     QuotaExchange quotas_;
--- a/Libraries/LibSteering/LibSteering.h
+++ b/Libraries/LibSteering/LibSteering.h
@@ -15,5 +15,6 @@
 #include "RemovalAges.h"
 #include "RequestForwarder.h"
 #include "ResourceMeter.h"
+#include "ShortageMonitor.h"
 #include "StoreFollower.h"
 #include "TargetRegistry.h"
--- a/Libraries/LibSteering/PeerCalls.cpp
+++ b/Libraries/LibSteering/PeerCalls.cpp
@@ -90,6 +90,8 @@
         message.loads_ = provideLoads_();
         message.removals_ = recentRemovals();
         message.limits_ = provideLimits_();
+        if (peer.region_ == settings_.region_)
+            message.demand_ = provideDemand_();
         message.update_.heartbeatRecords_ = Policy::heartbeatRecordsForRequest(
             members_, localInstance(), peer.region_, now, random_());
     }
@@ -224,6 +226,8 @@
     update.loads_ = provideLoads_();
     update.removals_ = recentRemovals();
     update.limits_ = provideLimits_();
+    if (received->sender_.instance_.region_ == settings_.region_)
+        update.demand_ = provideDemand_();
     update.update_ = Policy::peerUpdateFor(members_, localInstance(), received->sender_.instance_,
                                            received->update_.heartbeatRecords_, now, random_());
     return Http::textAnswer(http::status::ok, messageType, toBytes(update), request.version());
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -252,6 +252,9 @@
     receiveLoads_(message.loads_);
     receiveRemovals_(message.removals_);
     receiveLimits_(message.limits_, message.sender_.instance_.id_.value());
+    const auto &sender = message.sender_.instance_;
+    if (message.demand_ && sender.region_ == settings_.region_ && sender.id_ != settings_.instance_)
+        receiveDemand_(*message.demand_, sender.id_);
     receiveCrashes_(message.crashes_, message.sender_.heartbeatRecord_.isReady_);
     catchUp(now);
     if (!behindSince_)
@@ -275,6 +278,14 @@
     receiveLimits_ = std::move(receive);
 }
 
+void PeerExchange::setDemandExchange(
+    std::function<std::optional<std::vector<Policy::DemandItem>>()> provide,
+    std::function<void(const std::vector<Policy::DemandItem> &, const Model::InstanceId &)> receive)
+{
+    provideDemand_ = std::move(provide);
+    receiveDemand_ = std::move(receive);
+}
+
 void PeerExchange::setCrashExchange(std::function<Policy::CrashUpdate()> provide,
                                     std::function<void(const Policy::CrashUpdate &, bool)> receive)
 {
--- a/Libraries/LibSteering/PeerExchange.h
+++ b/Libraries/LibSteering/PeerExchange.h
@@ -58,6 +58,13 @@
         std::function<void(const std::vector<Policy::TargetLimitReport> &, const std::string &)>
             receive);
 
+    /// Sets the source of the demand that is sent to peers of the region, and the sink for theirs.
+    /// Nothing is sent while the source returns std::nullopt.
+    void setDemandExchange(
+        std::function<std::optional<std::vector<Policy::DemandItem>>()> provide,
+        std::function<void(const std::vector<Policy::DemandItem> &, const Model::InstanceId &)>
+            receive);
+
     /// Sets the source of updates on crashed targets and quarantined requests, and the sink for
     /// those of peers; the sink also gets whether the peer is ready.
     void setCrashExchange(std::function<Policy::CrashUpdate()> provide,
@@ -184,6 +191,11 @@
     };
     std::function<void(const std::vector<Policy::TargetLimitReport> &, const std::string &)>
         receiveLimits_ = [](const auto &, const std::string &) {};
+    std::function<std::optional<std::vector<Policy::DemandItem>>()> provideDemand_ = [] {
+        return std::optional<std::vector<Policy::DemandItem>>();
+    };
+    std::function<void(const std::vector<Policy::DemandItem> &, const Model::InstanceId &)>
+        receiveDemand_ = [](const auto &, const Model::InstanceId &) {};
     std::map<std::string, std::function<Http::Response(const Http::Request &)>> requestHandlers_;
     std::string forwardingPath_;
     Http::Handler answerForwarded_;
--- a/Libraries/LibSteering/PeerMessage.cpp
+++ b/Libraries/LibSteering/PeerMessage.cpp
@@ -186,6 +186,45 @@
     return report;
 }
 
+/// Above what an instance can receive; keeps sums of damaged values finite.
+constexpr double maxArrivalsPerSecond = 1e6;
+
+double rateFromJson(const json &text)
+{
+    const auto rate = text.get<double>();
+    return rate > 0 ? std::min(rate, maxArrivalsPerSecond) : 0;
+}
+
+json toJson(const Policy::DemandItem &item)
+{
+    // A float takes half the bytes of a double.
+    return {item.service_.value(), item.rank_, static_cast<float>(item.arrivals_.value()),
+            static_cast<float>(item.admitted_.value()), item.age_.count()};
+}
+
+Policy::DemandItem demandFromJson(const json &text)
+{
+    Policy::DemandItem item;
+    item.service_ = Policy::ServiceKey(text.at(0).get<std::uint32_t>());
+    item.rank_ = text.at(1).get<int>();
+    item.arrivals_ = Model::RequestsPerSecond(rateFromJson(text.at(2)));
+    item.admitted_ = std::min(item.arrivals_, Model::RequestsPerSecond(rateFromJson(text.at(3))));
+    item.age_ = ageFromJson(text.at(4));
+    return item;
+}
+
+/// Throws std::exception for anything but a list of items. Those beyond the bound are ignored.
+std::vector<Policy::DemandItem> demandListFromJson(const json &text)
+{
+    std::vector<Policy::DemandItem> demand;
+    for (const auto &item : text.get_ref<const json::array_t &>()) {
+        if (demand.size() == Policy::maxDemandPerMessage)
+            break;
+        demand.push_back(demandFromJson(item));
+    }
+    return demand;
+}
+
 // Crashed incarnations and quarantines are encoded as arrays of numbers, like heartbeat records.
 json toJson(const Policy::CrashUpdate &update)
 {
@@ -260,6 +299,11 @@
     addRemovalAges(all, message.removals_);
     for (const auto &report : message.limits_)
         all["limits"].push_back(toJson(report));
+    if (message.demand_) {
+        json &demand = all["demand"] = json::array();
+        for (const auto &item : *message.demand_)
+            demand.push_back(toJson(item));
+    }
     std::string bytes;
     json::to_msgpack(all, bytes);
     return bytes;
@@ -286,6 +330,8 @@
         message.removals_ = removalAgesIn(all);
         for (const auto &report : all.value("limits", json::array()))
             message.limits_.push_back(limitFromJson(report));
+        if (all.contains("demand"))
+            message.demand_ = demandListFromJson(all["demand"]);
         return message;
     } catch (const std::exception &error) {
         return unreadable(error.what());
--- a/Libraries/LibSteering/PeerMessage.h
+++ b/Libraries/LibSteering/PeerMessage.h
@@ -10,7 +10,8 @@
 namespace Steering {
 
 /// A gossip message: the sender's record and its updates on other members, on loads, on crashes, on
-/// removed registrations and on targets' rate limits. Request and answer have the same form.
+/// removed registrations, on targets' rate limits and on its demand. Request and answer have the
+/// same form.
 struct PeerMessage
 {
     Policy::Member sender_;
@@ -19,6 +20,8 @@
     Policy::CrashUpdate crashes_;
     RemovalAges removals_;
     std::vector<Policy::TargetLimitReport> limits_;
+    /// All services and ranks for which the sender has requests; std::nullopt if it does not tell.
+    std::optional<std::vector<Policy::DemandItem>> demand_;
 };
 
 /// Encodes \a message as MessagePack: a full member record takes 150 bytes and a heartbeat record
--- a/Libraries/LibSteering/PlacementEngine.cpp
+++ b/Libraries/LibSteering/PlacementEngine.cpp
@@ -136,6 +136,12 @@
     return Microseconds(mean == serviceMeanUs_.end() ? 0 : static_cast<long long>(mean->second));
 }
 
+Microseconds PlacementEngine::meanSlotTimeOf(const Model::ServiceId &service) const
+{
+    const auto mean = slotTimeUs_.find(service);
+    return Microseconds(mean == slotTimeUs_.end() ? 0 : static_cast<long long>(mean->second));
+}
+
 double PlacementEngine::slotUseOf(const Model::ServiceId &service, const ServiceTargets &targets,
                                   SteadyTime now)
 {
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -57,6 +57,10 @@
         return found != results_.end() && found->second.reportsPace_;
     }
 
+    /// Returns for how long a request of the service occupies a slot on average, slow targets and
+    /// long requests included; zero before the first answer.
+    Model::Microseconds meanSlotTimeOf(const Model::ServiceId &service) const;
+
     /// Records an answer, with the pace that the target reported in it, or a failure of the target
     /// that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
@@ -178,6 +182,8 @@
     std::unordered_map<Model::RouteId, RouteState> routes_;
     /// Mean processing time of all requests of a service at its targets.
     std::unordered_map<Model::ServiceId, double> serviceMeanUs_;
+    /// Mean time for which a request of a service occupies a slot, at the pace of the moment.
+    std::unordered_map<Model::ServiceId, double> slotTimeUs_;
     std::unordered_map<Model::ServiceId, Policy::ObjectRetention> memory_;
     std::unordered_map<Model::ServiceId, SlotUse> use_;
     std::unordered_map<Model::ServiceId, ServiceResults> results_;
--- a/Libraries/LibSteering/PlacementLearning.cpp
+++ b/Libraries/LibSteering/PlacementLearning.cpp
@@ -48,6 +48,10 @@
     const bool hadSlot = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
     if (!hadSlot || target.isCold(now))
         return;
+    const auto occupied = static_cast<double>(std::max(took - roundTrip, Microseconds(1)).count());
+    const auto [slotTime, isFirstAnswer] = slotTimeUs_.emplace(request.service_, occupied);
+    if (!isFirstAnswer)
+        slotTime->second += (occupied - slotTime->second) * serviceMeanWeight;
     RouteWork &work = workOf(*request.route_, request.service_);
     if (pace) {
         notePacedWork(work, placement, worked, now);
--- a/Tests/LibSteering/TestPeers.cpp
+++ b/Tests/LibSteering/TestPeers.cpp
@@ -1,5 +1,7 @@
 #include <LibSteering/LibSteering.h>
 #include <Support/Property.h>
+#include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace {
@@ -39,6 +41,9 @@
     CPPUNIT_TEST(heartbeatRecordsAreSmall);
     CPPUNIT_TEST(messagesOfAnEarlierVersionAreRead);
     CPPUNIT_TEST(sizesAndUseAreTold);
+    CPPUNIT_TEST(demandRoundTrips);
+    CPPUNIT_TEST(implausibleDemandIsBounded);
+    CPPUNIT_TEST(damagedDemandIsDecodedOrRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,6 +150,103 @@
         CPPUNIT_ASSERT(!unknown->sender_.heartbeatRecord_.usePercent_);
     }
 
+    static PeerMessage messageWithDemand(std::size_t count)
+    {
+        PeerMessage message{makeMember("front-koper-a-1"), {}, {}};
+        message.demand_.emplace();
+        for (std::size_t i = 0; i < count; ++i) {
+            message.demand_->push_back({Policy::ServiceKey(0xfedcba98), static_cast<int>(i % 3),
+                                        Model::RequestsPerSecond(23.7 + static_cast<double>(i)),
+                                        Model::RequestsPerSecond(11.3), Milliseconds(90)});
+        }
+        return message;
+    }
+
+    // Guards against losing the difference between no demand and unknown demand, and against
+    // messages that exceed their bound.
+    void demandRoundTrips()
+    {
+        const PeerMessage bare{makeMember("front-koper-a-1"), {}, {}};
+        const auto bareBytes = toBytes(bare);
+        CPPUNIT_ASSERT(!Steering::peerMessageFromBytes(bareBytes, now)->demand_);
+        CPPUNIT_ASSERT(!nlohmann::json::from_msgpack(bareBytes).contains("demand"));
+        const auto none = Steering::peerMessageFromBytes(toBytes(messageWithDemand(0)), now);
+        CPPUNIT_ASSERT(none && none->demand_ && none->demand_->empty());
+
+        const auto full = toBytes(messageWithDemand(Policy::maxDemandPerMessage));
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(full.size() - bareBytes.size()),
+                               full.size() - bareBytes.size() <= 640);
+        const auto read = Steering::peerMessageFromBytes(full, now);
+        CPPUNIT_ASSERT(read && read->demand_);
+        CPPUNIT_ASSERT_EQUAL(Policy::maxDemandPerMessage, read->demand_->size());
+        const auto &item = read->demand_->at(4);
+        CPPUNIT_ASSERT(item.service_ == Policy::ServiceKey(0xfedcba98));
+        CPPUNIT_ASSERT_EQUAL(1, item.rank_);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(27.7, item.arrivals_.value(), 1e-4);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(11.3, item.admitted_.value(), 1e-4);
+        CPPUNIT_ASSERT(item.age_ == Milliseconds(90));
+    }
+
+    // Guards against values that make the sums over peers negative, infinite or huge.
+    void implausibleDemandIsBounded()
+    {
+        const auto decode = [](const nlohmann::json &demand) {
+            auto text = nlohmann::json::from_msgpack(toBytes(messageWithDemand(0)));
+            text["demand"] = demand;
+            std::string bytes;
+            nlohmann::json::to_msgpack(text, bytes);
+            return Steering::peerMessageFromBytes(bytes, now);
+        };
+        const double nan = std::numeric_limits<double>::quiet_NaN();
+        const auto read = decode({{7, -3, -5.0, 4.0, -100},
+                                  {7, 100000, nan, nan, 0},
+                                  {7, 0, 1e300, 2e300, std::int64_t(1) << 62}});
+        CPPUNIT_ASSERT(read && read->demand_->size() == 3);
+        for (const auto &item : *read->demand_) {
+            CPPUNIT_ASSERT(item.arrivals_.value() >= 0 && item.arrivals_.value() <= 1e6);
+            CPPUNIT_ASSERT(item.admitted_ <= item.arrivals_ && item.admitted_.value() >= 0);
+            CPPUNIT_ASSERT(item.age_.count() >= 0);
+            CPPUNIT_ASSERT(Policy::rankIndex(item.rank_) < Policy::rankCount);
+        }
+        Policy::Shortage shortage;
+        Policy::mergePeerDemand(shortage, Policy::ServiceKey(7), Model::InstanceId("x"),
+                                *read->demand_, now);
+        CPPUNIT_ASSERT(shortage.peers_.empty());
+
+        nlohmann::json many = nlohmann::json::array();
+        for (int i = 0; i < 1000; ++i)
+            many.push_back({i, 0, 1.0, 1.0, 0});
+        CPPUNIT_ASSERT_EQUAL(Policy::maxDemandPerMessage, decode(many)->demand_->size());
+        for (const nlohmann::json &damaged :
+             {nlohmann::json(5), nlohmann::json(nullptr), nlohmann::json({{1, 2}}),
+              nlohmann::json({{"a", 0, 1.0, 1.0, 0}})}) {
+            CPPUNIT_ASSERT(!decode(damaged));
+            CPPUNIT_ASSERT(Model::lastReason().code_ == Model::ResultCode::PeerMessageUnreadable);
+        }
+    }
+
+    void damagedDemandIsDecodedOrRefused()
+    {
+        const std::string sound = toBytes(messageWithDemand(8));
+        Support::assertProperty("damaged demand never throws", [&] {
+            std::string bytes = sound;
+            const int damages = *rc::gen::inRange(1, 6);
+            for (int i = 0; i < damages; ++i) {
+                const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+                bytes[at] = *rc::gen::arbitrary<char>();
+            }
+            const auto read = Steering::peerMessageFromBytes(bytes, now);
+            if (!read || !read->demand_)
+                return;
+            RC_ASSERT(read->demand_->size() <= Policy::maxDemandPerMessage);
+            Policy::Shortage shortage;
+            Policy::mergePeerDemand(shortage, Policy::ServiceKey(0xfedcba98),
+                                    Model::InstanceId("x"), *read->demand_, now);
+            Policy::updateShortage(shortage, {10, Milliseconds(100), 2}, now);
+            RC_ASSERT(std::isfinite(shortage.demand_) && shortage.demand_ >= 0);
+        });
+    }
+
     // Guards against gossip that fills a link of 10 Mbit/s as the fleet grows, because every
     // message has full member records.
     void heartbeatRecordsAreSmall()
