--- a/Libraries/LibPolicy/LibPolicy.h
+++ b/Libraries/LibPolicy/LibPolicy.h
@@ -38,6 +38,7 @@
 #include "ReturnSchedule.h"
 #include "Room.h"
 #include "Shares.h"
+#include "Shortage.h"
 #include "SlowStart.h"
 #include "SpareConnections.h"
 #include "SpeculativeRetry.h"
--- a/Libraries/LibSteering/InstanceParts.cpp
+++ b/Libraries/LibSteering/InstanceParts.cpp
@@ -30,6 +30,8 @@
     , targetRegistry_(instance.port_, platformState_, instance.log_)
     , reach_(platformState_, targetRegistry_, instance.log_)
     , placementEngine_(instance.settings_, platformState_, targetRegistry_)
+    , shortage_(instance.settings_, platformState_, targetRegistry_, placementEngine_,
+                instance.log_, instance.settings_.waitsForRoom_)
     , guard_(instance.port_, instance.log_)
     , peers_(instance.context_, instance.settings_, platformState_, instance.log_)
     , quotas_(instance.context_, instance.settings_, platformState_, peers_, instance.log_)
@@ -62,6 +64,7 @@
 {
     dispatcher_.setWaitsForRoom(instance.settings_.waitsForRoom_);
     dispatcher_.setForwarder(forwarder_);
+    dispatcher_.setShortageMonitor(shortage_);
     peers_.setForwardingHandler(RequestForwarder::path, [this](Http::IncomingRequest request) {
         return dispatcher_.answerForwarded(std::move(request));
     });
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -64,6 +64,10 @@
         return found == use_.end() ? Policy::RegionSlots() : found->second.region_;
     }
 
+    /// Returns for how long a request of the service occupies a slot on average, slow targets and
+    /// long requests included; zero before the first answer.
+    Model::Microseconds meanSlotTimeOf(const Model::ServiceId &service) const;
+
     /// Records an answer, with the pace that the target reported in it, or a failure of the target
     /// that a request was placed on.
     void noteAnswer(const RequestContext &request, const Placement &placement,
@@ -90,6 +94,9 @@
     ///
     /// Without it, the distribution loses the slow answers that second tries replace, so its
     /// quantiles fall and second tries start earlier and earlier.
+    ///
+    /// The time that it had been unanswered counts as one of the target's latest answers. Without
+    /// it, a silent target whose requests are always overtaken keeps its objects.
     void noteOvertaken(const RequestContext &request, const Placement &placement,
                        Model::Microseconds took, Model::SteadyTime now);
     /// Returns the part of the service's slots that was in use when a request was last placed.
@@ -209,6 +216,8 @@
     std::unordered_map<Model::RouteId, RouteState> routes_;
     /// Mean processing time of all requests of a service at its targets.
     std::unordered_map<Model::ServiceId, double> serviceMeanUs_;
+    /// Mean time for which a request of a service occupies a slot, at the pace of the moment.
+    std::unordered_map<Model::ServiceId, double> slotTimeUs_;
     std::unordered_map<Model::ServiceId, Policy::ObjectRetention> memory_;
     std::unordered_map<Model::ServiceId, SlotUse> use_;
     std::unordered_map<Model::ServiceId, ServiceResults> results_;
--- a/Libraries/LibSteering/PlacementLearning.cpp
+++ b/Libraries/LibSteering/PlacementLearning.cpp
@@ -48,6 +48,10 @@
     const bool hadSlot = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
     if (!hadSlot || target.isCold(now))
         return;
+    const auto occupied = static_cast<double>(std::max(took - roundTrip, Microseconds(1)).count());
+    const auto [slotTime, isFirstAnswer] = slotTimeUs_.emplace(request.service_, occupied);
+    if (!isFirstAnswer)
+        slotTime->second += (occupied - slotTime->second) * serviceMeanWeight;
     RouteWork &work = workOf(*request.route_, request.service_);
     if (pace) {
         notePacedWork(work, placement, worked, now);
@@ -105,7 +109,11 @@
 void PlacementEngine::noteOvertaken(const RequestContext &request, const Placement &placement,
                                     Microseconds took, SteadyTime now)
 {
-    const TargetState &target = *placement.target_;
+    TargetState &target = *placement.target_;
+    const double waited
+        = static_cast<double>(took.count())
+          / static_cast<double>(std::max<long long>(1, placement.maxUsualLatency_.count()));
+    Policy::noteWork(target.recentWork_, std::max(1.0, waited), now);
     const bool hadSlot = placement.load_ + 1 <= static_cast<double>(target.record_.slots_.value());
     if (!hadSlot || !placement.isKnownWarm_ || target.isCold(now))
         return;
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -454,7 +454,7 @@
         stateOf("b")->bytes_.held_ = Policy::Bytes(4000 * 1024);
         fixture.instance_.setTargetRows(4, {restart("a", 2, 4), restart("b", 1, 4)});
         CPPUNIT_ASSERT(stateOf("a")->bytes_.limit_ == Policy::TargetBytes().limit_);
-        CPPUNIT_ASSERT(stateOf("b")->bytes_.limit_ == Policy::Bytes(400));
+        CPPUNIT_ASSERT(stateOf("b")->bytes_.limit_ == Policy::Bytes(2000 * 1024));
     }
 
     // The same for a target whose registration was removed.
