--- a/Libraries/LibSteering/RequestQueue.cpp
+++ b/Libraries/LibSteering/RequestQueue.cpp
@@ -77,7 +77,10 @@
         const auto verdict = enqueue(request, refusal, now);
         if (verdict != Policy::QueueVerdict::Waits) {
             const bool isFull = verdict == Policy::QueueVerdict::Full;
-            refuseForRoom(request, refusal, NoRoom{isFull ? "full" : "late", "", now}, now);
+            NoRoom reason;
+            reason.how_ = isFull ? "full" : "late";
+            reason.waitingSince_ = now;
+            refuseForRoom(request, refusal, reason, now);
             co_return false;
         }
     }
--- a/Tests/LibSteering/TestDispatcher.cpp
+++ b/Tests/LibSteering/TestDispatcher.cpp
@@ -198,6 +198,7 @@
     CPPUNIT_TEST(crashedTargetsBoundIsHalvedForItsNextIncarnation);
     CPPUNIT_TEST(requestWithoutRoomIsRefusedAtOnceWithTheQueueOff);
     CPPUNIT_TEST(requestWithoutRoomWaitsForTheEndOfAnother);
+    CPPUNIT_TEST(instanceOverItsPartOfTheSlotsLetsRequestsWait);
     CPPUNIT_TEST(requestThatWaitsInVainReachesNoTarget);
     CPPUNIT_TEST(waitingRequestOfACallerThatLeftReachesNoTarget);
     CPPUNIT_TEST_SUITE_END();
@@ -515,6 +516,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.dispatcher_.queue().waiting());
     }
 
+    // Guards against an instance that fills the targets' queues beyond its part of their slots.
+    void instanceOverItsPartOfTheSlotsLetsRequestsWait()
+    {
+        DispatcherFixture fixture;
+        fixture.dispatcher_.setWaitsForRoom(true);
+        // Two of eight slots, which are all taken.
+        fixture.instance_.placementEngine_.setEntries({4, 4, 4});
+        fixture.addLoad(4);
+        for (int i = 0; i < 3; ++i) {
+            Http::asio::co_spawn(fixture.context_,
+                                 fixture.answerRequest(DispatcherFixture::incomingRequest(
+                                     "/read/" + std::to_string(i))),
+                                 Http::asio::detached);
+        }
+        const auto end = std::chrono::steady_clock::now() + Milliseconds(5000);
+        while (fixture.dispatcher_.counters().answered_ < 3
+               && std::chrono::steady_clock::now() < end)
+            fixture.context_.run_one_for(Milliseconds(50));
+        const auto &counters = fixture.dispatcher_.queue().counters();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), counters.waited_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), fixture.receivingTargets_.size());
+    }
+
     // Guards against a refusal that promises what is not true: the request must not have run.
     void requestThatWaitsInVainReachesNoTarget()
     {
--- a/Tests/LibSteering/TestRequestQueue.cpp
+++ b/Tests/LibSteering/TestRequestQueue.cpp
@@ -186,12 +186,16 @@
     void requestWhoseCallerLeftLeavesTheQueue()
     {
         QueueFixture fixture;
-        Caller &caller = fixture.add(0, "a");
+        constexpr std::size_t others = 6;
+        for (std::size_t i = 0; i < others; ++i)
+            fixture.add(0, std::to_string(i));
+        // It is behind those that the tick wakes to be placed.
+        Caller &caller = fixture.add(2, "a");
         caller.request_.isAbandoned_ = true;
         fixture.queue_.tick(std::chrono::steady_clock::now());
         fixture.settle();
         CPPUNIT_ASSERT(caller.isToBePlaced_ == false);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), fixture.queue_.waiting());
+        CPPUNIT_ASSERT_EQUAL(others, fixture.queue_.waiting());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), fixture.queue_.counters().left_);
     }
 
