LibSteering, LibPolicy: Go on calling seeds that are no member yet

An instance called its seeds only while a round had fewer than two other peers. Where instances start together beside load and the seeds begin to run last, the others find each other first and never call the seeds again; the seeds find each other, are not alone, know a member of each region and so do not read the instances' records either. The fleet stays in two parts. Seen at a load average of 25 in one of ten starts of six instances (TestTargetLimits): two parts for the whole 16 s of the run, an instance that used all of a target's limit alone, and 32 requests in 4 s at a target that names 5 a second (35 allowed). In another start the first instance was found after 5.2 s.

One round in four now also calls a seed at whose address there is no known member.

--- a/Libraries/LibPolicy/PeerUpdate.cpp
+++ b/Libraries/LibPolicy/PeerUpdate.cpp
@@ -220,6 +220,13 @@
     return instancesOf(chosen);
 }
 
+bool hasMemberAt(const Members &members, const Model::Address &address)
+{
+    return std::any_of(members.begin(), members.end(), [&](const auto &entry) {
+        return entry.second.instance_.addresses_.control_ == address;
+    });
+}
+
 std::vector<Model::Instance> peersToAnnounceTo(const Members &members, const Model::Instance &own,
                                                Model::SteadyTime now, std::uint64_t random)
 {
--- a/Libraries/LibPolicy/PeerUpdate.h
+++ b/Libraries/LibPolicy/PeerUpdate.h
@@ -42,6 +42,13 @@
 /// instances of its region are known to be alive: of other regions only some are known.
 constexpr std::uint64_t roundsBetweenFailedPeers = 4;
 
+/// One round out of this many also contacts a seed at an address of no known member.
+///
+/// Without it, instances that find enough peers before their seeds run never contact those again,
+/// and a fleet that starts together beside load stays in two parts. At one round in four, an
+/// instance that has a stale seed makes one vain call in 1.6 s, beside eight others.
+constexpr std::uint64_t roundsBetweenUnknownSeeds = 4;
+
 /// An update from one instance to another: full records of the members that the receiver does not
 /// know, heartbeat records of the rest.
 struct PeerUpdate
@@ -63,6 +70,10 @@
 std::vector<Model::Instance> peersOfRound(const Members &members, const Model::Instance &own,
                                           Model::SteadyTime now, std::uint64_t random);
 
+/// Returns whether \a address is the control address of a member, live or not. Thread safety: any
+/// thread.
+bool hasMemberAt(const Members &members, const Model::Address &address);
+
 /// The number of peers to which an instance announces a change of the store immediately.
 constexpr std::size_t announcementFanout = 3;
 
--- a/Libraries/LibSteering/PeerExchange.cpp
+++ b/Libraries/LibSteering/PeerExchange.cpp
@@ -210,19 +210,22 @@
 {
     const auto now = std::chrono::steady_clock::now();
     auto peers = Policy::peersOfRound(members_, localInstance(), now, random_());
-    if (peers.size() >= Policy::localPeersInRound)
+    const bool hasFewPeers = peers.size() < Policy::localPeersInRound;
+    if (!hasFewPeers && random_() % Policy::roundsBetweenUnknownSeeds != 0)
         return peers;
-    // Seeds may be stale, so they are used only while few instances are known.
+    // Seeds may be stale, so those of known members are used only while few instances are known.
     std::vector<Model::Instance> seeds;
     for (const auto &address : settings_.seeds_) {
+        if (address == settings_.addresses_.control_
+            || (!hasFewPeers && Policy::hasMemberAt(members_, address)))
+            continue;
         Model::Instance seed;
         seed.region_ = settings_.region_;
         seed.addresses_.control_ = address;
-        if (address != settings_.addresses_.control_)
-            seeds.push_back(std::move(seed));
+        seeds.push_back(std::move(seed));
     }
-    std::sample(seeds.begin(), seeds.end(), std::back_inserter(peers), Policy::localPeersInRound,
-                random_);
+    const std::size_t count = hasFewPeers ? Policy::localPeersInRound : 1;
+    std::sample(seeds.begin(), seeds.end(), std::back_inserter(peers), count, random_);
     return peers;
 }
 
