Tests/Soak: Let targets leave while any store call still hangs

graceOfRemovedTargetsEndsInTimeWhereTheStoreCallHangs failed once beside load with "no call hung": the frozen call waited for 2 s instead of 8 s and ended by itself before the targets left, 4 s after the freeze. Only the first store reader of a region waits so briefly, and an instance that has been stalled for about 2 s finds all its peers' heartbeats older than 2.5 s and ranks itself first until the next gossip round. That the instance of the first failure was stalled is not shown; its call ended 1.0 s earlier before the leaves than the test's pauses add up to, which speaks for it.

The targets now leave 0.5 s after the freeze, while calls of either length hang. The bound on the grace is the same and holds earlier after the disturbance; the two tests that send requests keep their calm of 4 s. No product code changed: the wrong rank costs one shorter call.

--- a/Tests/Soak/TestLeaves.cpp
+++ b/Tests/Soak/TestLeaves.cpp
@@ -17,6 +17,9 @@
 /// Instances batch target updates for this long before they query the store again.
 constexpr Milliseconds batchTime{600};
 constexpr Milliseconds freezeTime{100};
+/// Shorter than any call that waits for changes. An instance that has been stalled considers its
+/// peers failed and itself the region's first store reader, whose calls wait for two seconds only.
+constexpr Milliseconds hangingTime{500};
 /// A tick of the instance and the time that a process may wait for its share of the processor.
 constexpr Milliseconds graceSlack{200};
 
@@ -47,8 +50,8 @@
 
 public:
     /// Starts a site with one instance whose store call hangs on a frozen connection, then waits
-    /// for the required calm.
-    static void startHanging(Soak::SoakSite &site)
+    /// for \a calm.
+    static void startHanging(Soak::SoakSite &site, Milliseconds calm)
     {
         CPPUNIT_ASSERT(site.start());
         Harness::pause(requiredCalm);
@@ -59,7 +62,7 @@
         site.begin(frozen);
         Harness::pause(freezeTime);
         site.end(frozen);
-        Harness::pause(requiredCalm);
+        Harness::pause(calm);
     }
 
     /// Sends requests through the hanging instance for \a duration; returns those that reached a
@@ -91,7 +94,7 @@
         Soak::PlanSize size;
         size.instances_ = instances;
         Soak::SoakSite site(size);
-        startHanging(site);
+        startHanging(site, requiredCalm);
         for (std::size_t target = 0; target < targets; ++target)
             site.begin({FaultKind::TargetLeaves, {}, {}, target, variant});
         Harness::pause(batchTime);
@@ -123,7 +126,7 @@
         Soak::PlanSize size;
         size.instances_ = instances;
         Soak::SoakSite site(size);
-        startHanging(site);
+        startHanging(site, hangingTime);
         for (std::size_t target = 0; target < Policy::minSimultaneousRemovals; ++target)
             site.begin({FaultKind::TargetLeaves, {}, {}, target, 0});
         Harness::pause(propagationLimit + Policy::unobservedExpiryGrace);
