LibSteering: Let each instance save one retry where targets report their pace

Each instance now saves at least one; the share of the requests still bounds the average.

The figure divided was the default: the terms of the settings are rendered as JSON, which the adapter does not read.

--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -159,6 +159,9 @@
     terms.share_ = port_.terms_.retryShare_ * (isPaced ? usedRetryShare : usedRetryFraction);
     terms.maxCredit_
         = port_.terms_.retryExtra_ * usedRetryFraction / static_cast<double>(instances_);
+    // Below one, no instance of a large fleet could ever retry.
+    if (isPaced)
+        terms.maxCredit_ = std::max(1.0, terms.maxCredit_);
     Policy::earnRetryCredit(retryBudgets_[request.service_], terms);
     return std::nullopt;
 }
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(pausesAndLeavesOfTargetsAreRead);
     CPPUNIT_TEST(lookupsAreReadAndAnswered);
     CPPUNIT_TEST(termsAreReadAndUnknownOnesIgnored);
+    CPPUNIT_TEST(termsThatATemplateRendersAreRead);
     CPPUNIT_TEST(randomRowsNeverThrow);
     CPPUNIT_TEST_SUITE_END();
 
@@ -319,6 +320,14 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, terms.regionShiftCap_.value(), 1e-9);
     }
 
+    // Guards against running on default terms: the platform fills a template's placeholder for a
+    // table with JSON.
+    void termsThatATemplateRendersAreRead()
+    {
+        const auto terms = Adapter::termsFromText(R"({"graceS":6,"budgetExtra":214})");
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(214, terms.retryExtra_, 1e-9);
+    }
+
     void randomRowsNeverThrow()
     {
         Support::assertProperty("any text is refused or read", [] {
