--- a/Libraries/LibPolicy/Room.h
+++ b/Libraries/LibPolicy/Room.h
@@ -21,7 +21,7 @@
 /// there.
 ///
 /// Without it, the slot that comes free goes to the instance whose request has ended as long as
-/// requests wait there. An instance that has come by few slots keeps few, and the workspaces whose
+/// requests wait there. An instance that holds few slots keeps few, and the workspaces whose
 /// requests wait there do not get their share. If no slots are known, the instance may. Thread
 /// safety: any thread.
 bool mayStart(const RegionSlots &region, std::size_t inProgress);
--- a/Libraries/LibSteering/PlacementEngine.h
+++ b/Libraries/LibSteering/PlacementEngine.h
@@ -90,13 +90,13 @@
     Model::Microseconds secondTryDelay(const RequestContext &request, const Placement &placement,
                                        Model::SteadyTime now);
     /// Records in the route's distribution that an attempt had taken \a took when the answer to
-    /// another attempt ended it. Records nothing about the target.
+    /// another attempt ended it.
     ///
     /// Without it, the distribution loses the slow answers that second tries replace, so its
     /// quantiles fall and second tries start earlier and earlier.
     ///
-    /// The time that it had been unanswered counts as one of the target's latest answers. Without
-    /// it, a silent target whose requests are always overtaken keeps its objects.
+    /// The time for which it was unanswered also counts as one of the target's latest answers.
+    /// Without that, a silent target whose requests are always overtaken keeps its objects.
     void noteOvertaken(const RequestContext &request, const Placement &placement,
                        Model::Microseconds took, Model::SteadyTime now);
     /// Returns the part of the service's slots that was in use when a request was last placed.
