--- a/Libraries/LibPolicy/RejectionStreak.h
+++ b/Libraries/LibPolicy/RejectionStreak.h
@@ -54,7 +54,8 @@
 /// belongs to the calling thread.
 void noteResult(CommonFailureRate &rate, bool isFailure);
 
-/// Returns whether so many targets reject requests that no target is better than the others.
+/// Returns whether a large part of the service's requests is rejected or fails, whatever the
+/// target.
 ///
 /// Without it, an instance refuses requests on its own while every target rejects a part of them:
 /// the expected delay of a rejection exceeds the latency goal at each target. Thread safety: any
