--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -17,6 +17,8 @@
     echo "== $(basename "$program")"
     output="$("$program" --known_red="$known" 2>&1)"
     status=$?
+    # The end of a long output does not have its first failures.
+    echo "$output" | grep -B 5 -E '  FAILED$'
     echo "$output" | tail -n 60
     counts="$(echo "$output" | sed -nE 's/^[A-Za-z]+: ([0-9]+) passed, ([0-9]+) failed$/\1 \2/p' | tail -n 1)"
     # A program that ends without its count has crashed, and that is a failure.
