--- a/Libraries/LibPolicy/Shortage.cpp
+++ b/Libraries/LibPolicy/Shortage.cpp
@@ -261,10 +261,11 @@
     const std::size_t index = rankIndex(request.rank_);
     WorkspaceDemand *counted = &shortage.others_;
     const auto known = shortage.workspaces_.find(request.workspace_);
-    if (known != shortage.workspaces_.end())
+    if (known != shortage.workspaces_.end()) {
         counted = &known->second;
-    else if (shortage.workspaces_.size() < maxWorkspacesCounted)
+    } else if (shortage.workspaces_.size() < maxWorkspacesCounted) {
         counted = &shortage.workspaces_[request.workspace_];
+    }
     RankDemand &rank = counted->ranks_[index];
     // Late work counts as demand: while a queue makes all work late, the shortage is not over.
     ++rank.arrived_;
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -194,8 +194,9 @@
     // of the results of later attempts.
     std::optional<Attempt> unresolved;
     bool isOverBytes = false;
-    if (queue_.shouldYield(request))
+    if (queue_.shouldYield(request)) {
         co_await queue_.letWaitingGoFirst(request.service_);
+    }
     while (true) {
         if (const auto tooMuch = checkHeldBytes(request))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *tooMuch);
--- a/Tests/LibPolicy/TestEntryWeights.cpp
+++ b/Tests/LibPolicy/TestEntryWeights.cpp
@@ -78,10 +78,10 @@
 
     void narrowEntriesComeInAsUseRises()
     {
-        const Milliseconds long_(60000);
-        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, weightAfter(mixedEntries(0.6), long_), 1e-9);
-        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, weightAfter(mixedEntries(0.75), long_), 1e-9);
-        CPPUNIT_ASSERT_DOUBLES_EQUAL(1, weightAfter(mixedEntries(0.95), long_), 1e-9);
+        const Milliseconds minute(60000);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, weightAfter(mixedEntries(0.6), minute), 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, weightAfter(mixedEntries(0.75), minute), 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1, weightAfter(mixedEntries(0.95), minute), 1e-9);
     }
 
     // Guards against callers that move to and fro together between two groups of entries.
--- a/Tests/LibPolicy/TestReturnSchedule.cpp
+++ b/Tests/LibPolicy/TestReturnSchedule.cpp
@@ -72,9 +72,10 @@
     {
         Policy::ReturnSchedule schedule;
         std::vector<Milliseconds> delays;
-        for (Policy::ReturnKey key = 1; key <= 100; ++key)
+        for (Policy::ReturnKey key = 1; key <= 100; ++key) {
             delays.push_back(
                 Policy::announceReturn(schedule, refused(key, Milliseconds(9000)), 50, start));
+        }
         for (std::size_t i = 1; i < delays.size(); ++i) {
             const auto gap = (delays[i] - delays[i - 1]).count();
             CPPUNIT_ASSERT_MESSAGE(std::to_string(gap), gap >= 19 && gap <= 21);
