Review: Show that second tries of large requests exceed the memory limit

Claim: a second try copies the request's body twice more, uncounted or unchecked, so a process that holds a body of a quarter of its memory exceeds memoryMb and is killed (rule LOST).

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -21,22 +21,31 @@
       "budgetWindowS=10,budgetExtra=64,coldMultiplier=1.5,coldSlack=5,evacuateMs=5000,"
       "recoverS=15,ttl_max_s=5,maxShift=0.15";
 
-const json config = {
-    {"version", "00000007"},
-    {"services",
-     json::array({{{"name", "gauging"}, {"healthPath", "/health"}, {"maxConns", 390},
-                   {"protocol", "h1"}, {"tls", false}, {"coldStartS", 3.0},
-                   {"coldPerS", 11.0}}})},
-    {"limits",
-     {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 67108864}, {"headerTimeoutMs", 3000},
-      {"idleTimeoutMs", 15000}}},
-    {"hosts",
-     json::array({{{"host", host},
-                   {"paths",
-                    json::array({{{"name", "r-level"}, {"prefix", "/level/"}, {"kind", "safe"},
-                                  {"timeoutMs", 2500}, {"targetLatencyMs", 400},
-                                  {"priority", 2}, {"service", "gauging"}, {"maxAttempts", 2},
-                                  {"sticky", false}, {"homeRegions", json::array()}}})}}})}};
+const json config
+    = {{"version", "00000007"},
+       {"services", json::array({{{"name", "gauging"},
+                                  {"healthPath", "/health"},
+                                  {"maxConns", 390},
+                                  {"protocol", "h1"},
+                                  {"tls", false},
+                                  {"coldStartS", 3.0},
+                                  {"coldPerS", 11.0}}})},
+       {"limits",
+        {{"maxHeaderBytes", 16384},
+         {"maxBodyBytes", 67108864},
+         {"headerTimeoutMs", 3000},
+         {"idleTimeoutMs", 15000}}},
+       {"hosts", json::array({{{"host", host},
+                               {"paths", json::array({{{"name", "r-level"},
+                                                       {"prefix", "/level/"},
+                                                       {"kind", "safe"},
+                                                       {"timeoutMs", 2500},
+                                                       {"targetLatencyMs", 400},
+                                                       {"priority", 2},
+                                                       {"service", "gauging"},
+                                                       {"maxAttempts", 2},
+                                                       {"sticky", false},
+                                                       {"homeRegions", json::array()}}})}}})}};
 
 std::atomic<int> nextId = 1;
 
--- /dev/null
+++ b/review/3/case.cpp
@@ -0,0 +1,249 @@
+// A large safe request at a worker that has turned slow.
+//
+// Two instances of 260 MB, ten workers that report their pace, eight callers with kept connections
+// at each instance. On each instance one more caller sends safe requests with a body of 67 MB, one
+// after the other. Two fifths of the workers work five times as long; with TROUBLE=0 none does. The
+// platform stand-in kills a process whose resident memory exceeds its memoryMb.
+#include "../standins.h"
+
+using namespace review;
+
+namespace {
+
+constexpr int callersOfEach = 8;
+constexpr int memoryMb = 260;
+/// Just below maxBodyBytes.
+constexpr std::size_t largeBody = 67'000'000;
+constexpr int slowness = 5;
+constexpr int largeForMs = 40000;
+constexpr const char *host = "ficu95.example";
+constexpr const char *bounds
+    = "seedLagS=3,reuseAfterS=2,contactMs=4000,ackMs=6000,catchUpS=6,drainMs=4000,graceS=6,"
+      "lossSlackMs=200,configApplyMs=4000,rollbackSlackMs=250,outerMs=6000,budgetRatio=0.2,"
+      "budgetWindowS=10,budgetExtra=216,coldMultiplier=1.5,coldSlack=8,evacuateMs=5000,"
+      "recoverS=15,ttl_max_s=5,maxShift=0.15";
+
+const json config
+    = {{"version", "00000007"},
+       {"services", json::array({{{"name", "saldos"},
+                                  {"healthPath", "/health"},
+                                  {"maxConns", 1770},
+                                  {"protocol", "h1"},
+                                  {"tls", false},
+                                  {"coldStartS", 3.0},
+                                  {"coldPerS", 11.0}}})},
+       {"limits",
+        {{"maxHeaderBytes", 16384},
+         {"maxBodyBytes", 67108864},
+         {"headerTimeoutMs", 3000},
+         {"idleTimeoutMs", 15000}}},
+       {"hosts", json::array({{{"host", host},
+                               {"paths", json::array({{{"name", "r-saldo"},
+                                                       {"prefix", "/saldo/"},
+                                                       {"kind", "safe"},
+                                                       {"timeoutMs", 10000},
+                                                       {"targetLatencyMs", 1500},
+                                                       {"priority", 2},
+                                                       {"service", "saldos"},
+                                                       {"maxAttempts", 2},
+                                                       {"sticky", false},
+                                                       {"homeRegions", json::array()}},
+                                                      {{"name", "r-pago"},
+                                                       {"prefix", "/pago/"},
+                                                       {"kind", "unsafe"},
+                                                       {"timeoutMs", 10000},
+                                                       {"targetLatencyMs", 4000},
+                                                       {"priority", 1},
+                                                       {"service", "saldos"},
+                                                       {"maxAttempts", 2},
+                                                       {"sticky", false},
+                                                       {"homeRegions", json::array()}}})}}})}};
+
+std::string requestText(const std::string &first, const std::string &id, int deadlineMs,
+                        const std::string &more)
+{
+    return first + " HTTP/1.1\r\nHost: " + host + "\r\nX-Cassiacrank-Request-Id: " + id
+           + "\r\nX-Cassiacrank-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n" + more
+           + "\r\n";
+}
+
+std::atomic<bool> isOver = false;
+std::atomic<int> lost = 0;
+std::atomic<int> answered = 0;
+std::atomic<int> nextId = 1;
+
+std::string newId()
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%016x", nextId++);
+    return text;
+}
+
+/// Sends payouts on a kept connection, one after the other.
+void callerLoop(Node &node, Runs &runs, Record &record)
+{
+    while (!isOver) {
+        const int fd = connectTo(node.entry());
+        if (fd < 0) {
+            sleepMs(100);
+            continue;
+        }
+        Reader reader(fd);
+        bool isOpen = true;
+        while (isOpen && !isOver) {
+            const std::string id = newId();
+            record.line("caller sends %s to %s", id.c_str(), node.name().c_str());
+            Message answer;
+            Read read = Read::Reset;
+            if (sendAll(fd,
+                        requestText("POST /pago/7", id, 10000, "Content-Length: 4\r\n") + "body"))
+                read = reader.read(answer, Clock::now() + Ms(11000));
+            if (read == Read::Ok) {
+                record.line("caller gets %d for %s", answer.status(), id.c_str());
+                ++answered;
+                isOpen = answer.field("connection") != "close";
+                if (answer.status() != 200)
+                    sleepMs(300);
+                continue;
+            }
+            isOpen = false;
+            const bool wasPassedOn = runs.begun(id) > 0;
+            if (wasPassedOn && read != Read::TimedOut)
+                ++lost;
+            record.line("caller's connection ends (%s) without an answer to %s, %s", nameOf(read),
+                        id.c_str(), wasPassedOn ? "LOST: it was passed on" : "not passed on");
+        }
+        close(fd);
+        sleepMs(100);
+    }
+}
+
+/// Sends one large safe request. Returns its status; 0 if its connection ended.
+int sendLarge(Node &node, Record &record)
+{
+    const int fd = connectTo(node.entry());
+    if (fd < 0)
+        return 0;
+    const std::string id = newId();
+    record.line("large %s to %s", id.c_str(), node.name().c_str());
+    static const std::string body(largeBody, 'b');
+    Reader reader(fd);
+    Message answer;
+    int status = 0;
+    if (sendAll(fd, requestText("POST /saldo/1", id, 10000,
+                                "Content-Length: " + std::to_string(largeBody) + "\r\n"))
+        && sendAll(fd, body) && reader.read(answer, Clock::now() + Ms(11000)) == Read::Ok)
+        status = answer.status();
+    record.line("large %s: status %d", id.c_str(), status);
+    close(fd);
+    return status;
+}
+
+} // namespace
+
+int main(int, char **argv)
+{
+    setpgid(0, 0);
+    const std::string folder = temporaryFolder();
+    Record record(argv[1]);
+    Store store;
+    Runs runs;
+    std::atomic<bool> isSlow = false;
+    std::vector<std::unique_ptr<Worker>> workers;
+    const std::vector<Place> zones = {{"lima-a", "lima"}, {"lima-b", "lima"}};
+    for (int i = 0; i < 10; ++i) {
+        const bool turnsSlow = i % 5 < 2;
+        workers.push_back(std::make_unique<Worker>(
+            store, runs, record, "i-000000" + std::to_string(i), "saldos", zones[i % 2].zone_, 9,
+            [&isSlow, turnsSlow](const Message &message) {
+                const int usual = message.target().starts_with("/pago/") ? 700 : 500;
+                return Work{turnsSlow && isSlow ? usual * slowness : usual, 600, true};
+            }));
+    }
+    store.put("op", "config", config.dump());
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<int> seeds;
+    for (const auto &zone : zones) {
+        nodes.push_back(std::make_unique<Node>(folder, "front-" + zone.zone_ + "-1", zone, zones,
+                                               store.port(), bounds,
+                                               Limits{0.2, memoryMb, 4100, 1000}));
+        seeds.push_back(nodes.back()->control());
+    }
+    bool canRun = true;
+    for (const auto &node : nodes)
+        canRun = canRun && node->start(seeds);
+    for (const auto &node : nodes)
+        canRun = canRun && node->waitUntilReady(10000);
+    if (!canRun) {
+        for (const auto &node : nodes)
+            node->stop();
+        record.line("the processes did not start");
+        return notRun;
+    }
+    record.line("ready; trouble %d", hasTrouble() ? 1 : 0);
+
+    std::vector<std::thread> callers;
+    for (const auto &node : nodes) {
+        for (int i = 0; i < callersOfEach; ++i)
+            callers.emplace_back(callerLoop, std::ref(*node), std::ref(runs), std::ref(record));
+    }
+    // The machines are in touch after 4 s without a disruption, and have learned the usual times.
+    sleepMs(12000);
+    isSlow = hasTrouble();
+    record.line("workers turn slow: %d", hasTrouble() ? 1 : 0);
+    std::vector<int> ends(nodes.size(), 0);
+    std::vector<int> largeAnswered(nodes.size(), 0);
+    std::atomic<int> mostMb = 0;
+    std::vector<std::thread> perNode;
+    const auto until = Clock::now() + Ms(largeForMs);
+    for (std::size_t n = 0; n < nodes.size(); ++n) {
+        perNode.emplace_back([&, n] {
+            while (Clock::now() < until) {
+                const int status = sendLarge(*nodes[n], record);
+                largeAnswered[n] += status == 200 ? 1 : 0;
+                sleepMs(1000);
+            }
+        });
+        perNode.emplace_back([&, n] {
+            Node &node = *nodes[n];
+            while (Clock::now() < until) {
+                const int mb = node.residentMb();
+                mostMb = std::max(mostMb.load(), mb);
+                if (mb > memoryMb) {
+                    ++ends[n];
+                    record.line("%s has %d MB of %d: the platform kills it", node.name().c_str(),
+                                mb, memoryMb);
+                    node.stop();
+                    sleepMs(500);
+                    node.start(seeds);
+                    node.waitUntilReady(10000);
+                }
+                sleepMs(5);
+            }
+        });
+    }
+    for (auto &thread : perNode)
+        thread.join();
+    isOver = true;
+    for (auto &thread : callers)
+        thread.join();
+    for (const auto &node : nodes)
+        node->stop();
+
+    int machinesWithThreeEnds = 0;
+    for (const int count : ends)
+        machinesWithThreeEnds += count >= 3 ? 1 : 0;
+    const bool isLostBroken = lost > 3;
+    const bool isFaultBroken = machinesWithThreeEnds >= 2;
+    char summary[256];
+    std::snprintf(summary, sizeof summary,
+                  "answered %d, LOST %d, ends %d and %d, large answers %d and %d, most memory %d "
+                  "MB of %d",
+                  answered.load(), lost.load(), ends[0], ends[1], largeAnswered[0],
+                  largeAnswered[1], mostMb.load(), memoryMb);
+    record.line("%s", summary);
+    std::filesystem::remove_all(folder);
+    std::puts(summary);
+    std::fflush(stdout);
+    _exit(isLostBroken || isFaultBroken ? ruleBroken : ruleHeld);
+}
--- a/review/standins.h
+++ b/review/standins.h
@@ -291,8 +291,7 @@
 
 inline std::string encodeBase64(const std::string &text)
 {
-    static const char digits[]
-        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string out;
     for (std::size_t i = 0; i < text.size(); i += 3) {
         unsigned long chunk = 0;
@@ -351,8 +350,7 @@
         for (const auto &[key, row] : tables_[table]) {
             if (row.version_ <= after || (row.isRemoved_ && !isFeed))
                 continue;
-            json item
-                = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version_}};
+            json item = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version_}};
             if (row.isRemoved_) {
                 item["tombstone"] = true;
             } else {
@@ -482,11 +480,10 @@
         serveOn(port_, [this](int fd) {
             serve(fd);
         });
-        const json entry
-            = {{"address", "127.0.0.1:" + std::to_string(port_)},
-               {"info",
-                {{"service", service}, {"version", "v1"}, {"zone", zone}, {"slots", slots}}},
-               {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftMs", 0}}}};
+        const json entry = {
+            {"address", "127.0.0.1:" + std::to_string(port_)},
+            {"info", {{"service", service}, {"version", "v1"}, {"zone", zone}, {"slots", slots}}},
+            {"status", {{"state", "ready"}, {"sequence", 4}, {"coldLeftMs", 0}}}};
         store.put("servers", id_, entry.dump());
     }
 
@@ -522,8 +519,7 @@
             runs_.began(id);
             const Work work = work_(message);
             record_.line("worker %s runs %s (%s %s, body %zu)", id_.c_str(), id.c_str(),
-                         message.method().c_str(), message.target().c_str(),
-                         message.body_.size());
+                         message.method().c_str(), message.target().c_str(), message.body_.size());
             const auto endAt = Clock::now() + Ms(work.ms_);
             bool isDropped = false;
             while (Clock::now() < endAt && !isDropped) {
@@ -532,8 +528,7 @@
             }
             const int running = running_--;
             if (isDropped) {
-                record_.line("worker %s drops %s: its connection closed", id_.c_str(),
-                             id.c_str());
+                record_.line("worker %s drops %s: its connection closed", id_.c_str(), id.c_str());
                 return;
             }
             runs_.ended(id);
@@ -541,9 +536,9 @@
             head += "X-Cassiacrank-Server-Stamp: " + id_ + "." + id + "\r\n";
             head += "X-Cassiacrank-Server-Load: " + std::to_string(running) + ",0,"
                     + std::to_string(slots_) + (work.tellsPace_ ? ",100" : "") + "\r\n";
-            if (!sendAll(fd, "HTTP/1.1 200 OK\r\n" + head + "Content-Length: "
-                                 + std::to_string(work.answerBytes_) + "\r\n\r\n"
-                                 + std::string(work.answerBytes_, 'x')))
+            if (!sendAll(fd, "HTTP/1.1 200 OK\r\n" + head
+                                 + "Content-Length: " + std::to_string(work.answerBytes_)
+                                 + "\r\n\r\n" + std::string(work.answerBytes_, 'x')))
                 return;
         }
     }
@@ -662,10 +657,9 @@
             if (fd >= 0) {
                 Reader reader(fd);
                 Message answer;
-                const bool isReady
-                    = sendAll(fd, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
-                      && reader.read(answer, Clock::now() + Ms(1000)) == Read::Ok
-                      && answer.status() == 200;
+                const bool isReady = sendAll(fd, "GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                                     && reader.read(answer, Clock::now() + Ms(1000)) == Read::Ok
+                                     && answer.status() == 200;
                 close(fd);
                 if (isReady)
                     return true;
@@ -694,6 +688,17 @@
         return status_;
     }
 
+    /// Returns the resident memory of the process; 0 if it does not run.
+    int residentMb() const
+    {
+        std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("VmRSS:"))
+                return std::atoi(line.c_str() + 6) / 1024;
+        }
+        return 0;
+    }
+
     std::string lastLogLine() const
     {
         std::ifstream log(logPath());
