LibHttp: Answer all pipelined requests that were passed on before closing

Cause: a leaving server closed the connection with the next answer it wrote and dropped the pending requests behind it, also those that its handler was processing. An answer without keep-alive did the same at any time, and a request that was read while the closing answer was being written was still passed on.

A connection that has to end now closes with the answer to the last request that was passed on. No further request is read behind those in progress, so a stop does not wait for a caller that pipelines without a pause. The connection counts as closing before its last answer is written.

--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -126,7 +126,9 @@
 {
     const bool isFull = bounds_.mayHold_ && !session.isBroken_
                         && session.waitingAnswerBytes_ > bounds_.waitingAnswerBytes_;
-    return session.pending_.size() < limits_.pipelineDepth_ && !isFull;
+    // Otherwise a caller that pipelines without a pause never gets its last answer.
+    const bool isEnding = (session.isEnding_ || isLeaving_) && !session.pending_.empty();
+    return session.pending_.size() < limits_.pipelineDepth_ && !isFull && !isEnding;
 }
 
 Task<void> Server::serve(std::shared_ptr<Session> session)
@@ -176,8 +178,12 @@
     while (!session.isBroken_ && !session.pending_.empty()
            && session.pending_.front()->answer_.has_value()) {
         const std::shared_ptr<Pending> front = session.pending_.front();
-        const bool isLast = session.isClosing_ || isLeaving_ || !front->wantsKeepAlive_
+        session.isEnding_ = session.isEnding_ || isLeaving_ || !front->wantsKeepAlive_
                             || !front->answer_->keep_alive();
+        // The requests behind it were passed on as well, so only the last answer closes.
+        const bool isLast = session.isEnding_ && session.pending_.size() == 1;
+        // Set before the write, so that no request that is read meanwhile is passed on.
+        session.isClosing_ = session.isClosing_ || isLast;
         front->answer_->keep_alive(!isLast);
         const bool isWritten = co_await write(session, *front);
         session.isBroken_ = session.isBroken_ || !isWritten;
@@ -186,11 +192,6 @@
             session.pending_.pop_front();
             --inProgress_;
         }
-        if (isLast) {
-            // The close tells a caller that pipelined more requests that they were not processed.
-            session.isClosing_ = true;
-            dropPending(session);
-        }
     }
     session.isWriting_ = false;
     if (session.isClosing_ || session.isBroken_) {
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -50,7 +50,8 @@
     std::function<bool()> hasPeerClosed_;
 };
 
-/// Answers one request. Must not throw. An answer without keep-alive ends its connection.
+/// Answers one request. Must not throw. An answer without keep-alive ends its connection after the
+/// answers to the requests that were passed on behind it.
 using Handler = std::function<Task<Response>(IncomingRequest)>;
 
 /// Serves HTTP/1.1 requests on one thread's io_context.
@@ -74,7 +75,8 @@
     /// Sets the bounds for all further requests and connections.
     void setBounds(ServerBounds bounds) { bounds_ = std::move(bounds); }
 
-    /// Closes each connection with its next answer, which announces this to the peer.
+    /// Closes each connection with the answer to its last request in progress, or to the next one
+    /// if there is none. That answer announces the close to the peer.
     void beginLeaving() { isLeaving_ = true; }
 
     /// Accepts the connections that are already queued, then stops listening.
--- a/Libraries/LibHttp/ServerSession.h
+++ b/Libraries/LibHttp/ServerSession.h
@@ -83,6 +83,8 @@
     bool isWriting_ = false;
     /// The peer has closed or reset the connection.
     bool hasEnded_ = false;
+    /// The connection closes with the answer to the last request that was passed on.
+    bool isEnding_ = false;
     /// Nothing more is read; pending answers are still written.
     bool isClosing_ = false;
     /// A write has failed, so nothing more can be written.
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -1,5 +1,7 @@
 #include <LibHttp/LibHttp.h>
 #include <Support/Property.h>
+
+#include <future>
 #include <thread>
 
 namespace {
@@ -57,7 +59,19 @@
         }
         std::string body(message.method_string());
         body += " " + std::string(message.target()) + " " + std::to_string(message.body().size());
-        co_return Http::textAnswer(Http::http::status::ok, "text/plain", body, message.version());
+        auto answer
+            = Http::textAnswer(Http::http::status::ok, "text/plain", body, message.version());
+        if (message.target().ends_with("/close"))
+            answer.keep_alive(false);
+        co_return answer;
+    }
+
+    /// Begins to leave on the server's thread.
+    void beginLeaving()
+    {
+        Http::asio::post(context_, [this] {
+            server_.beginLeaving();
+        });
     }
 
     Http::asio::io_context context_{1};
@@ -99,6 +113,9 @@
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(pipelinedRequestsAreProcessedConcurrently);
     CPPUNIT_TEST(requestsAfterAClosingAnswerAreDropped);
+    CPPUNIT_TEST(leavingServerAnswersAllPipelinedRequests);
+    CPPUNIT_TEST(leavingServerReadsNoEndlessPipeline);
+    CPPUNIT_TEST(answerThatClosesWaitsForThoseBehindIt);
     CPPUNIT_TEST(halfClosedCallerGetsItsAnswer);
     CPPUNIT_TEST(chunkedBodyIsRead);
     CPPUNIT_TEST(expect100ContinueIsAnswered);
@@ -156,6 +173,62 @@
         CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
     }
 
+    // Guards against discarding, at a planned stop, the answers to pipelined requests that targets
+    // are processing.
+    void leavingServerAnswersAllPipelinedRequests()
+    {
+        auto limits = EchoServer::limits();
+        limits.pipelineDepth_ = 8;
+        EchoServer server(limits);
+        auto talking = std::async(std::launch::async, [&] {
+            return talk(server,
+                        "GET /slow1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                        "GET /slow2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                        "GET /slow3 HTTP/1.1\r\nHost: h\r\n\r\n",
+                        false);
+        });
+        std::this_thread::sleep_for(Milliseconds(100));
+        server.beginLeaving();
+        const std::string answers = talking.get();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, 3, count(answers, "HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(1, count(answers, "Connection: close"));
+        CPPUNIT_ASSERT(answers.find("/slow2") < answers.find("Connection: close"));
+    }
+
+    // Guards against a planned stop that waits for a caller that never stops pipelining.
+    void leavingServerReadsNoEndlessPipeline()
+    {
+        auto limits = EchoServer::limits();
+        limits.pipelineDepth_ = 8;
+        EchoServer server(limits);
+        std::string requests;
+        constexpr int sent = 100;
+        for (int i = 0; i < sent; ++i)
+            requests += "GET /slow" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        auto talking = std::async(std::launch::async, [&] {
+            return talk(server, requests, false);
+        });
+        std::this_thread::sleep_for(Milliseconds(100));
+        server.beginLeaving();
+        const int answered = count(talking.get(), "HTTP/1.1 200");
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(answered), answered >= 8 && answered <= 9);
+    }
+
+    // Guards against an answer without keep-alive that discards the requests passed on behind it.
+    void answerThatClosesWaitsForThoseBehindIt()
+    {
+        auto limits = EchoServer::limits();
+        limits.pipelineDepth_ = 8;
+        const EchoServer server(limits);
+        const std::string answers = talk(server,
+                                         "GET /slow/close HTTP/1.1\r\nHost: h\r\n\r\n"
+                                         "GET /slow2 HTTP/1.1\r\nHost: h\r\n\r\n",
+                                         false);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, 2, count(answers, "HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(1, count(answers, "Connection: close"));
+        CPPUNIT_ASSERT(answers.find("/slow/close") < answers.find("Connection: close"));
+    }
+
     void halfClosedCallerGetsItsAnswer()
     {
         const EchoServer server;
--- a/Tests/LibHttp/TestServerBounds.cpp
+++ b/Tests/LibHttp/TestServerBounds.cpp
@@ -166,6 +166,7 @@
     CPPUNIT_TEST(chunkedBodiesCountAsTheyArrive);
     CPPUNIT_TEST(callerThatPipelinesWithoutReadingIsNotReadFrom);
     CPPUNIT_TEST(connectionsBeyondTheBoundAreRefused);
+    CPPUNIT_TEST(requestBehindTheLastAnswerIsNotHandled);
     CPPUNIT_TEST(heldBytesReturnToZero);
     CPPUNIT_TEST_SUITE_END();
 
@@ -290,6 +291,29 @@
         CPPUNIT_ASSERT(next.readAll().starts_with("HTTP/1.1 200"));
     }
 
+    // Guards against handling a request that is read while the answer that announces the close is
+    // being written: its own answer would be discarded.
+    void requestBehindTheLastAnswerIsNotHandled()
+    {
+        SizedServer server(100 * megabyte);
+        server.ask([&] {
+            server.server_.beginLeaving();
+            return std::size_t(0);
+        });
+        Caller caller(server);
+        caller.ask(8 * megabyte);
+        CPPUNIT_ASSERT(SizedServer::waitUntil([&] {
+            return server.held() >= 8 * megabyte;
+        }));
+        caller.ask(10);
+        std::this_thread::sleep_for(Milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.handled());
+        const std::string answers = caller.readAll();
+        CPPUNIT_ASSERT(answers.size() > 8 * megabyte);
+        CPPUNIT_ASSERT(answers.substr(0, 1000).find("Connection: close") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.handled());
+    }
+
     // Guards against bytes that stay counted, or are released twice, where a connection ends in the
     // middle of a request or of an answer.
     void heldBytesReturnToZero()
--- a/Tests/Platform/TestPlannedStops.cpp
+++ b/Tests/Platform/TestPlannedStops.cpp
@@ -19,6 +19,7 @@
 {
     CPPUNIT_TEST_SUITE(TestPlannedStops);
     CPPUNIT_TEST(plannedStopFinishesRequestsInProgress);
+    CPPUNIT_TEST(plannedStopAnswersPipelinedRequests);
     CPPUNIT_TEST(stopSignalWhileStartingExitsCleanly);
     CPPUNIT_TEST(killedInstanceIsRemovedFromLookups);
     CPPUNIT_TEST_SUITE_END();
@@ -53,6 +54,47 @@
         CPPUNIT_ASSERT_EQUAL(0, stopping.process_->wait(Milliseconds(6000)).value_or(-1));
     }
 
+    // Guards against discarding the answers to pipelined requests that targets are running.
+    void plannedStopAnswersPipelinedRequests()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(2, {"t1", "t2"}));
+        for (const auto &target : fleet.targets_)
+            target->setFaults({.work_ = Milliseconds(700)});
+        const auto &stopping = *fleet.instances_[0];
+        Http::asio::io_context context;
+        Http::tcp::socket caller(context);
+        caller.connect(Http::endpointOf(stopping.entry()));
+        std::string requests;
+        for (const char *id : {"p1", "p2", "p3"}) {
+            requests += std::string("GET /read/7 HTTP/1.1\r\nHost: h.example\r\n")
+                        + "X-Cassiacrank-Request-Id: " + id
+                        + "\r\nX-Cassiacrank-Deadline-Ms: 1500\r\n\r\n";
+        }
+        const auto runs = [&] {
+            return fleet.targets_[0]->runCount() + fleet.targets_[1]->runCount();
+        };
+        const auto before = runs();
+        Http::asio::write(caller, Http::asio::buffer(requests));
+        CPPUNIT_ASSERT(Harness::waitUntil(waitTimeout, [&] {
+            return runs() == before + 3;
+        }));
+        stopping.process_->signal(SIGTERM);
+        std::string answers;
+        Http::ErrorCode error;
+        while (!error) {
+            char buffer[4096];
+            const auto received = caller.read_some(Http::asio::buffer(buffer), error);
+            answers.append(buffer, received);
+        }
+        std::size_t answered = 0;
+        for (auto at = answers.find("HTTP/1.1 200"); at != std::string::npos;
+             at = answers.find("HTTP/1.1 200", at + 1))
+            ++answered;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, std::size_t(3), answered);
+        CPPUNIT_ASSERT_EQUAL(0, stopping.process_->wait(Milliseconds(6000)).value_or(-1));
+    }
+
     // Guards against a failure exit code when a stop signal arrives during start-up.
     void stopSignalWhileStartingExitsCleanly()
     {
