LibSteering, LibHttp, LibPolicy: Hold one copy of a request's body

Cause: each attempt copied the body from the caller's request into its message, and a second try also copied the whole request context. The bound on held bytes knew one of these copies and was not checked before a second try.

Attempts now send a view of the body, the second try shares the caller's request, and the server counts that request until its last attempt has released it. A second try is made only with room for its answer. The same view is used for requests that are forwarded to a peer. verdictOnSending() takes no body any more, since sending adds none; TestHeldBytes admits the same bodies through mayHold(), as the server does, and asserts the same bounds, one of them now to the byte.

--- a/Libraries/LibHttp/ConnectionFields.cpp
+++ b/Libraries/LibHttp/ConnectionFields.cpp
@@ -24,8 +24,9 @@
     }
 }
 
-template <typename Message>
-void strip(Message &message)
+} // namespace
+
+void stripConnectionFields(http::fields &message)
 {
     std::vector<std::string> names;
     for (const auto token : http::token_list(message[http::field::connection]))
@@ -38,16 +39,4 @@
         message.erase(name);
 }
 
-} // namespace
-
-void stripConnectionFields(Request &message)
-{
-    strip(message);
-}
-
-void stripConnectionFields(Response &message)
-{
-    strip(message);
-}
-
 } // namespace Http
--- a/Libraries/LibHttp/ConnectionFields.h
+++ b/Libraries/LibHttp/ConnectionFields.h
@@ -8,7 +8,6 @@
 /// message's Connection field names. A forwarded message must not carry them.
 ///
 /// Thread safety: any thread.
-void stripConnectionFields(Request &message);
-void stripConnectionFields(Response &message);
+void stripConnectionFields(http::fields &message);
 
 } // namespace Http
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -232,8 +232,9 @@
 };
 
 /// Sends \a request. Returns std::nullopt if it was sent completely, else the failed result.
+template <typename Message>
 Task<std::optional<ExchangeResult>>
-sendRequest(Connection &connection, const ExchangeOptions &options, const Request &request)
+sendRequest(Connection &connection, const ExchangeOptions &options, const Message &request)
 {
     std::optional<SendWatch> watch;
     if (options.maySend_ && request.body().size() > maxUnwatchedBodyBytes)
@@ -249,8 +250,9 @@
 }
 
 /// Sends the request and reads the answer on \a connection, which the caller then keeps or closes.
+template <typename Message>
 Task<ExchangeResult> exchangeOn(Connection &connection, const ExchangeOptions &options,
-                                const Request &request, const AnswerCheck &isOwnAnswer)
+                                const Message &request, const AnswerCheck &isOwnAnswer)
 {
     connection.stream_.expires_at(options.deadline_);
     if (options.onFirstByte_)
@@ -306,8 +308,11 @@
         stream_->cancel();
 }
 
-Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
-                              const Request &request, const AnswerCheck &isOwnAnswer)
+namespace {
+
+template <typename Message>
+Task<ExchangeResult> exchangeMessage(ConnectionPool &pool, const ExchangeOptions &options,
+                                     const Message &request, const AnswerCheck &isOwnAnswer)
 {
     const auto startedAt = std::chrono::steady_clock::now();
     Connected connected = co_await connect(pool, options);
@@ -355,6 +360,20 @@
     co_return result;
 }
 
+} // namespace
+
+Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
+                              const Request &request, const AnswerCheck &isOwnAnswer)
+{
+    return exchangeMessage(pool, options, request, isOwnAnswer);
+}
+
+Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
+                              const RequestView &request, const AnswerCheck &isOwnAnswer)
+{
+    return exchangeMessage(pool, options, request, isOwnAnswer);
+}
+
 Task<Listening> checkListener(ConnectionPool &pool, const ExchangeOptions &options)
 {
     ExchangeOptions fresh = options;
@@ -371,7 +390,7 @@
     co_return co_await checkListener(pool, options) == Listening::Yes;
 }
 
-bool acceptAnyAnswer(const Request &, const Response &)
+bool acceptAnyAnswer(const RequestHead &, const Response &)
 {
     return true;
 }
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -103,7 +103,7 @@
 };
 
 /// Returns whether an answer belongs to a request.
-using AnswerCheck = std::function<bool(const Request &, const Response &)>;
+using AnswerCheck = std::function<bool(const RequestHead &, const Response &)>;
 
 /// Sends \a request and reads the answer, with one request in progress on a connection at a time.
 ///
@@ -113,6 +113,8 @@
 /// belongs to the calling thread.
 Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
                               const Request &request, const AnswerCheck &isOwnAnswer);
+Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
+                              const RequestView &request, const AnswerCheck &isOwnAnswer);
 
 /// Opens a connection to options.address_ and keeps it idle in \a pool, so that a later request
 /// need not wait for it. Returns whether it succeeded. Thread safety: as exchange().
@@ -132,7 +134,7 @@
 Task<Listening> checkListener(ConnectionPool &pool, const ExchangeOptions &options);
 
 /// Accepts every answer, for peers whose answers carry no request id. Thread safety: any thread.
-bool acceptAnyAnswer(const Request &request, const Response &answer);
+bool acceptAnyAnswer(const RequestHead &request, const Response &answer);
 
 /// Disables Nagle's algorithm and sets TCP_USER_TIMEOUT, which ends a connection whose data is not
 /// acknowledged.
--- a/Libraries/LibHttp/Server.cpp
+++ b/Libraries/LibHttp/Server.cpp
@@ -108,7 +108,7 @@
     ++refusalsOpen_;
     session->isBetweenRequests_ = false;
     session->isClosing_ = true;
-    Pending pending{HeldPart(heldBytes_)};
+    Pending pending(heldBytes_);
     pending.answer_ = refusal(Model::Reason{ResultCode::TooManyConnections, ""}, 11);
     pending.answer_->keep_alive(false);
     const bool isWritten = co_await write(*session, pending);
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -48,6 +48,8 @@
     /// Returns whether the peer has closed its sending side, which cancels the request for peers
     /// that never half-close. Valid until the answer is returned.
     std::function<bool()> hasPeerClosed_;
+    /// Counts the request's bytes as held by the server until its last copy is destroyed.
+    std::shared_ptr<const void> heldPart_;
 };
 
 /// Answers one request. Must not throw. An answer without keep-alive ends its connection after the
@@ -87,8 +89,8 @@
 
     std::size_t openSessions() const { return openSessions_; }
     std::size_t requestsInProgress() const { return inProgress_; }
-    /// Returns the bytes of requests whose answers are not known yet, and of answers that were not
-    /// written yet.
+    /// Returns the bytes of requests that handlers have not released yet, and of answers that were
+    /// not written yet.
     std::size_t heldBytes() const { return *heldBytes_; }
 
 private:
--- a/Libraries/LibHttp/ServerReading.cpp
+++ b/Libraries/LibHttp/ServerReading.cpp
@@ -108,18 +108,19 @@
     if (session.isClosing_ || session.isBroken_)
         co_return false;
 
-    auto pending = std::make_shared<Pending>(std::move(held));
+    auto pending = std::make_shared<Pending>(heldBytes_);
     session.pending_.push_back(pending);
     ++inProgress_;
     if (code != ResultCode::Ok) {
         if (code == ResultCode::TooManyBytesHeld && bounds_.onRefused_)
             bounds_.onRefused_(code);
-        pending->held_.set(0);
+        held.set(0);
         pending->answer_ = refusal(Model::Reason{code, ""}, 11);
         pending->wantsKeepAlive_ = false;
         co_await deliver(sharedSession);
         co_return false;
     }
+    incoming.heldPart_ = std::make_shared<const HeldPart>(std::move(held));
     incoming.remoteHost_ = session.remoteHost_;
     incoming.arrivedAt_ = std::chrono::steady_clock::now();
     incoming.hasPeerClosed_ = [weak = std::weak_ptr(sharedSession)] {
--- a/Libraries/LibHttp/ServerSession.h
+++ b/Libraries/LibHttp/ServerSession.h
@@ -40,12 +40,12 @@
 /// A request that was read, and its answer when available.
 struct Server::Pending
 {
-    explicit Pending(HeldPart held)
-        : held_(std::move(held))
+    explicit Pending(std::shared_ptr<std::size_t> heldBytes)
+        : held_(std::move(heldBytes))
     {
     }
 
-    /// The bytes of the request and, once it is available, of the answer in its place.
+    /// The bytes of the answer, once it is available.
     HeldPart held_;
     std::optional<Response> answer_;
     bool wantsKeepAlive_ = true;
--- a/Libraries/LibHttp/Types.h
+++ b/Libraries/LibHttp/Types.h
@@ -26,6 +26,16 @@
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
+using RequestHead = http::request_header<>;
+/// A request whose body belongs to another object, which must outlive it.
+using RequestView = http::request<http::span_body<const char>>;
+
+/// Returns a copy of the head of \a request with a view of its body. Thread safety: any thread.
+inline RequestView viewOf(const Request &request)
+{
+    const RequestHead &head = request;
+    return RequestView(head, request.body().data(), request.body().size());
+}
 
 /// A coroutine that runs on the io_context of the thread that started it.
 template <typename Result>
--- a/Libraries/LibPolicy/HeldBytes.cpp
+++ b/Libraries/LibPolicy/HeldBytes.cpp
@@ -39,10 +39,10 @@
     return !held.limit_ || totalOf(held) + more <= *held.limit_;
 }
 
-ResultCode verdictOnSending(const HeldBytes &held, Bytes body)
+ResultCode verdictOnSending(const HeldBytes &held)
 {
     const Bytes answers((held.awaitedAnswers_ + 1) * held.meanAnswer_.value());
-    return mayHold(held, body + answers) ? ResultCode::Ok : ResultCode::TooManyBytesHeld;
+    return mayHold(held, answers) ? ResultCode::Ok : ResultCode::TooManyBytesHeld;
 }
 
 ResultCode verdictOnTarget(const TargetBytes &target, Bytes body)
--- a/Libraries/LibPolicy/HeldBytes.h
+++ b/Libraries/LibPolicy/HeldBytes.h
@@ -12,9 +12,10 @@
 /// The bytes that an instance holds for callers and targets. Not shared between threads.
 struct HeldBytes
 {
-    /// Requests that were read and not answered yet, and answers that were not delivered yet.
+    /// Requests that are being read or processed, and answers that were not delivered yet. All
+    /// attempts of a request send the same copy of its body.
     Bytes forCallers_;
-    /// Bodies of requests in progress at targets, and answers that are being received.
+    /// Answers that are being received.
     Bytes forTargets_;
     /// Requests in progress at targets whose answers have not begun.
     std::int64_t awaitedAnswers_ = 0;
@@ -67,13 +68,12 @@
 /// Returns whether \a more bytes fit below the bound. Thread safety: as totalOf().
 bool mayHold(const HeldBytes &held, Bytes more);
 
-/// Returns Ok, or TooManyBytesHeld if sending a request with a body of \a body bytes, whose
-/// original is already counted in forCallers_, would exceed the bound.
+/// Returns Ok, or TooManyBytesHeld if the answer to one more attempt would exceed the bound.
 ///
 /// Room for a mean answer to each request in progress is kept free. Without it, requests are sent
 /// while their answers do not fit, and callers get an unknown outcome in place of a refusal.
 /// Thread safety: as totalOf().
-Model::ResultCode verdictOnSending(const HeldBytes &held, Bytes body);
+Model::ResultCode verdictOnSending(const HeldBytes &held);
 /// Returns Ok, or TooManyBytesHeld if a body of \a body bytes would exceed the target's bound.
 ///
 /// A target that holds nothing of this instance takes a request of any size; otherwise its bound
--- a/Libraries/LibPolicy/SpeculativeRetry.cpp
+++ b/Libraries/LibPolicy/SpeculativeRetry.cpp
@@ -30,7 +30,8 @@
 {
     return facts.isIdempotent_ && facts.attempts_ < facts.attemptLimit_ && facts.hasFreeSlot_
            && facts.slotUse_ < maxUseForSecondTry && !facts.isSecondTry_
-           && !facts.isHeldByCrashGuard_ && !facts.hasCallerLeft_ && !facts.isForwarded_;
+           && !facts.isHeldByCrashGuard_ && !facts.hasCallerLeft_ && facts.mayHoldAnswer_
+           && !facts.isForwarded_;
 }
 
 bool takeSecondTry(RetryBudget &budget, const SecondTryFacts &facts)
--- a/Libraries/LibPolicy/SpeculativeRetry.h
+++ b/Libraries/LibPolicy/SpeculativeRetry.h
@@ -47,6 +47,8 @@
     /// The crash guard withholds the request, or admits it as the only one of its kind.
     bool isHeldByCrashGuard_ = false;
     bool hasCallerLeft_ = false;
+    /// The instance has room for the answer of one more attempt.
+    bool mayHoldAnswer_ = true;
     /// A peer forwarded the request; the peer holds the credit.
     bool isForwarded_ = false;
 };
--- a/Libraries/LibSteering/CrashGuard.cpp
+++ b/Libraries/LibSteering/CrashGuard.cpp
@@ -78,7 +78,7 @@
     target.lastLossAt_ = now;
     if (target.lostRequests_.size() < Policy::maxSuspectsPerCrash)
         target.lostRequests_.push_back(fingerprintFor(request, port_.headers_));
-    const auto &message = request.incoming_.message_;
+    const auto &message = request.incoming_->message_;
     std::string name(message.method_string());
     name += " " + std::string(message[Http::http::field::host]) + std::string(message.target());
     Policy::remember(requestNames_, fingerprintFor(request, port_.headers_), std::move(name));
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -99,7 +99,7 @@
 {
     ++counters_.requests_;
     RequestContext request;
-    request.incoming_ = std::move(incoming);
+    request.incoming_ = std::make_shared<const Http::IncomingRequest>(std::move(incoming));
     const InProgressEntry inProgressEntry(requestsInProgress_, request);
     auto refused = readRequest(request);
     co_return co_await process(request, std::move(refused));
@@ -121,8 +121,8 @@
 std::optional<Http::Response> Dispatcher::readRequest(RequestContext &request,
                                                       const ForwardedRequest *forwarded)
 {
-    const Http::Request &message = request.incoming_.message_;
-    request.arrivedAt_ = request.incoming_.arrivedAt_;
+    const Http::Request &message = request.incoming_->message_;
+    request.arrivedAt_ = request.incoming_->arrivedAt_;
     request.id_ = std::string(textOf(message[viewOf(port_.headers_.requestId_)]));
     request.table_ = platformState_.table();
     if (!request.table_ || !guard_.isInformed())
@@ -169,7 +169,7 @@
 /// Finds the caller's workspace and charges the request to its quota.
 std::optional<Http::Response> Dispatcher::identifyCaller(RequestContext &request)
 {
-    const Http::Request &message = request.incoming_.message_;
+    const Http::Request &message = request.incoming_->message_;
     const auto name = viewOf(port_.headers_.callerKey_);
     const auto use
         = request.route_->isPublic_ ? Policy::KeyUse::Optional : Policy::KeyUse::Required;
@@ -258,14 +258,14 @@
 {
     TargetState &target = *placement.target_;
     request.tried_.push_back(target.record_.id_);
-    if (!mayHoldAt(target, request.incoming_.message_.body().size())) {
+    if (!mayHoldAt(target, request.incoming_->message_.body().size())) {
         Attempt unsent;
         unsent.code_ = ResultCode::TooManyBytesHeld;
         unsent.isOverBytes_ = true;
         co_return unsent;
     }
     const auto sentAt = steadyNow();
-    const Http::Request message = messageFor(request, target, sentAt);
+    const Http::RequestView message = messageFor(request, target, sentAt);
     HeldAttempt held(held_, placement.target_, message.body().size());
     Http::ExchangeOptions options;
     options.address_ = placementEngine_.addressToDial(target);
@@ -303,7 +303,7 @@
                                                   {sentAt, placement.maxUsualLatency_});
     Http::ExchangeResult result = co_await Http::exchange(
         pool_, options, message,
-        [name = viewOf(port_.headers_.requestId_)](const Http::Request &sentRequest,
+        [name = viewOf(port_.headers_.requestId_)](const Http::RequestHead &sentRequest,
                                                    const Http::Response &answer) {
             return answer.count(name) == 1 && answer[name] == sentRequest[name];
         });
@@ -384,10 +384,10 @@
     return options;
 }
 
-Http::Request Dispatcher::messageFor(const RequestContext &request, const TargetState &target,
-                                     SteadyTime now) const
+Http::RequestView Dispatcher::messageFor(const RequestContext &request, const TargetState &target,
+                                         SteadyTime now) const
 {
-    Http::Request message = request.incoming_.message_;
+    Http::RequestView message = Http::viewOf(request.incoming_->message_);
     Http::stripConnectionFields(message);
     const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now);
     message.set(viewOf(port_.headers_.timeLeft_),
@@ -435,7 +435,7 @@
 void Dispatcher::sweepAbandoned()
 {
     for (RequestContext *request : requestsInProgress_) {
-        if (request->isAbandoned_ || !request->route_ || !request->incoming_.hasPeerClosed_())
+        if (request->isAbandoned_ || !request->route_ || !request->incoming_->hasPeerClosed_())
             continue;
         request->isAbandoned_ = true;
         if (!request->route_->isIdempotent_)
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -162,8 +162,8 @@
     Http::Task<void> probeListener(std::shared_ptr<TargetState> target);
     void noteCrash(RequestContext &request, const Placement &placement,
                    const Http::ExchangeResult &result, Model::SteadyTime now);
-    Http::Request messageFor(const RequestContext &request, const TargetState &target,
-                             Model::SteadyTime now) const;
+    Http::RequestView messageFor(const RequestContext &request, const TargetState &target,
+                                 Model::SteadyTime now) const;
     Attempt judge(RequestContext &request, const Placement &placement, Model::SteadyTime sentAt,
                   Http::ExchangeResult result);
     bool maySendTo(const TargetState &target) const;
--- a/Libraries/LibSteering/DispatcherAnswers.cpp
+++ b/Libraries/LibSteering/DispatcherAnswers.cpp
@@ -52,7 +52,7 @@
         .add("come_back_ms", static_cast<std::int64_t>(refusal.retryAfter_.count()))
         .add("version",
              request.table_ ? static_cast<std::int64_t>(request.table_->version().value()) : 0);
-    auto response = Http::refusal({refusal.code_, ""}, request.incoming_.message_.version());
+    auto response = Http::refusal({refusal.code_, ""}, request.incoming_->message_.version());
     if (refusal.retryAfter_.count() > 0)
         response.set(http::field::retry_after, secondsText(refusal.retryAfter_));
     response.set(viewOf(port_.headers_.requestId_), request.id_);
@@ -84,7 +84,7 @@
         .add("deadline_ms",
              std::chrono::duration_cast<Microseconds>(request.deadline_ - request.arrivedAt_))
         .add("version", static_cast<std::int64_t>(request.table_->version().value()));
-    auto response = Http::refusal({attempt.code_, ""}, request.incoming_.message_.version());
+    auto response = Http::refusal({attempt.code_, ""}, request.incoming_->message_.version());
     response.set(viewOf(port_.headers_.requestId_), request.id_);
     return response;
 }
--- a/Libraries/LibSteering/DispatcherBytes.cpp
+++ b/Libraries/LibSteering/DispatcherBytes.cpp
@@ -33,8 +33,7 @@
 /// std::nullopt if it may be sent.
 std::optional<Refusal> Dispatcher::checkHeldBytes(const RequestContext &request)
 {
-    const auto body = static_cast<std::int64_t>(request.incoming_.message_.body().size());
-    const ResultCode code = Policy::verdictOnSending(heldBytes(), Policy::Bytes(body));
+    const ResultCode code = Policy::verdictOnSending(heldBytes());
     if (code == ResultCode::Ok)
         return std::nullopt;
     const auto comeBack
--- a/Libraries/LibSteering/DispatcherForwarding.cpp
+++ b/Libraries/LibSteering/DispatcherForwarding.cpp
@@ -28,7 +28,8 @@
         co_return refused;
     }
     RequestContext request;
-    request.incoming_ = std::move(forwarded->incoming_);
+    request.incoming_
+        = std::make_shared<const Http::IncomingRequest>(std::move(forwarded->incoming_));
     request.isForwarded_ = true;
     request.attempts_ = forwarded->attempts_;
     const InProgressEntry inProgressEntry(requestsInProgress_, request);
@@ -57,7 +58,7 @@
 {
     ++request.forwardingTries_;
     ++counters_.forwarded_;
-    const HeldAttempt held(held_, nullptr, request.incoming_.message_.body().size());
+    const HeldAttempt held(held_, nullptr, request.incoming_->message_.body().size());
     ForwardingResult result = co_await forwarder_->forward(request, std::move(peer));
     if (result.leavingTarget_)
         placementEngine_.noteLeaveAtPeer(*result.leavingTarget_, steadyNow());
--- a/Libraries/LibSteering/DispatcherSpeculation.cpp
+++ b/Libraries/LibSteering/DispatcherSpeculation.cpp
@@ -182,8 +182,6 @@
         return false;
     RequestContext copy = first;
     copy.control_ = Http::ExchangeControl();
-    // Valid only until the first try's answer is returned.
-    copy.incoming_.hasPeerClosed_ = nullptr;
     copy.onAttemptSent_ = nullptr;
     copy.onAbandoned_ = nullptr;
     copy.isSecondTry_ = true;
@@ -200,7 +198,8 @@
     facts.slotUse_ = placementEngine_.slotUse(first.service_);
     facts.isSecondTry_ = first.isSecondTry_ || first.attempts_ > 0;
     facts.isHeldByCrashGuard_ = isWithheld || isProbe;
-    facts.hasCallerLeft_ = first.isAbandoned_ || first.incoming_.hasPeerClosed_();
+    facts.hasCallerLeft_ = first.isAbandoned_ || first.incoming_->hasPeerClosed_();
+    facts.mayHoldAnswer_ = !checkHeldBytes(first);
     facts.isForwarded_ = first.isForwarded_;
     Policy::RetryBudget &budget = retryBudgets_[first.service_];
     // A placement counts against the limits of its target, so none is made in vain.
--- a/Libraries/LibSteering/HeldAttempt.h
+++ b/Libraries/LibSteering/HeldAttempt.h
@@ -7,8 +7,10 @@
 
 namespace Steering {
 
-/// Counts the bytes of one attempt as held for the lifetime of this object. Thread safety: none;
-/// belongs to the thread of \a held.
+/// Counts the bytes of one attempt for the lifetime of this object: those of the answer as held by
+/// the instance, those of the request's body as held by the target. The instance's own copy of the
+/// body is counted with the caller's request. Thread safety: none; belongs to the thread of \a
+/// held.
 class HeldAttempt
 {
 public:
@@ -19,14 +21,13 @@
         , target_(std::move(target))
         , body_(static_cast<std::int64_t>(body))
     {
-        held_->forTargets_ += body_;
         ++held_->awaitedAnswers_;
         if (target_)
             target_->bytes_.held_ += body_;
     }
     ~HeldAttempt()
     {
-        held_->forTargets_ = held_->forTargets_ - body_ - answer_;
+        held_->forTargets_ = held_->forTargets_ - answer_;
         if (answer_ == Policy::Bytes(0))
             --held_->awaitedAnswers_;
         if (target_)
--- a/Libraries/LibSteering/RequestContext.cpp
+++ b/Libraries/LibSteering/RequestContext.cpp
@@ -11,7 +11,7 @@
 
 Policy::RequestText textOf(const RequestContext &request, const HeaderNames &names)
 {
-    const Http::Request &message = request.incoming_.message_;
+    const Http::Request &message = request.incoming_->message_;
     const auto caller = textOf(
         message[Http::beast::string_view(names.callerKey_.data(), names.callerKey_.size())]);
     Policy::RequestText text;
@@ -19,7 +19,7 @@
     text.host_ = textOf(message[Http::http::field::host]);
     text.target_ = textOf(message.target());
     text.body_ = message.body();
-    text.caller_ = caller.empty() ? std::string_view(request.incoming_.remoteHost_) : caller;
+    text.caller_ = caller.empty() ? std::string_view(request.incoming_->remoteHost_) : caller;
     return text;
 }
 
--- a/Libraries/LibSteering/RequestContext.h
+++ b/Libraries/LibSteering/RequestContext.h
@@ -13,7 +13,8 @@
 /// State of one request while this instance handles it.
 struct RequestContext
 {
-    Http::IncomingRequest incoming_;
+    /// Shared with the request's second try, so that the body is held once.
+    std::shared_ptr<const Http::IncomingRequest> incoming_;
     /// Keeps the route alive while the table is replaced.
     std::shared_ptr<const Model::Table> table_;
     const Model::Route *route_ = nullptr;
--- a/Libraries/LibSteering/RequestForwarder.cpp
+++ b/Libraries/LibSteering/RequestForwarder.cpp
@@ -73,7 +73,7 @@
 std::optional<Model::Instance> RequestForwarder::choosePeer(const RequestContext &request,
                                                             SteadyTime now)
 {
-    if (request.incoming_.message_.body().size() > PeerExchange::maxRequestBytes)
+    if (request.incoming_->message_.body().size() > PeerExchange::maxRequestBytes)
         return std::nullopt;
     const auto &own = peers_.localInstance();
     std::vector<Policy::ForwardingPeer> peers;
@@ -94,16 +94,16 @@
     return peers_.members().at(peers[*chosen].id_).instance_;
 }
 
-Http::Request RequestForwarder::messageFor(const RequestContext &request, Microseconds roundTrip,
-                                           SteadyTime now) const
+Http::RequestView RequestForwarder::messageFor(const RequestContext &request,
+                                               Microseconds roundTrip, SteadyTime now) const
 {
-    Http::Request message = request.incoming_.message_;
+    Http::RequestView message = Http::viewOf(request.incoming_->message_);
     Http::stripConnectionFields(message);
     message.set(methodField, message.method_string());
     message.set(targetField, message.target());
     message.set(serviceField, request.service_.value());
     message.set(attemptsField, std::to_string(request.attempts_));
-    message.set(callerField, request.incoming_.remoteHost_);
+    message.set(callerField, request.incoming_->remoteHost_);
     const auto left
         = std::chrono::duration_cast<Milliseconds>(request.deadline_ - now - roundTrip / 2);
     message.set(viewOf(port_.headers_.timeLeft_),
@@ -127,13 +127,13 @@
     options.maxIdle_ = maxIdleTime;
     options.connectionLimit_ = maxConnectionsPerPeer;
     options.control_ = &request.control_;
-    const Http::Request message = messageFor(request, roundTrip, sentAt);
+    const Http::RequestView message = messageFor(request, roundTrip, sentAt);
 
     ++inProgress_[peer.id_];
     auto exchanged
         = co_await Http::exchange(pool_, options, message,
                                   [name = viewOf(port_.headers_.requestId_)](
-                                      const Http::Request &sent, const Http::Response &answer) {
+                                      const Http::RequestHead &sent, const Http::Response &answer) {
                                       // An instance that does not take forwarded requests answers
                                       // without the id.
                                       return answer.count(name) == 0 || answer[name] == sent[name];
--- a/Libraries/LibSteering/RequestForwarder.h
+++ b/Libraries/LibSteering/RequestForwarder.h
@@ -52,8 +52,8 @@
     Http::Task<ForwardingResult> forward(RequestContext &request, Model::Instance peer);
 
 private:
-    Http::Request messageFor(const RequestContext &request, Model::Microseconds roundTrip,
-                             Model::SteadyTime now) const;
+    Http::RequestView messageFor(const RequestContext &request, Model::Microseconds roundTrip,
+                                 Model::SteadyTime now) const;
     ForwardingResult resultOf(Http::ExchangeResult exchanged) const;
 
     const PlatformPort &port_;
--- a/Services/Entryd/CallerRequest.cpp
+++ b/Services/Entryd/CallerRequest.cpp
@@ -227,7 +227,7 @@
     return message;
 }
 
-bool isAnswerTo(const Http::Request &request, const Http::Response &answer)
+bool isAnswerTo(const Http::RequestHead &request, const Http::Response &answer)
 {
     const auto name = viewOf(Http::requestIdHeader);
     return answer.count(name) == 1 && answer[name] == request[name];
--- a/Services/Entryd/CallerRequest.h
+++ b/Services/Entryd/CallerRequest.h
@@ -62,7 +62,7 @@
                               std::size_t domain, Model::SteadyTime now);
 
 /// Returns whether \a answer carries the request id of \a request. Thread safety: any thread.
-bool isAnswerTo(const Http::Request &request, const Http::Response &answer);
+bool isAnswerTo(const Http::RequestHead &request, const Http::Response &answer);
 
 /// Removes hop-by-hop and internal headers from an answer. Thread safety: any thread.
 void stripAnswer(Http::Response &answer);
--- a/Tests/Harness/Process.cpp
+++ b/Tests/Harness/Process.cpp
@@ -110,6 +110,17 @@
     return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
+std::size_t Process::peakMemoryBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    const std::string name = "VmHWM:";
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(name))
+            return std::stoul(line.substr(name.size())) * 1024;
+    }
+    return 0;
+}
+
 std::string Process::log() const
 {
     std::ifstream file(logPath_);
--- a/Tests/Harness/Process.h
+++ b/Tests/Harness/Process.h
@@ -30,6 +30,8 @@
     bool handlesSignal(int number) const;
     /// Returns the consumed processor time in seconds.
     double cpuSeconds() const;
+    /// Returns the largest resident memory so far, in bytes.
+    std::size_t peakMemoryBytes() const;
     const std::string &name() const { return name_; }
     std::string log() const;
 
--- a/Tests/LibHttp/TestExchange.cpp
+++ b/Tests/LibHttp/TestExchange.cpp
@@ -106,7 +106,7 @@
     options.address_ = address;
     options.deadline_ = std::chrono::steady_clock::now() + Milliseconds(300);
     Http::ExchangeResult result;
-    const auto isOwn = [](const Http::Request &sent, const Http::Response &answer) {
+    const auto isOwn = [](const Http::RequestHead &sent, const Http::Response &answer) {
         return sent["Cassiacrank-Request-Id"] == answer["Cassiacrank-Request-Id"];
     };
     const auto run = [&]() -> Http::Task<void> {
--- a/Tests/LibHttp/TestServerBounds.cpp
+++ b/Tests/LibHttp/TestServerBounds.cpp
@@ -69,6 +69,8 @@
     {
         ++handled_;
         const std::string path(request.message_.target());
+        if (keepsRequests_)
+            kept_.push_back(request);
         std::string body(std::stoul("0" + path.substr(1)), 'x');
         co_return Http::textAnswer(Http::http::status::ok, "text/plain", std::move(body), 11);
     }
@@ -115,6 +117,8 @@
     Http::Server server_;
     Model::Address address_;
     std::size_t handled_ = 0;
+    bool keepsRequests_ = false;
+    std::vector<Http::IncomingRequest> kept_;
     std::vector<ResultCode> refused_;
     std::thread thread_;
 };
@@ -164,6 +168,7 @@
     CPPUNIT_TEST(answersThatAreNotReadCountAndBlockFurtherRequests);
     CPPUNIT_TEST(requestBodiesCountFromTheirHead);
     CPPUNIT_TEST(chunkedBodiesCountAsTheyArrive);
+    CPPUNIT_TEST(requestCountsUntilItsHandlerReleasesIt);
     CPPUNIT_TEST(callerThatPipelinesWithoutReadingIsNotReadFrom);
     CPPUNIT_TEST(connectionsBeyondTheBoundAreRefused);
     CPPUNIT_TEST(requestBehindTheLastAnswerIsNotHandled);
@@ -244,6 +249,25 @@
         }));
     }
 
+    // Guards against a body that is no longer counted while an attempt that was overtaken by
+    // another one still holds it.
+    void requestCountsUntilItsHandlerReleasesIt()
+    {
+        SizedServer server(megabyte);
+        server.keepsRequests_ = true;
+        Caller caller(server);
+        caller.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n"
+                    "Connection: close\r\n\r\n"
+                    + std::string(50000, 'x'));
+        CPPUNIT_ASSERT(caller.readAll().starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(server.held() >= 50000 && server.held() < 51000);
+        server.ask([&] {
+            server.kept_.clear();
+            return std::size_t(0);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.held());
+    }
+
     // Guards against a caller that fills the memory over one connection.
     void callerThatPipelinesWithoutReadingIsNotReadFrom()
     {
--- a/Tests/LibPolicy/TestHeldBytes.cpp
+++ b/Tests/LibPolicy/TestHeldBytes.cpp
@@ -56,7 +56,8 @@
         CPPUNIT_ASSERT(!Policy::connectionLimit(size));
         Policy::HeldBytes held;
         held.forCallers_ = Bytes(1LL << 50);
-        CPPUNIT_ASSERT(Policy::verdictOnSending(held, Bytes(1)) == ResultCode::Ok);
+        CPPUNIT_ASSERT(Policy::mayHold(held, Bytes(1)));
+        CPPUNIT_ASSERT(Policy::verdictOnSending(held) == ResultCode::Ok);
         CPPUNIT_ASSERT(Policy::verdictOnConnection(1000000, std::nullopt) == ResultCode::Ok);
     }
 
@@ -73,17 +74,21 @@
             for (const int body :
                  *rc::gen::container<std::vector<int>>(rc::gen::inRange(-1, 9000))) {
                 if (body < 0 && !sent.empty()) {
-                    held.forTargets_ = held.forTargets_ - sent.back();
+                    held.forCallers_ = held.forCallers_ - sent.back();
                     target.held_ = target.held_ - sent.back();
                     --held.awaitedAnswers_;
                     sent.pop_back();
                     continue;
                 }
                 const Bytes bytes(std::max(0, body));
-                if (Policy::verdictOnSending(held, bytes) != ResultCode::Ok
-                    || Policy::verdictOnTarget(target, bytes) != ResultCode::Ok)
+                if (!Policy::mayHold(held, bytes))
                     continue;
-                held.forTargets_ += bytes;
+                held.forCallers_ += bytes;
+                if (Policy::verdictOnSending(held) != ResultCode::Ok
+                    || Policy::verdictOnTarget(target, bytes) != ResultCode::Ok) {
+                    held.forCallers_ = held.forCallers_ - bytes;
+                    continue;
+                }
                 target.held_ += bytes;
                 ++held.awaitedAnswers_;
                 sent.push_back(bytes);
@@ -101,10 +106,14 @@
         Policy::HeldBytes held;
         held.limit_ = Bytes(1000);
         Policy::learnAnswerSize(held, Bytes(300));
+        held.forCallers_ = Bytes(100);
         held.awaitedAnswers_ = 2;
-        CPPUNIT_ASSERT(Policy::verdictOnSending(held, Bytes(100)) == ResultCode::Ok);
+        CPPUNIT_ASSERT(Policy::verdictOnSending(held) == ResultCode::Ok);
+        held.forCallers_ = Bytes(101);
+        CPPUNIT_ASSERT(Policy::verdictOnSending(held) == ResultCode::TooManyBytesHeld);
+        held.forCallers_ = Bytes(100);
         held.awaitedAnswers_ = 3;
-        CPPUNIT_ASSERT(Policy::verdictOnSending(held, Bytes(100)) == ResultCode::TooManyBytesHeld);
+        CPPUNIT_ASSERT(Policy::verdictOnSending(held) == ResultCode::TooManyBytesHeld);
     }
 
     // Guards against sending as much to a restarted target as crashed it before, and against a
--- a/Tests/LibPolicy/TestSpeculativeRetry.cpp
+++ b/Tests/LibPolicy/TestSpeculativeRetry.cpp
@@ -139,6 +139,9 @@
             [](Facts &facts) {
                 facts.hasCallerLeft_ = true;
             },
+            [](Facts &facts) {
+                facts.mayHoldAnswer_ = false;
+            },
             [](Facts &facts) {
                 facts.isForwarded_ = true;
             },
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -183,6 +183,7 @@
                                         std::uint64_t object)
 {
     Steering::RequestContext requestContext;
+    requestContext.incoming_ = std::make_shared<const Http::IncomingRequest>();
     requestContext.table_ = instance.platformState_.table();
     requestContext.route_ = requestContext.table_->routes().find("h", "/" + route + "/x");
     requestContext.service_ = requestContext.route_->splits_.front().service_;
--- a/Tests/LibSteering/TestRequestQueue.cpp
+++ b/Tests/LibSteering/TestRequestQueue.cpp
@@ -35,7 +35,9 @@
         Caller &caller = callers_.emplace_back();
         caller.request_ = Fakes::requestContext(instance_, rank == 0 ? "order" : "read", 1);
         caller.request_.service_ = Model::ServiceId("gauging");
-        caller.request_.incoming_.message_.target("/" + object);
+        Http::IncomingRequest incoming;
+        incoming.message_.target("/" + object);
+        caller.request_.incoming_ = std::make_shared<const Http::IncomingRequest>(incoming);
         caller.request_.arrivedAt_ = std::chrono::steady_clock::now() - age;
         caller.request_.deadline_ = caller.request_.arrivedAt_ + caller.request_.route_->timeout_;
         start(caller);
--- a/Tests/LibSteering/TestSecondTry.cpp
+++ b/Tests/LibSteering/TestSecondTry.cpp
@@ -228,6 +228,7 @@
     CPPUNIT_TEST(quickAnswerPreventsTheSecondTry);
     CPPUNIT_TEST(nonIdempotentRequestIsSentOnce);
     CPPUNIT_TEST(noSecondTryWithoutCredit);
+    CPPUNIT_TEST(noSecondTryWithoutRoomForItsAnswer);
     CPPUNIT_TEST(noSecondTryWhereTargetsReportNoPace);
     CPPUNIT_TEST(secondAnswersAfterTheFirstHasFailed);
     CPPUNIT_TEST(outcomeIsUnknownIfBothFail);
@@ -297,6 +298,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fixture.receivingTargets_.size());
     }
 
+    // Guards against exceeding the bound on held bytes by the answer to a second try.
+    void noSecondTryWithoutRoomForItsAnswer()
+    {
+        SecondTryFixture fixture({quick, {.delay_ = afterSecondTry}});
+        std::size_t heldForCallers = 0;
+        fixture.dispatcher_.setHeldBytes(Policy::Bytes(1000), [&] {
+            return heldForCallers;
+        });
+        CPPUNIT_ASSERT(fixture.answerOfRequest() == http::status::ok);
+        fixture.startRequest();
+        fixture.runUntil(Milliseconds(100));
+        heldForCallers = 1000;
+        fixture.waitForAnswer();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.dispatcher_.counters().secondTries_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.receivingTargets_.size());
+    }
+
     // Guards against second tries in deployments that do not call for them.
     void noSecondTryWhereTargetsReportNoPace()
     {
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -73,7 +73,7 @@
     const json service = {{"name", "s"}, {"maxConns", 390}, {"coldPerS", 11.0}};
     json config = {{"version", text},
                    {"services", {service}},
-                   {"limits", {{"idleTimeoutMs", 15000}}},
+                   {"limits", {{"idleTimeoutMs", 15000}, {"maxBodyBytes", bodyLimit_}}},
                    {"hosts", {{{"host", "h.example"}, {"paths", paths}}}}};
     if (!workspaces_.empty())
         config["tenants"] = json::parse(workspaces_);
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -40,6 +40,8 @@
     void setHomeRegions(std::vector<std::string> regions) { homeRegions_ = std::move(regions); }
     /// Sets the timeout of the routes of the next configuration.
     void setRouteTimeout(Model::Milliseconds timeout) { routeTimeout_ = timeout; }
+    /// Sets the largest body that callers may send under the next configuration.
+    void setBodyLimit(std::size_t bytes) { bodyLimit_ = bytes; }
     /// Sets the number of further routes of the next configuration.
     void setManyRoutes(int count) { manyRoutes_ = count; }
     /// Starts \a count instances, round robin over the domains, and waits until all are ready.
@@ -88,6 +90,7 @@
     std::string workspaces_;
     std::vector<std::string> homeRegions_;
     Model::Milliseconds routeTimeout_{1500};
+    std::size_t bodyLimit_ = 1024 * 1024;
     int manyRoutes_ = 0;
     std::string net_;
     std::string directory_;
--- a/Tests/Platform/StandIns.cpp
+++ b/Tests/Platform/StandIns.cpp
@@ -15,6 +15,13 @@
 constexpr Milliseconds pollInterval{10};
 constexpr Milliseconds never{600000};
 
+Http::ServerLimits serverLimits()
+{
+    Http::ServerLimits limits;
+    limits.bodyBytes_ = 64 * 1024 * 1024;
+    return limits;
+}
+
 std::string encoded(const std::string &text)
 {
     std::string result(base64::encoded_size(text.size()), '\0');
@@ -46,7 +53,7 @@
 }
 
 ServerThread::ServerThread(const std::string &host, Http::Handler handler)
-    : server_(context_, Http::ServerLimits(), std::move(handler))
+    : server_(context_, serverLimits(), std::move(handler))
 {
     Http::asio::io_context probeContext;
     bool isListening = false;
@@ -62,7 +69,7 @@
 }
 
 ServerThread::ServerThread(const Model::Address &address, Http::Handler handler)
-    : server_(context_, Http::ServerLimits(), std::move(handler))
+    : server_(context_, serverLimits(), std::move(handler))
     , address_(address)
 {
     while (!server_.listen(address_))
--- a/Tests/Platform/StandIns.h
+++ b/Tests/Platform/StandIns.h
@@ -134,6 +134,8 @@
     Model::Milliseconds work_{5};
     /// The rate limit that it names in its answers, in requests per second; none if empty.
     std::string limit_;
+    /// The pace that it reports in its answers, in percent of its usual one; none if empty.
+    std::string pace_;
     /// Crashes after it begins to run a request whose path has this prefix. Empty: never crashes.
     std::string crashPathPrefix_;
     Model::Milliseconds crashDelay_{20};
--- a/Tests/Platform/TargetStandIn.cpp
+++ b/Tests/Platform/TargetStandIn.cpp
@@ -215,7 +215,8 @@
     response = Http::textAnswer(http::status::ok, "text/plain", "body of " + id, 11);
     response.set("X-Cassiacrank-Request-Id", faults.isForeign_ ? "another" : id);
     response.set("X-Cassiacrank-Server-Stamp", "stamp-" + this->id());
-    response.set("X-Cassiacrank-Server-Load", "1,0,6");
+    response.set("X-Cassiacrank-Server-Load",
+                 faults.pace_.empty() ? "1,0,6" : "1,0,6," + faults.pace_);
     if (!faults.limit_.empty())
         response.set("X-Cassiacrank-Server-Limit", faults.limit_);
     if (faults.isTruncating_) {
--- a/Tests/Platform/TestHeldBounds.cpp
+++ b/Tests/Platform/TestHeldBounds.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST_SUITE(TestHeldBounds);
     CPPUNIT_TEST(connectionsBeyondTheDescriptorsAreRefused);
     CPPUNIT_TEST(bodiesBeyondTheMemoryAreRefused);
+    CPPUNIT_TEST(largeRequestAtTwoTargetsStaysWithinTheMemory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +107,31 @@
         const auto answer = fleet.send(instance, "read", "after");
         CPPUNIT_ASSERT(answer && answer->result() == Http::http::status::ok);
     }
+
+    // Guards against an instance that exceeds its memory by further copies of a large body while a
+    // second target is tried.
+    void largeRequestAtTwoTargetsStaysWithinTheMemory()
+    {
+        constexpr std::size_t megabyte = 1024 * 1024;
+        Fleet fleet;
+        fleet.setBodyLimit(16 * megabyte);
+        CPPUNIT_ASSERT(fleet.serve(1, {"t1", "t2"}));
+        const auto &instance = fleet.startOne(std::nullopt, "[limits]\nmemory_mb = 64\n");
+        for (const auto &target : fleet.targets_)
+            target->setFaults({.pace_ = "100"});
+        CPPUNIT_ASSERT(fleet.waitUntilServing());
+        // The credit for second tries is a share of the requests.
+        for (int i = 0; i < 20; ++i)
+            CPPUNIT_ASSERT(fleet.send(instance, "read", "usual-" + std::to_string(i)));
+        for (const auto &target : fleet.targets_)
+            target->setFaults({.work_ = Milliseconds(900), .pace_ = "100"});
+        const std::string body(15 * megabyte + megabyte / 2, 'b');
+        const auto answer = fleet.sendTo(instance, "/read/x", "large", body);
+        CPPUNIT_ASSERT(answer && answer->result() == Http::http::status::ok);
+        CPPUNIT_ASSERT(fleet.metric(instance, "cassiacrank_second_tries_total") >= 1);
+        const std::size_t peak = instance.process_->peakMemoryBytes();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(peak), peak <= 64 * megabyte);
+    }
 };
 
 } // namespace
