LibHttp: Send interim answers after the answers before them

Cause: readRequest() wrote the interim answer while deliver() wrote an earlier answer on the same stream.

The interim answer now waits for the earlier answers and is left out if the body has begun to arrive, as RFC 9110 allows. That wait does not count as the caller's sending time. An announced body counts as held once it begins.

expect100ContinueIsAnswered sent its body together with the head, where no interim answer is needed; it now sends it afterwards and also counts the answers. interimAnswerIsLeftOutWhereTheBodyHasBegun takes the earlier input.

All pass now.

--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -105,7 +105,9 @@
     Task<bool> awaitFirstByte(std::shared_ptr<Session> sharedSession);
     void limitIdle(const std::shared_ptr<Session> &session);
     Task<bool> readOne(std::shared_ptr<Session> sharedSession);
-    Task<Model::ResultCode> readRequest(Session &session, Request &request, HeldPart &held);
+    Task<Model::ResultCode> readRequest(Session &session, ReadLimit &limit, Request &request,
+                                        HeldPart &held);
+    Task<bool> awaitExpectedBody(Session &session, ReadLimit &limit);
     bool holdMore(HeldPart &held, std::size_t bytes) const;
     bool mayRead(const Session &session) const;
     void releaseAnswer(Session &session, Pending &pending);
--- a/Libraries/LibHttp/ServerReading.cpp
+++ b/Libraries/LibHttp/ServerReading.cpp
@@ -99,8 +99,8 @@
     ResultCode code = ResultCode::Ok;
     HeldPart held(heldBytes_);
     {
-        const ReadLimit limit(sharedSession, limits_.request_);
-        code = co_await readRequest(session, incoming.message_, held);
+        ReadLimit limit(sharedSession, limits_.request_);
+        code = co_await readRequest(session, limit, incoming.message_, held);
     }
     if (code != ResultCode::Ok && session.isTooSlow_)
         code = ResultCode::RequestTooSlow;
@@ -146,7 +146,38 @@
     return true;
 }
 
-Task<ResultCode> Server::readRequest(Session &session, Request &request, HeldPart &held)
+/// Sends an interim answer after the answers to earlier requests, and waits for the first bytes of
+/// the body. Returns false if the connection ends or the time is over before that.
+///
+/// No interim answer is sent if the body has begun to arrive.
+Task<bool> Server::awaitExpectedBody(Session &session, ReadLimit &limit)
+{
+    limit.pause();
+    while (!session.pending_.empty() && !session.isClosing_ && !session.isBroken_) {
+        co_await waitForChange(session);
+    }
+    if (session.isClosing_ || session.isBroken_)
+        co_return false;
+    limit.restart();
+    if (session.buffer_.size() > 0)
+        co_return true;
+    ErrorCode error;
+    if (session.stream_.socket().available(error) == 0) {
+        http::response<http::empty_body> interim(http::status::continue_, 11);
+        co_await http::async_write(session.stream_, interim,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error)
+        co_return false;
+    const auto space = session.buffer_.prepare(1024);
+    const std::size_t received = co_await session.stream_.async_read_some(
+        space, asio::redirect_error(asio::use_awaitable, error));
+    session.buffer_.commit(received);
+    co_return !error;
+}
+
+Task<ResultCode> Server::readRequest(Session &session, ReadLimit &limit, Request &request,
+                                     HeldPart &held)
 {
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.headBytes_));
@@ -165,12 +196,16 @@
     const std::size_t bodyBytes = length ? static_cast<std::size_t>(*length) : 0;
     if (!holdMore(held, headBytes + bodyBytes))
         co_return ResultCode::TooManyBytesHeld;
-    if (parser.get().count(http::field::expect) > 0 && !parser.is_done()) {
-        http::response<http::empty_body> continueResponse(http::status::continue_, 11);
-        co_await http::async_write(session.stream_, continueResponse,
-                                   asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            co_return codeOf(error);
+    const bool isBodyExpected = parser.get().count(http::field::expect) > 0
+                                && parser.get().version() >= 11 && !parser.is_done();
+    if (isBodyExpected) {
+        // A caller that never sends its body takes no room from others.
+        held.set(headBytes);
+        const bool hasBegun = co_await awaitExpectedBody(session, limit);
+        if (!hasBegun)
+            co_return ResultCode::MalformedRequest;
+        if (!holdMore(held, bodyBytes))
+            co_return ResultCode::TooManyBytesHeld;
     }
     while (!error && !parser.is_done()) {
         co_await http::async_read_some(session.stream_, session.buffer_, parser,
--- a/Libraries/LibHttp/ServerSession.h
+++ b/Libraries/LibHttp/ServerSession.h
@@ -92,6 +92,7 @@
 };
 
 /// Cancels the reads of a request after a timeout, and leaves the connection open for the refusal.
+/// The timeout does not run while the caller waits for the server.
 ///
 /// The timeout of the stream itself closes the socket, and a slow caller then gets no reason.
 class Server::ReadLimit
@@ -99,11 +100,26 @@
 public:
     ReadLimit(std::shared_ptr<Session> session, Model::Milliseconds limit)
         : session_(std::move(session))
+        , limit_(limit)
     {
         session_->isTooSlow_ = false;
+        restart();
+    }
+    ~ReadLimit() { pause(); }
+    ReadLimit(const ReadLimit &) = delete;
+    ReadLimit &operator=(const ReadLimit &) = delete;
+
+    void pause()
+    {
+        session_->isReading_ = false;
+        session_->readTimer_.cancel();
+    }
+
+    void restart()
+    {
         session_->isReading_ = true;
         session_->stream_.expires_never();
-        session_->readTimer_.expires_after(limit);
+        session_->readTimer_.expires_after(limit_);
         session_->readTimer_.async_wait([weak = std::weak_ptr(session_)](const ErrorCode &error) {
             const auto session = weak.lock();
             // The timer may have expired just as the request was completed.
@@ -114,16 +130,10 @@
             session->stream_.socket().cancel(ignored);
         });
     }
-    ~ReadLimit()
-    {
-        session_->isReading_ = false;
-        session_->readTimer_.cancel();
-    }
-    ReadLimit(const ReadLimit &) = delete;
-    ReadLimit &operator=(const ReadLimit &) = delete;
 
 private:
     std::shared_ptr<Session> session_;
+    const Model::Milliseconds limit_;
 };
 
 } // namespace Http
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -80,13 +80,30 @@
     std::thread thread_;
 };
 
-/// Sends \a text, shuts down the sending side if \a halfCloses, and returns all that is received.
-std::string talk(const EchoServer &server, const std::string &text, bool halfCloses)
+/// The head of a request whose caller waits for an interim answer, without its end.
+const std::string expectingHead = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                                  "Expect: 100-continue\r\n";
+
+/// A part of a message that is sent after a pause.
+struct LaterPart
+{
+    Milliseconds pause_{0};
+    std::string text_;
+};
+
+/// Sends \a text and the \a later parts, shuts down the sending side if \a halfCloses, and returns
+/// all that is received.
+std::string talk(const EchoServer &server, const std::string &text, bool halfCloses,
+                 const std::vector<LaterPart> &later = {})
 {
     Http::asio::io_context context;
     tcp::socket socket(context);
     socket.connect(Http::endpointOf(server.address_));
     Http::asio::write(socket, Http::asio::buffer(text));
+    for (const auto &part : later) {
+        std::this_thread::sleep_for(part.pause_);
+        Http::asio::write(socket, Http::asio::buffer(part.text_));
+    }
     if (halfCloses)
         socket.shutdown(tcp::socket::shutdown_send);
     std::string answer;
@@ -119,6 +136,10 @@
     CPPUNIT_TEST(halfClosedCallerGetsItsAnswer);
     CPPUNIT_TEST(chunkedBodyIsRead);
     CPPUNIT_TEST(expect100ContinueIsAnswered);
+    CPPUNIT_TEST(interimAnswerIsLeftOutWhereTheBodyHasBegun);
+    CPPUNIT_TEST(refusedHeadGetsNoInterimAnswer);
+    CPPUNIT_TEST(waitForTheInterimAnswerIsNotTheCallersTime);
+    CPPUNIT_TEST(bodyThatNeverFollowsTheInterimAnswerIsTooSlow);
     CPPUNIT_TEST(ambiguousRequestsAreRefusedAndTheConnectionCloses);
     CPPUNIT_TEST(slowBodyIsRefused);
     CPPUNIT_TEST(headGetsNoBody);
@@ -250,14 +271,62 @@
     void expect100ContinueIsAnswered()
     {
         const EchoServer server;
-        const std::string answer = talk(server,
-                                        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
-                                        "Expect: 100-continue\r\nConnection: close\r\n\r\nabc",
-                                        false);
+        const std::string answer = talk(server, expectingHead + "Connection: close\r\n\r\n", false,
+                                        {{Milliseconds(100), "abc"}});
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 100"));
+        CPPUNIT_ASSERT_EQUAL(2, count(answer, "HTTP/1.1 "));
+        CPPUNIT_ASSERT(answer.find("POST /x 3") != std::string::npos);
+    }
+
+    void interimAnswerIsLeftOutWhereTheBodyHasBegun()
+    {
+        const EchoServer server;
+        const std::string answer
+            = talk(server, expectingHead + "Connection: close\r\n\r\nabc", false);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(1, count(answer, "HTTP/1.1 "));
         CPPUNIT_ASSERT(answer.find("POST /x 3") != std::string::npos);
     }
 
+    // Guards against inviting a body that is then refused.
+    void refusedHeadGetsNoInterimAnswer()
+    {
+        const EchoServer server;
+        const std::string answer = talk(server,
+                                        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n"
+                                        "Expect: 100-continue\r\n\r\n",
+                                        false);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 413"));
+        CPPUNIT_ASSERT_EQUAL(1, count(answer, "HTTP/1.1 "));
+    }
+
+    // Guards against refusing a caller as too slow that waits for its interim answer behind an
+    // earlier request.
+    void waitForTheInterimAnswerIsNotTheCallersTime()
+    {
+        auto limits = EchoServer::limits();
+        limits.pipelineDepth_ = 8;
+        limits.request_ = Milliseconds(100);
+        const EchoServer server(limits);
+        const std::string answers = talk(server,
+                                         "GET /slow1 HTTP/1.1\r\nHost: h\r\n\r\n" + expectingHead
+                                             + "Connection: close\r\n\r\n",
+                                         false, {{Milliseconds(250), "abc"}});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, 2, count(answers, "HTTP/1.1 200"));
+        CPPUNIT_ASSERT(answers.find("/slow1") < answers.find("HTTP/1.1 100"));
+        CPPUNIT_ASSERT(answers.find("HTTP/1.1 100") < answers.find("POST /x 3"));
+    }
+
+    void bodyThatNeverFollowsTheInterimAnswerIsTooSlow()
+    {
+        const EchoServer server;
+        const auto begun = std::chrono::steady_clock::now();
+        const std::string answers = talk(server, expectingHead + "\r\n", false);
+        CPPUNIT_ASSERT_MESSAGE(answers, answers.starts_with("HTTP/1.1 100"));
+        CPPUNIT_ASSERT(answers.find("Cassiacrank-Code: 105") != std::string::npos);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < Milliseconds(1500));
+    }
+
     // Guards against request smuggling: a caller states the body's length in two ways, or in a way
     // that parsers interpret differently, and the server picks one of them.
     void ambiguousRequestsAreRefusedAndTheConnectionCloses()
--- a/Tests/LibHttp/TestServerBounds.cpp
+++ b/Tests/LibHttp/TestServerBounds.cpp
@@ -138,6 +138,13 @@
     {
         send("GET /" + std::to_string(bytes) + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
     }
+    /// Reads until \a end has arrived.
+    std::string readUntil(const std::string &end)
+    {
+        std::string text;
+        Http::asio::read_until(socket_, Http::asio::dynamic_buffer(text), end);
+        return text;
+    }
     /// Reads until the server closes the connection.
     std::string readAll()
     {
@@ -169,6 +176,8 @@
     CPPUNIT_TEST(requestBodiesCountFromTheirHead);
     CPPUNIT_TEST(chunkedBodiesCountAsTheyArrive);
     CPPUNIT_TEST(requestCountsUntilItsHandlerReleasesIt);
+    CPPUNIT_TEST(callerThatNeverSendsItsExpectedBodyTakesNoRoom);
+    CPPUNIT_TEST(interimAnswerFollowsTheAnswerThatIsBeingWritten);
     CPPUNIT_TEST(callerThatPipelinesWithoutReadingIsNotReadFrom);
     CPPUNIT_TEST(connectionsBeyondTheBoundAreRefused);
     CPPUNIT_TEST(requestBehindTheLastAnswerIsNotHandled);
@@ -268,6 +277,50 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.held());
     }
 
+    // Guards against callers that keep others out by announcing bodies that they never send.
+    void callerThatNeverSendsItsExpectedBodyTakesNoRoom()
+    {
+        SizedServer server(100000);
+        Caller waiting(server);
+        waiting.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n"
+                     "Expect: 100-continue\r\n\r\n");
+        CPPUNIT_ASSERT(waiting.readUntil("\r\n\r\n").starts_with("HTTP/1.1 100"));
+        Caller other(server);
+        other.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n"
+                   "Connection: close\r\n\r\n"
+                   + std::string(90000, 'x'));
+        CPPUNIT_ASSERT(other.readAll().starts_with("HTTP/1.1 200"));
+        Caller refused(server);
+        refused.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 110000\r\n"
+                     "Expect: 100-continue\r\n\r\n");
+        const std::string answer = refused.readAll();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503") && hasCode(answer, 215));
+    }
+
+    // Guards against an interim answer inside an earlier answer that its caller reads slowly: two
+    // writes on one stream end the process.
+    void interimAnswerFollowsTheAnswerThatIsBeingWritten()
+    {
+        constexpr std::size_t size = 8 * megabyte;
+        SizedServer server(100 * megabyte);
+        Caller caller(server);
+        caller.ask(size);
+        CPPUNIT_ASSERT(SizedServer::waitUntil([&] {
+            return server.held() >= size;
+        }));
+        caller.send("PUT /5 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                    "Expect: 100-continue\r\nConnection: close\r\n\r\n");
+        std::this_thread::sleep_for(Milliseconds(200));
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        const std::string first = caller.readUntil(interim);
+        CPPUNIT_ASSERT(first.ends_with(std::string(size, 'x') + interim));
+        CPPUNIT_ASSERT(first.starts_with("HTTP/1.1 200"));
+        caller.send("abc");
+        const std::string second = caller.readAll();
+        CPPUNIT_ASSERT_MESSAGE(second, second.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(second.ends_with("xxxxx"));
+    }
+
     // Guards against a caller that fills the memory over one connection.
     void callerThatPipelinesWithoutReadingIsNotReadFrom()
     {
