LibHttp, LibPolicy, LibSteering: Bound answers that have no end

Targets in trouble that send without an end made an instance exceed its memory, and all its callers would lose their requests when it is killed.

Cause: the buffer of a connection had no bound, so a part that the parser cannot take yet grew until the deadline; an answer without a stated length was read up to 64 MB; and what it takes while it grows, twice its size, was not counted.

The buffer holds 128 KiB. Such an answer may take an eighth of the bound on held bytes, all of them together half of it, and they count twice.

--- a/Libraries/LibHttp/ConnectionPool.h
+++ b/Libraries/LibHttp/ConnectionPool.h
@@ -22,8 +22,12 @@
     /// unknown.
     void recordKeepAliveTimeout(const Response &answer);
 
+    /// More than one read and the largest head take. Without a bound, a part of an answer that
+    /// never ends, such as a chunk extension, is buffered until the memory is full.
+    static constexpr std::size_t maxBufferedBytes = std::size_t(128) * 1024;
+
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{maxBufferedBytes};
     Model::SteadyTime usedAt_;
     /// The connection is not reused after it has been idle for longer than this.
     Model::Milliseconds idleTimeout_ = Model::Milliseconds::max();
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "Exchange.h"
 
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -133,13 +134,14 @@
 namespace {
 
 /// Asks to hold an answer's bytes beyond the \a held ones, up to \a bytes.
-bool holdUpTo(const ExchangeOptions &options, std::size_t &held, std::size_t bytes)
+bool holdUpTo(const ExchangeOptions &options, std::size_t &held, std::size_t bytes,
+              AnswerLength length)
 {
     if (!options.holdAnswer_ || bytes <= held)
         return true;
     const std::size_t more = bytes - held;
     held = bytes;
-    return options.holdAnswer_(more);
+    return options.holdAnswer_(more, length);
 }
 
 /// Reads one complete answer without checking to which request it belongs.
@@ -156,14 +158,20 @@
         co_return failed(ResultCode::TruncatedAnswer);
     AnswerProgress progress(connection, options);
     std::size_t heldBytes = 0;
-    // The parser allocates a body of known length at once.
-    const auto length = parser.content_length();
-    bool isHeld = length ? holdUpTo(options, heldBytes, static_cast<std::size_t>(*length)) : true;
+    const auto stated = parser.content_length();
+    const AnswerLength length = stated ? AnswerLength::Stated : AnswerLength::Unstated;
+    // The parser allocates a body of known length at once. One of unknown length is copied when it
+    // grows, and then takes its size twice.
+    bool isHeld
+        = stated ? holdUpTo(options, heldBytes, static_cast<std::size_t>(*stated), length) : true;
+    if (!stated)
+        parser.body_limit(std::min(options.answerLimitBytes_, options.unstatedAnswerLimitBytes_));
     while (isHeld && !error && !parser.is_done()) {
         progress.noteReceived();
         co_await http::async_read_some(connection.stream_, connection.buffer_, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
-        isHeld = holdUpTo(options, heldBytes, parser.get().body().size());
+        if (!stated)
+            isHeld = holdUpTo(options, heldBytes, 2 * parser.get().body().size(), length);
     }
     if (!isHeld) {
         auto result = failed(ResultCode::TruncatedAnswer);
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -36,6 +36,12 @@
     bool isCancelled_ = false;
 };
 
+enum class AnswerLength {
+    Stated,
+    /// The answer is chunked, or ends where its connection is closed.
+    Unstated,
+};
+
 /// The destination and limits of an exchange.
 struct ExchangeOptions
 {
@@ -53,6 +59,8 @@
     Model::Milliseconds maxIdle_{10000};
     std::size_t connectionLimit_ = 64;
     std::size_t answerLimitBytes_ = 64 * 1024 * 1024;
+    /// The same for an answer that states no length, which may have no end.
+    std::size_t unstatedAnswerLimitBytes_ = 64 * 1024 * 1024;
     /// The local IP address to connect from; empty leaves the choice to the system.
     std::string sourceHost_;
     /// Accepts an answer without a length, which ends where its connection is closed. An answer
@@ -61,9 +69,10 @@
     /// The number of answers to other requests that may be dropped before the matching one. With
     /// zero, the first such answer closes the connection.
     int maxForeignAnswers_ = 0;
-    /// Called with the size of each further part of the answer before it is kept, with the whole
-    /// length where the answer states it. If it returns false, the answer is not read.
-    std::function<bool(std::size_t)> holdAnswer_;
+    /// Called with the memory that each further part of the answer takes before it is kept, with
+    /// that of the whole answer where it states its length. If it returns false, the answer is not
+    /// read on.
+    std::function<bool(std::size_t bytes, AnswerLength length)> holdAnswer_;
     /// If set, outlives the exchange.
     ExchangeControl *control_ = nullptr;
     /// Called on an established connection just before the first byte is sent: if it returns false,
--- a/Libraries/LibPolicy/HeldBytes.cpp
+++ b/Libraries/LibPolicy/HeldBytes.cpp
@@ -39,6 +39,22 @@
     return !held.limit_ || totalOf(held) + more <= *held.limit_;
 }
 
+bool mayHoldUnstated(const HeldBytes &held, Bytes more)
+{
+    if (!held.limit_)
+        return true;
+    const double limit = static_cast<double>(held.limit_->value()) * unstatedAnswersPart;
+    return static_cast<double>((totalOf(held) + more).value()) <= limit;
+}
+
+std::optional<Bytes> unstatedAnswerLimit(const HeldBytes &held)
+{
+    if (!held.limit_)
+        return std::nullopt;
+    const double limit = static_cast<double>(held.limit_->value()) * unstatedAnswerPart;
+    return Bytes(static_cast<std::int64_t>(limit));
+}
+
 ResultCode verdictOnSending(const HeldBytes &held)
 {
     const Bytes answers((held.awaitedAnswers_ + 1) * held.meanAnswer_.value());
--- a/Libraries/LibPolicy/HeldBytes.h
+++ b/Libraries/LibPolicy/HeldBytes.h
@@ -39,6 +39,11 @@
 /// The other half of the memory is for the process itself, for buffers that are not counted, and
 /// for the allocator's unused space.
 constexpr double heldMemoryPart = 0.5;
+/// The part of the bound that answers without a stated length may fill. Targets whose answers never
+/// end would otherwise leave no room for other requests.
+constexpr double unstatedAnswersPart = 0.5;
+/// The same for a single answer.
+constexpr double unstatedAnswerPart = 0.125;
 /// The rest is for the store, peers, logs and refused connections that are being closed.
 constexpr double callerDescriptorPart = 0.9;
 /// Of the other descriptors, the part for connections that are being refused: closing them at once
@@ -68,6 +73,13 @@
 /// Returns whether \a more bytes fit below the bound. Thread safety: as totalOf().
 bool mayHold(const HeldBytes &held, Bytes more);
 
+/// Returns whether an answer that states no length may grow by \a more bytes. Thread safety: as
+/// totalOf().
+bool mayHoldUnstated(const HeldBytes &held, Bytes more);
+/// Returns the largest size of such an answer, or std::nullopt if nothing is bounded. Thread
+/// safety: as totalOf().
+std::optional<Bytes> unstatedAnswerLimit(const HeldBytes &held);
+
 /// Returns Ok, or TooManyBytesHeld if the answer to one more attempt would exceed the bound.
 ///
 /// Room for a mean answer to each request in progress is kept free. Without it, requests are sent
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -281,10 +281,9 @@
     options.maxForeignAnswers_ = maxForeignAnswersSkipped;
     options.control_ = &request.control_;
     if (held_->limit_) {
-        options.holdAnswer_ = [this, &held](std::size_t more) {
-            heldBytes();
-            return held.holdAnswer(more);
-        };
+        options.holdAnswer_ = answerHolder(held);
+        options.unstatedAnswerLimitBytes_
+            = static_cast<std::size_t>(Policy::unstatedAnswerLimit(*held_)->value());
     }
     bool hasBegun = false;
     options.maySend_ = [&] {
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -12,6 +12,8 @@
 
 namespace Steering {
 
+class HeldAttempt;
+
 /// Outcomes of the requests that this instance received.
 struct DispatchCounters
 {
@@ -144,6 +146,7 @@
                                        std::optional<Http::Response> refused);
     std::optional<Model::Instance> peerFor(RequestContext &request, Model::SteadyTime now);
     Http::Task<Attempt> forward(RequestContext &request, Model::Instance peer);
+    std::function<bool(std::size_t, Http::AnswerLength)> answerHolder(HeldAttempt &held);
     void probeUnreachable(const RequestContext &request, Model::SteadyTime now);
     void startProbe(std::shared_ptr<TargetState> target, Model::SteadyTime now);
     Http::Task<void> probe(std::shared_ptr<TargetState> target);
--- a/Libraries/LibSteering/DispatcherBytes.cpp
+++ b/Libraries/LibSteering/DispatcherBytes.cpp
@@ -1,4 +1,5 @@
 #include "Dispatcher.h"
+#include "HeldAttempt.h"
 
 namespace Steering {
 
@@ -41,6 +42,16 @@
     return Refusal{code, comeBack, Microseconds(0)};
 }
 
+/// Returns what an exchange asks before it keeps a part of its answer. \a held must outlive the
+/// exchange.
+std::function<bool(std::size_t, Http::AnswerLength)> Dispatcher::answerHolder(HeldAttempt &held)
+{
+    return [this, &held](std::size_t more, Http::AnswerLength length) {
+        heldBytes();
+        return held.holdAnswer(more, length);
+    };
+}
+
 /// Returns whether \a target takes a body of \a body bytes more; if not, its turn to be probed is
 /// given back.
 bool Dispatcher::mayHoldAt(TargetState &target, std::size_t body)
--- a/Libraries/LibSteering/HeldAttempt.h
+++ b/Libraries/LibSteering/HeldAttempt.h
@@ -37,10 +37,13 @@
     HeldAttempt &operator=(const HeldAttempt &) = delete;
 
     /// Counts more bytes of the answer. Returns false, and counts nothing, if they do not fit.
-    bool holdAnswer(std::size_t more)
+    bool holdAnswer(std::size_t more, Http::AnswerLength length)
     {
         const Policy::Bytes bytes(static_cast<std::int64_t>(more));
-        if (!Policy::mayHold(*held_, bytes))
+        const bool fits = length == Http::AnswerLength::Stated
+                              ? Policy::mayHold(*held_, bytes)
+                              : Policy::mayHoldUnstated(*held_, bytes);
+        if (!fits)
             return false;
         if (answer_ == Policy::Bytes(0))
             --held_->awaitedAnswers_;
--- a/Tests/LibPolicy/TestHeldBytes.cpp
+++ b/Tests/LibPolicy/TestHeldBytes.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(unknownSizeBoundsNothing);
     CPPUNIT_TEST(requestsThatPassTheVerdictStayWithinTheBound);
     CPPUNIT_TEST(roomForAwaitedAnswersIsKept);
+    CPPUNIT_TEST(answersWithoutALengthLeaveHalfOfTheBound);
     CPPUNIT_TEST(crashHalvesTheBoundUntilTheNextRestart);
     CPPUNIT_TEST(lossesOfOneCrashCountTogether);
     CPPUNIT_TEST(restartWithRequestsInProgressIsACrash);
@@ -116,6 +117,21 @@
         CPPUNIT_ASSERT(Policy::verdictOnSending(held) == ResultCode::TooManyBytesHeld);
     }
 
+    // Guards against targets whose answers never end and take the room of all others.
+    void answersWithoutALengthLeaveHalfOfTheBound()
+    {
+        Policy::HeldBytes held;
+        CPPUNIT_ASSERT(Policy::mayHoldUnstated(held, Bytes(1LL << 50)));
+        CPPUNIT_ASSERT(!Policy::unstatedAnswerLimit(held));
+        held.limit_ = Bytes(1000);
+        held.forCallers_ = Bytes(100);
+        held.forTargets_ = Bytes(300);
+        CPPUNIT_ASSERT(Policy::mayHoldUnstated(held, Bytes(100)));
+        CPPUNIT_ASSERT(!Policy::mayHoldUnstated(held, Bytes(101)));
+        CPPUNIT_ASSERT(Policy::mayHold(held, Bytes(600)));
+        CPPUNIT_ASSERT(Policy::unstatedAnswerLimit(held) == Bytes(125));
+    }
+
     // Guards against sending as much to a restarted target as crashed it before, and against a
     // bound that stays for good.
     void crashHalvesTheBoundUntilTheNextRestart()
