LibSteering: Count answers of peers to forwarded requests as held

An instance that reaches few targets forwards requests to a peer. It read the peer's answers up to 64 MB each beside its bound on held bytes, so they could exceed its memory like those of targets.

Dispatcher::forward() now passes the same check to the exchange as an attempt at a target does. An answer that is not read says nothing against the peer.

--- a/Libraries/LibSteering/DispatcherForwarding.cpp
+++ b/Libraries/LibSteering/DispatcherForwarding.cpp
@@ -58,8 +58,10 @@
 {
     ++request.forwardingTries_;
     ++counters_.forwarded_;
-    const HeldAttempt held(held_, nullptr, request.incoming_->message_.body().size());
-    ForwardingResult result = co_await forwarder_->forward(request, std::move(peer));
+    HeldAttempt held(held_, nullptr, request.incoming_->message_.body().size());
+    auto holdAnswer = answerHolder(held);
+    ForwardingResult result
+        = co_await forwarder_->forward(request, std::move(peer), std::move(holdAnswer));
     if (result.leavingTarget_)
         placementEngine_.noteLeaveAtPeer(*result.leavingTarget_, steadyNow());
     Attempt attempted;
--- a/Libraries/LibSteering/RequestForwarder.cpp
+++ b/Libraries/LibSteering/RequestForwarder.cpp
@@ -115,7 +115,9 @@
     return message;
 }
 
-Task<ForwardingResult> RequestForwarder::forward(RequestContext &request, Model::Instance peer)
+Task<ForwardingResult>
+RequestForwarder::forward(RequestContext &request, Model::Instance peer,
+                          std::function<bool(std::size_t, Http::AnswerLength)> holdAnswer)
 {
     const auto sentAt = std::chrono::steady_clock::now();
     const auto roundTrip = placementEngine_.roundTripTo(peer.region_);
@@ -127,6 +129,7 @@
     options.maxIdle_ = maxIdleTime;
     options.connectionLimit_ = maxConnectionsPerPeer;
     options.control_ = &request.control_;
+    options.holdAnswer_ = std::move(holdAnswer);
     const Http::RequestView message = messageFor(request, roundTrip, sentAt);
 
     ++inProgress_[peer.id_];
@@ -142,10 +145,11 @@
         inProgress_.erase(peer.id_);
 
     const auto now = std::chrono::steady_clock::now();
+    const bool isAnswerNotHeld = exchanged.isAnswerNotHeld_;
     ForwardingResult result = resultOf(std::move(exchanged));
     if (result.outcome_ == Outcome::Run) {
         Policy::noteForwarded(state_, peer.id_, request.service_);
-    } else if (!request.control_.isCancelled()) {
+    } else if (!request.control_.isCancelled() && !isAnswerNotHeld) {
         Policy::noteNotForwarded(state_, peer.id_, request.service_, now);
     }
     log_.line(Event::RequestForwarded)
--- a/Libraries/LibSteering/RequestForwarder.h
+++ b/Libraries/LibSteering/RequestForwarder.h
@@ -47,9 +47,11 @@
     /// that are ready, not leaving, not partitioned themselves, and in a home region of the route
     /// and the workspace.
     std::optional<Model::Instance> choosePeer(const RequestContext &request, Model::SteadyTime now);
-    /// Sends \a request to \a peer and returns how it ended there. Precondition: \a request
-    /// outlives the call.
-    Http::Task<ForwardingResult> forward(RequestContext &request, Model::Instance peer);
+    /// Sends \a request to \a peer and returns how it ended there. \a holdAnswer is as in
+    /// Http::ExchangeOptions. Precondition: \a request outlives the call.
+    Http::Task<ForwardingResult>
+    forward(RequestContext &request, Model::Instance peer,
+            std::function<bool(std::size_t, Http::AnswerLength)> holdAnswer);
 
 private:
     Http::RequestView messageFor(const RequestContext &request, Model::Microseconds roundTrip,
