--- a/Tests/LibHttp/TestServerBounds.cpp
+++ b/Tests/LibHttp/TestServerBounds.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/LibHttp.h>
 #include <Support/Property.h>
+#include <boost/asio/read_until.hpp>
 
 #include <future>
 #include <thread>
