--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -1,4 +1,4 @@
-#include "Exchange.h"
+#include "AnswerReading.h"
 
 #include <algorithm>
 #include <netinet/in.h>
@@ -14,25 +14,6 @@
 /// TCP_USER_TIMEOUT: data that the peer does not acknowledge within this time ends the connection.
 constexpr unsigned int userTimeoutMilliseconds = 5000;
 
-ResultCode codeOf(const ErrorCode &error)
-{
-    if (error == beast::error::timeout)
-        return ResultCode::TargetTimeout;
-    if (error == http::error::partial_message)
-        return ResultCode::TruncatedAnswer;
-    return ResultCode::TargetConnectionLost;
-}
-
-/// An answer without a length ends where the connection is closed, so a truncated one looks
-/// complete.
-bool hasLength(const http::response_parser<http::string_body> &parser)
-{
-    const auto status = parser.get().result();
-    const bool isBodyless
-        = status == http::status::no_content || status == http::status::not_modified;
-    return isBodyless || parser.chunked() || parser.content_length().has_value();
-}
-
 /// Makes closing \a socket reset the connection. After an orderly close the system resends what the
 /// peer has not acknowledged, so a request that was given up during a partition would arrive after
 /// it. Must be set in advance: an expired deadline closes the socket at once.
@@ -94,102 +75,6 @@
     co_return result;
 }
 
-ExchangeResult failed(ResultCode code)
-{
-    ExchangeResult result;
-    result.stage_ = ExchangeStage::Sent;
-    result.code_ = code;
-    return result;
-}
-
-} // namespace
-
-/// Extends the deadline of an exchange while its answer arrives.
-class AnswerProgress
-{
-public:
-    AnswerProgress(Connection &connection, const ExchangeOptions &options)
-        : connection_(connection)
-        , options_(options)
-        , endAt_(std::chrono::steady_clock::now() + options.maxTransferTime_)
-    {
-    }
-
-    /// Records that bytes of the answer have arrived.
-    void noteReceived()
-    {
-        const auto now = std::chrono::steady_clock::now();
-        if (options_.control_)
-            options_.control_->receivedAt_ = now;
-        if (options_.maxSilence_.count() > 0)
-            connection_.stream_.expires_at(std::min(now + options_.maxSilence_, endAt_));
-    }
-
-private:
-    Connection &connection_;
-    const ExchangeOptions &options_;
-    const Model::SteadyTime endAt_;
-};
-
-namespace {
-
-/// Asks to hold an answer's bytes beyond the \a held ones, up to \a bytes.
-bool holdUpTo(const ExchangeOptions &options, std::size_t &held, std::size_t bytes,
-              AnswerLength length)
-{
-    if (!options.holdAnswer_ || bytes <= held)
-        return true;
-    const std::size_t more = bytes - held;
-    held = bytes;
-    return options.holdAnswer_(more, length);
-}
-
-/// Reads one complete answer without checking to which request it belongs.
-Task<ExchangeResult> readAnswer(Connection &connection, const ExchangeOptions &options)
-{
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(options.answerLimitBytes_);
-    ErrorCode error;
-    co_await http::async_read_header(connection.stream_, connection.buffer_, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return failed(codeOf(error));
-    if (!options.acceptsUnframed_ && !hasLength(parser))
-        co_return failed(ResultCode::TruncatedAnswer);
-    AnswerProgress progress(connection, options);
-    std::size_t heldBytes = 0;
-    const auto stated = parser.content_length();
-    const AnswerLength length = stated ? AnswerLength::Stated : AnswerLength::Unstated;
-    // The parser allocates a body of known length at once. One of unknown length is copied when it
-    // grows, and then takes its size twice.
-    bool isHeld
-        = stated ? holdUpTo(options, heldBytes, static_cast<std::size_t>(*stated), length) : true;
-    if (!stated)
-        parser.body_limit(std::min(options.answerLimitBytes_, options.unstatedAnswerLimitBytes_));
-    while (isHeld && !error && !parser.is_done()) {
-        progress.noteReceived();
-        co_await http::async_read_some(connection.stream_, connection.buffer_, parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
-        if (!stated)
-            isHeld = holdUpTo(options, heldBytes, 2 * parser.get().body().size(), length);
-    }
-    if (!isHeld) {
-        auto result = failed(ResultCode::TruncatedAnswer);
-        result.isAnswerNotHeld_ = true;
-        co_return result;
-    }
-    if (error) {
-        const bool isCut = error != beast::error::timeout;
-        auto result = failed(isCut ? ResultCode::TruncatedAnswer : ResultCode::TargetTimeout);
-        result.receivedBytes_ = parser.get().body().size();
-        co_return result;
-    }
-    ExchangeResult result;
-    result.stage_ = ExchangeStage::Answered;
-    result.answer_ = parser.release();
-    co_return result;
-}
-
 /// An idle connection's send buffer takes a body of at most this size at once.
 constexpr std::size_t maxUnwatchedBodyBytes = 16 * 1024;
 
@@ -252,7 +137,7 @@
                                asio::redirect_error(asio::use_awaitable, error));
     if (!error)
         co_return std::nullopt;
-    ExchangeResult result = failed(codeOf(error));
+    ExchangeResult result = failedExchange(error);
     result.isWithdrawn_ = watch && watch->hasEnded();
     co_return result;
 }
@@ -278,7 +163,7 @@
         ++foreign;
         const bool isEnd = !result.answer_->keep_alive();
         if (isEnd || foreign > options.maxForeignAnswers_) {
-            result = failed(ResultCode::ForeignAnswer);
+            result = failedExchange(ResultCode::ForeignAnswer);
             result.foreignAnswers_ = foreign;
             co_return result;
         }
