Tests: Wait for events, not for times, in the tests of pipelining

The body is now sent when the interim answer has arrived. The tests of a leaving server began to leave after 100 ms and now do so when the requests are in progress; the one of a second try without room fills the bound when the target has the request. What they assert is the same.

--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -1,7 +1,7 @@
 #include <LibHttp/LibHttp.h>
 #include <Support/Property.h>
+#include <boost/asio/read_until.hpp>
 
-#include <future>
 #include <thread>
 
 namespace {
@@ -66,12 +66,19 @@
         co_return answer;
     }
 
-    /// Begins to leave on the server's thread.
-    void beginLeaving()
+    /// Makes the server begin to leave as soon as \a requests are in progress. Must be called
+    /// before they are sent.
+    void leaveDuring(std::size_t requests)
     {
-        Http::asio::post(context_, [this] {
-            server_.beginLeaving();
-        });
+        Http::asio::co_spawn(context_, leaveOnceInProgress(requests), Http::asio::detached);
+    }
+
+    Http::Task<void> leaveOnceInProgress(std::size_t requests)
+    {
+        while (server_.requestsInProgress() < requests) {
+            co_await Http::sleepFor(Milliseconds(1));
+        }
+        server_.beginLeaving();
     }
 
     Http::asio::io_context context_{1};
@@ -84,10 +91,10 @@
 const std::string expectingHead = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
                                   "Expect: 100-continue\r\n";
 
-/// A part of a message that is sent after a pause.
+/// A part of a message that is sent once something has been received.
 struct LaterPart
 {
-    Milliseconds pause_{0};
+    std::string awaited_;
     std::string text_;
 };
 
@@ -100,14 +107,14 @@
     tcp::socket socket(context);
     socket.connect(Http::endpointOf(server.address_));
     Http::asio::write(socket, Http::asio::buffer(text));
+    std::string answer;
+    Http::ErrorCode error;
     for (const auto &part : later) {
-        std::this_thread::sleep_for(part.pause_);
-        Http::asio::write(socket, Http::asio::buffer(part.text_));
+        Http::asio::read_until(socket, Http::asio::dynamic_buffer(answer), part.awaited_, error);
+        Http::asio::write(socket, Http::asio::buffer(part.text_), error);
     }
     if (halfCloses)
         socket.shutdown(tcp::socket::shutdown_send);
-    std::string answer;
-    Http::ErrorCode error;
     while (!error) {
         char buffer[4096];
         const auto received = socket.read_some(Http::asio::buffer(buffer), error);
@@ -201,16 +208,12 @@
         auto limits = EchoServer::limits();
         limits.pipelineDepth_ = 8;
         EchoServer server(limits);
-        auto talking = std::async(std::launch::async, [&] {
-            return talk(server,
-                        "GET /slow1 HTTP/1.1\r\nHost: h\r\n\r\n"
-                        "GET /slow2 HTTP/1.1\r\nHost: h\r\n\r\n"
-                        "GET /slow3 HTTP/1.1\r\nHost: h\r\n\r\n",
-                        false);
-        });
-        std::this_thread::sleep_for(Milliseconds(100));
-        server.beginLeaving();
-        const std::string answers = talking.get();
+        server.leaveDuring(3);
+        const std::string answers = talk(server,
+                                         "GET /slow1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                         "GET /slow2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                                         "GET /slow3 HTTP/1.1\r\nHost: h\r\n\r\n",
+                                         false);
         CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, 3, count(answers, "HTTP/1.1 200"));
         CPPUNIT_ASSERT_EQUAL(1, count(answers, "Connection: close"));
         CPPUNIT_ASSERT(answers.find("/slow2") < answers.find("Connection: close"));
@@ -226,12 +229,8 @@
         constexpr int sent = 100;
         for (int i = 0; i < sent; ++i)
             requests += "GET /slow" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n";
-        auto talking = std::async(std::launch::async, [&] {
-            return talk(server, requests, false);
-        });
-        std::this_thread::sleep_for(Milliseconds(100));
-        server.beginLeaving();
-        const int answered = count(talking.get(), "HTTP/1.1 200");
+        server.leaveDuring(8);
+        const int answered = count(talk(server, requests, false), "HTTP/1.1 200");
         CPPUNIT_ASSERT_MESSAGE(std::to_string(answered), answered >= 8 && answered <= 9);
     }
 
@@ -272,7 +271,7 @@
     {
         const EchoServer server;
         const std::string answer = talk(server, expectingHead + "Connection: close\r\n\r\n", false,
-                                        {{Milliseconds(100), "abc"}});
+                                        {{"HTTP/1.1 100", "abc"}});
         CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 100"));
         CPPUNIT_ASSERT_EQUAL(2, count(answer, "HTTP/1.1 "));
         CPPUNIT_ASSERT(answer.find("POST /x 3") != std::string::npos);
@@ -311,7 +310,7 @@
         const std::string answers = talk(server,
                                          "GET /slow1 HTTP/1.1\r\nHost: h\r\n\r\n" + expectingHead
                                              + "Connection: close\r\n\r\n",
-                                         false, {{Milliseconds(250), "abc"}});
+                                         false, {{"HTTP/1.1 100", "abc"}});
         CPPUNIT_ASSERT_EQUAL_MESSAGE(answers, 2, count(answers, "HTTP/1.1 200"));
         CPPUNIT_ASSERT(answers.find("/slow1") < answers.find("HTTP/1.1 100"));
         CPPUNIT_ASSERT(answers.find("HTTP/1.1 100") < answers.find("POST /x 3"));
--- a/Tests/LibSteering/TestSecondTry.cpp
+++ b/Tests/LibSteering/TestSecondTry.cpp
@@ -308,7 +308,8 @@
         });
         CPPUNIT_ASSERT(fixture.answerOfRequest() == http::status::ok);
         fixture.startRequest();
-        fixture.runUntil(Milliseconds(100));
+        while (fixture.receivingTargets_.size() < 2)
+            fixture.context_.run_one_for(Milliseconds(50));
         heldForCallers = 1000;
         fixture.waitForAnswer();
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), fixture.dispatcher_.counters().secondTries_);
