--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -130,6 +130,19 @@
     pause(10000);
 
     Instance &stopped = *instances[1];
+    // The clients' look-up, just before the SIGTERM, at another machine.
+    Message lookup;
+    const auto directory = connectTo(instances[0]->lookup());
+    const std::string front = "127.0.0.1:" + std::to_string(stopped.front());
+    if (!directory
+        || !directory->send("GET /-/resolve?name=site.example&region=region-a&zone=zone-a HTTP/1.1\r\n"
+                            "Host: directory\r\n\r\n")
+        || !directory->read(lookup, Clock::now() + Ms(1000))
+        || lookup.body_.find(front) == std::string::npos) {
+        record.line("the look-up does not name front-a-2");
+        return couldNotRun;
+    }
+    record.line("the clients' look-up: " + lookup.body_ + "; front-a-2 is at " + front);
     const double stopS = secondsNow();
     std::atomic<double> endedS{0};
     int exitStatus = 0;
@@ -147,8 +160,8 @@
             endedS = secondsNow();
         });
     }
-    // Clients keep a look-up for its ttlS (1.5 s here), some of them three times as long, and open
-    // new connections to its addresses.
+    // Clients keep the look-up for its ttlS, some of them three times as long (4.5 s), and open new
+    // connections to its addresses.
     std::mutex mutex;
     std::map<std::string, Request> sent;
     std::vector<std::thread> threads;
