platform, LibSteering: Read the platform's terms from a JSON table

Cause: the template passes the bounds as a table, which the platform renders as JSON; termsFromText() read only a list of name=value and returned the defaults in silence. Each term was affected, not only the grace time: the retries' extra, the shift cap and the bound on look-ups as well.

Terms are now read from a JSON table, a JSON list and the plain list. One that is missing, no number or out of range keeps its default and is named in the log (TermsDefaulted); TermsApplied has those in force. A reload applies changed terms, which were kept as they were at the start.

Failed before: termsThatATemplateRendersAreRead (KNOWN-RED); plannedStopUsesTheWholeGraceTime and reloadAppliesChangedTerms, run with the instanced of the code before.

--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -120,6 +120,9 @@
         {SettingsReloaded, Info, "SettingsReloaded", "The settings file was reloaded."},
         {SettingsReloadRefused, Error, "SettingsReloadRefused",
          "The new settings are invalid; the previous ones stay in force."},
+        {TermsApplied, Info, "TermsApplied", "The platform's terms came into force."},
+        {TermsDefaulted, Warning, "TermsDefaulted",
+         "Some terms are in force with their defaults: the settings state them in no usable form."},
         {LinesLeftOut, Info, "LinesLeftOut",
          "Lines of an event were suppressed in the last second."},
     };
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -82,6 +82,8 @@
     StoreReturned = 5208,
     SettingsReloaded = 5301,
     SettingsReloadRefused = 5302,
+    TermsApplied = 5303,
+    TermsDefaulted = 5304,
     LinesLeftOut = 5401,
 };
 
--- a/Libraries/LibObserve/Settings.cpp
+++ b/Libraries/LibObserve/Settings.cpp
@@ -31,7 +31,7 @@
     {"listen", "ready", "", true, OneProcess, "IP:port",
      "reports whether callers may be sent here"},
     {"listen", "admin", "", true, OneProcess, "IP:port", "admin endpoint of instanced"},
-    {"platform", "terms", "", false, OneProcess, "name=value, ...",
+    {"platform", "terms", "", false, OneProcess, "name=value, ... or a JSON table",
      "the platform's guarantees and requirements, in its own terms"},
     {"site", "domains", "", true, OneProcess, "domain:region, ...",
      "each failure domain with its region"},
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -65,10 +65,27 @@
 void Instance::usePlatform(PlatformPort port)
 {
     port_ = std::move(port);
+    applyTerms(settings_.platformTerms_);
     parts_ = std::make_unique<Parts>(*this);
     boundHeldBytes();
 }
 
+void Instance::applyTerms(const std::string &text)
+{
+    port_.terms_ = port_.parseTerms_(text);
+    const auto &terms = port_.terms_;
+    std::string defaulted;
+    for (const auto &name : terms.defaulted_)
+        defaulted += (defaulted.empty() ? "" : ",") + name;
+    log_.line(terms.defaulted_.empty() ? Event::TermsApplied : Event::TermsDefaulted)
+        .add("stop_grace_ms", terms.stopGrace_.count())
+        .add("max_lookup_ttl_ms", terms.maxLookupTtl_.count())
+        .add("retry_share", std::to_string(terms.retryShare_))
+        .add("retry_extra", std::to_string(terms.retryExtra_))
+        .add("region_shift_cap", std::to_string(terms.regionShiftCap_.value()))
+        .add("defaulted", defaulted);
+}
+
 /// Bounds what the callers' server and the dispatcher hold, as far as the instance's size is known.
 void Instance::boundHeldBytes()
 {
@@ -334,6 +351,12 @@
           || fresh.platform_ != settings_.platform_ || fresh.domains_ != settings_.domains_;
     const bool hasNewSeeds = fresh.seeds_ != settings_.seeds_;
     settings_.seeds_ = fresh.seeds_;
+    if (fresh.platformTerms_ != settings_.platformTerms_) {
+        settings_.platformTerms_ = fresh.platformTerms_;
+        applyTerms(fresh.platformTerms_);
+        parts_->platformState_.termsChanged();
+        platformStateChanged();
+    }
     log_.line(Event::SettingsReloaded)
         .add("seeds", hasNewSeeds ? "changed" : "same")
         .add("needs_restart", needsRestart ? "yes" : "no");
--- a/Libraries/LibSteering/Instance.h
+++ b/Libraries/LibSteering/Instance.h
@@ -52,6 +52,7 @@
     void updateEntryCounts();
     void detectSuspend();
     void reload();
+    void applyTerms(const std::string &text);
     void noteStoreEra();
     void updateReadiness();
     void measureResources();
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -45,6 +45,8 @@
     double retryExtra_ = 64;
     /// Fraction of a region's traffic that may move to another region per second.
     Model::SharePerSecond regionShiftCap_{0.05};
+    /// The platform's names of the terms that it states in no usable form; they have their default.
+    std::vector<std::string> defaulted_;
 };
 
 /// The load that a target has reported in an answer.
@@ -143,6 +145,8 @@
     };
 
     HeaderNames headers_;
+    /// Parses the setting that states the platform's terms.
+    std::function<PlatformTerms(const std::string &)> parseTerms_;
     PlatformTerms terms_;
 };
 
--- a/Libraries/LibSteering/PlatformState.cpp
+++ b/Libraries/LibSteering/PlatformState.cpp
@@ -54,6 +54,12 @@
 {
 }
 
+void PlatformState::termsChanged()
+{
+    if (table_)
+        operatorsChanged("settings");
+}
+
 const TableReplica &PlatformState::replica(StoreTable table) const
 {
     return table == StoreTable::Operators ? operators_ : targets_;
--- a/Libraries/LibSteering/PlatformState.h
+++ b/Libraries/LibSteering/PlatformState.h
@@ -37,6 +37,9 @@
     bool replace(StoreTable table, const Platform::StoredRows &rows, std::string_view source);
     void apply(StoreTable table, const Platform::StoredRows &changes, std::string_view source);
 
+    /// Applies changed PlatformTerms to the table in force.
+    void termsChanged();
+
     const TableReplica &replica(StoreTable table) const;
 
     /// The operators' table in force, or nullptr before the first one.
--- a/Services/Instanced/main.cpp
+++ b/Services/Instanced/main.cpp
@@ -17,7 +17,7 @@
     if (!start.settings_)
         return static_cast<int>(start.exitCode_);
     Steering::Instance instance(*start.settings_, start.path_);
-    instance.usePlatform(Adapter::makePort(instance.store(), start.settings_->platformTerms_));
+    instance.usePlatform(Adapter::makePort(instance.store()));
     if (!instance.start())
         return static_cast<int>(Observe::ExitCode::ListenFailed);
     instance.run();
--- a/Tests/LibSteering/TestPlatformState.cpp
+++ b/Tests/LibSteering/TestPlatformState.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(TestPlatformState);
     CPPUNIT_TEST(lowerVersionIsNeverApplied);
     CPPUNIT_TEST(invalidTableKeepsThePreviousOneInForce);
+    CPPUNIT_TEST(changedTermsReachTheTable);
     CPPUNIT_TEST(peersSendNewerRows);
     CPPUNIT_TEST(binaryRowsReachPeers);
     CPPUNIT_TEST(peerWithTheSameRowsIsNotBehind);
@@ -71,6 +72,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), instance.platformState_.table()->version().value());
     }
 
+    // Guards against a shift cap that changes only with the next configuration.
+    void changedTermsReachTheTable()
+    {
+        InstanceFixture instance("r-a");
+        instance.setOperatorRows(7, 20);
+        instance.port_.terms_.regionShiftCap_ = Model::SharePerSecond(0.02);
+        instance.platformState_.termsChanged();
+        const auto *service = instance.platformState_.table()->service(Model::ServiceId("gauging"));
+        CPPUNIT_ASSERT(service);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.02, service->regionShiftCap_.value(), 1e-9);
+    }
+
     void peersSendNewerRows()
     {
         InstanceFixture upToDate("r-a");
--- a/Tests/Platform/Fleet.cpp
+++ b/Tests/Platform/Fleet.cpp
@@ -110,8 +110,7 @@
                             << ":8140\ncontrol = " << instance->host_
                             << ":8146\nadmin = " << instance->host_
                             << ":8147\n[platform]\naddress = "
-                            << toText(store.value_or(store_.address()))
-                            << "\nterms = graceS=6,budgetRatio=0.2,budgetExtra=64,maxShift=0.15"
+                            << toText(store.value_or(store_.address())) << "\nterms = " << terms_
                             << "\n[peers]\nseeds = " << seeds
                             << "\n[site]\ndomains = r-a:r,r-b:r,s-a:s,s-b:s\n"
                             << moreSettings;
--- a/Tests/Platform/Fleet.h
+++ b/Tests/Platform/Fleet.h
@@ -42,6 +42,8 @@
     void setRouteTimeout(Model::Milliseconds timeout) { routeTimeout_ = timeout; }
     /// Sets the largest body that callers may send under the next configuration.
     void setBodyLimit(std::size_t bytes) { bodyLimit_ = bytes; }
+    /// Sets the platform's terms in the settings of instances that are started later.
+    void setTerms(std::string terms) { terms_ = std::move(terms); }
     /// Sets the number of further routes of the next configuration.
     void setManyRoutes(int count) { manyRoutes_ = count; }
     /// Starts \a count instances, round robin over the domains, and waits until all are ready.
@@ -88,6 +90,7 @@
 
 private:
     std::string workspaces_;
+    std::string terms_ = "graceS=6,budgetRatio=0.2,budgetExtra=64,maxShift=0.15";
     std::vector<std::string> homeRegions_;
     Model::Milliseconds routeTimeout_{1500};
     std::size_t bodyLimit_ = 1024 * 1024;
--- a/Tests/Platform/TestPlannedStops.cpp
+++ b/Tests/Platform/TestPlannedStops.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST_SUITE(TestPlannedStops);
     CPPUNIT_TEST(plannedStopFinishesRequestsInProgress);
     CPPUNIT_TEST(plannedStopAnswersPipelinedRequests);
+    CPPUNIT_TEST(plannedStopUsesTheWholeGraceTime);
+    CPPUNIT_TEST(reloadAppliesChangedTerms);
     CPPUNIT_TEST(stopSignalWhileStartingExitsCleanly);
     CPPUNIT_TEST(killedInstanceIsRemovedFromLookups);
     CPPUNIT_TEST_SUITE_END();
@@ -95,6 +97,48 @@
         CPPUNIT_ASSERT_EQUAL(0, stopping.process_->wait(Milliseconds(6000)).value_or(-1));
     }
 
+    // Guards against requests that are cut off because the platform's grace time is not read.
+    void plannedStopUsesTheWholeGraceTime()
+    {
+        Fleet fleet;
+        fleet.setTerms(R"({"graceS":10,"budgetRatio":0.2,"budgetExtra":64,"maxShift":0.15})");
+        fleet.setRouteTimeout(Milliseconds(9000));
+        CPPUNIT_ASSERT(fleet.serve(1, {"t1"}));
+        auto &target = *fleet.targets_[0];
+        target.setFaults({.work_ = Milliseconds(6500)});
+        auto &stopping = *fleet.instances_[0];
+        const auto before = target.runCount();
+        auto answer = std::async(std::launch::async, [&] {
+            return fleet.send(stopping, "order", "o1", 9000);
+        });
+        CPPUNIT_ASSERT(Harness::waitUntil(waitTimeout, [&] {
+            return target.runCount() > before;
+        }));
+        stopping.process_->signal(SIGTERM);
+        const auto received = answer.get();
+        CPPUNIT_ASSERT(received && received->result() == status::ok);
+        CPPUNIT_ASSERT_EQUAL(0, stopping.process_->wait(Milliseconds(6000)).value_or(-1));
+    }
+
+    // Guards against terms that stay as they were at the start until the next restart.
+    void reloadAppliesChangedTerms()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(1, {"t1"}));
+        auto &process = *fleet.instances_[0]->process_;
+        const std::string path = fleet.directory() + "/" + fleet.instances_[0]->name_ + ".ini";
+        std::ifstream file(path);
+        std::string settings((std::istreambuf_iterator<char>(file)), {});
+        const std::string stated = "graceS=6";
+        settings.replace(settings.find(stated), stated.size(), "graceS=9");
+        std::ofstream(path) << settings;
+        process.signal(SIGHUP);
+        CPPUNIT_ASSERT(Harness::waitUntil(waitTimeout, [&] {
+            return process.log().find("stop_grace_ms=9000") != std::string::npos;
+        }));
+        CPPUNIT_ASSERT(fleet.send(*fleet.instances_[0], "order", "o1"));
+    }
+
     // Guards against a failure exit code when a stop signal arrives during start-up.
     void stopSignalWhileStartingExitsCleanly()
     {
--- a/Tests/Platform/TestTranslation.cpp
+++ b/Tests/Platform/TestTranslation.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(lookupsAreReadAndAnswered);
     CPPUNIT_TEST(termsAreReadAndUnknownOnesIgnored);
     CPPUNIT_TEST(termsThatATemplateRendersAreRead);
+    CPPUNIT_TEST(eachTermIsReadInEachForm);
+    CPPUNIT_TEST(unusableTermsKeepTheirDefaultsAndAreNamed);
     CPPUNIT_TEST(randomRowsNeverThrow);
     CPPUNIT_TEST_SUITE_END();
 
@@ -328,6 +330,45 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(214, terms.retryExtra_, 1e-9);
     }
 
+    // Guards against a form or a term that is passed over without a word.
+    void eachTermIsReadInEachForm()
+    {
+        const std::string forms[] = {
+            R"({"graceS":10,"ttl_max_s":4,"budgetRatio":0.1,"budgetExtra":430,"maxShift":0.3})",
+            R"({"graceS":"10","ttl_max_s":"4","budgetRatio":"0.1","budgetExtra":"430","maxShift":"0.3"})",
+            "graceS=10,ttl_max_s=4,budgetRatio=0.1,budgetExtra=430,maxShift=0.3",
+            R"(["graceS=10","ttl_max_s=4","budgetRatio=0.1","budgetExtra=430","maxShift=0.3"])",
+        };
+        for (const auto &form : forms) {
+            const auto terms = Adapter::termsFromText(form);
+            CPPUNIT_ASSERT_MESSAGE(form, terms.defaulted_.empty());
+            CPPUNIT_ASSERT(terms.stopGrace_ == Milliseconds(10000));
+            CPPUNIT_ASSERT(terms.maxLookupTtl_ == Milliseconds(4000));
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, terms.retryShare_, 1e-9);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(430, terms.retryExtra_, 1e-9);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0.15, terms.regionShiftCap_.value(), 1e-9);
+        }
+    }
+
+    // Guards against an instance that runs on defaults and doesn't say so.
+    void unusableTermsKeepTheirDefaultsAndAreNamed()
+    {
+        const Steering::PlatformTerms defaults;
+        for (const char *text :
+             {"", "{}", "[]", "nonsense", R"({"graceS":-1,"budgetRatio":null,"maxShift":[1]})",
+              R"({"graceS":1e300,"ttl_max_s":"5s","budgetRatio":7,"budgetExtra":-1,"maxShift":2})",
+              "graceS=,ttl_max_s=x,budgetRatio,budgetExtra=nan,maxShift=-inf"}) {
+            const auto terms = Adapter::termsFromText(text);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t(5), terms.defaulted_.size());
+            CPPUNIT_ASSERT(terms.stopGrace_ == defaults.stopGrace_);
+            CPPUNIT_ASSERT_EQUAL(defaults.retryExtra_, terms.retryExtra_);
+            CPPUNIT_ASSERT_EQUAL(defaults.regionShiftCap_.value(), terms.regionShiftCap_.value());
+        }
+        const auto partial = Adapter::termsFromText(R"({"graceS":6,"maxShift":0.15})");
+        CPPUNIT_ASSERT((partial.defaulted_
+                        == std::vector<std::string>{"ttl_max_s", "budgetRatio", "budgetExtra"}));
+    }
+
     void randomRowsNeverThrow()
     {
         Support::assertProperty("any text is refused or read", [] {
