LibModel, LibSteering: Fit accepted configurations to the table's rules

Cause: the ranges of the table's columns are meant for operators who can correct a mistake; PlatformState applied the same check to rows that the store had accepted already, and dropped all of them for one cell. Evidence: TableRefused names the cell, and with 600,000 ms the same version applied.

fitToTable() fits such rows before the table is built: numbers become the nearest allowed ones, missing services and regions are added, routes of the same name are both kept, a repeated key stays with its first workspace. Each change is logged and counted. Evacuations come into force also beside a configuration that cannot be used or has a lower version.

--- a/Libraries/LibModel/Columns.cpp
+++ b/Libraries/LibModel/Columns.cpp
@@ -14,6 +14,11 @@
 
 using enum ColumnType;
 
+/// A route waits for a whole day at most.
+constexpr double maxTimeoutMs = 86400000;
+/// A cell is never longer than the row of the store that it comes from.
+constexpr double maxRowBytes = 1048576;
+
 const std::vector<Column> regionColumns = {
     {.name_ = "weight",
      .type_ = Number,
@@ -91,14 +96,17 @@
 const std::vector<Column> routeColumns = {
     {.name_ = "host",
      .type_ = Text,
+     .maximum_ = maxRowBytes,
      .required_ = true,
      .meaning_ = "the host that a request names"},
     {.name_ = "prefix",
      .type_ = Text,
+     .maximum_ = maxRowBytes,
      .required_ = true,
      .meaning_ = "prefix of the path, with a slash at both ends; the longest one wins"},
     {.name_ = "services",
      .type_ = Text,
+     .maximum_ = maxRowBytes,
      .required_ = true,
      .meaning_ = "where the requests go: a service, or several with weights, as in a:90, b:10"},
     {.name_ = "idempotent",
@@ -108,13 +116,13 @@
     {.name_ = "timeout_ms",
      .type_ = Integer,
      .minimum_ = 1,
-     .maximum_ = 600000,
+     .maximum_ = maxTimeoutMs,
      .default_ = "2000",
      .meaning_ = "longest time that a request is kept waiting"},
     {.name_ = "latency_goal_ms",
      .type_ = Integer,
      .minimum_ = 1,
-     .maximum_ = 600000,
+     .maximum_ = maxTimeoutMs,
      .default_ = "1000",
      .meaning_ = "an answer within this time is worth most to the caller"},
     {.name_ = "priority",
@@ -135,6 +143,7 @@
      .meaning_ = "whether requests for one object are best served by one target"},
     {.name_ = "home_regions",
      .type_ = Text,
+     .maximum_ = maxRowBytes,
      .meaning_ = "comma-separated regions in which requests must stay; empty is all"},
     {.name_ = "public",
      .type_ = YesNo,
@@ -149,7 +158,7 @@
 const std::vector<Column> workspaceColumns = {
     {.name_ = "key_digests",
      .type_ = Text,
-     .maximum_ = 1048576,
+     .maximum_ = maxRowBytes,
      .meaning_ = "comma-separated digests of the keys that the workspace's callers present"},
     {.name_ = "priority",
      .type_ = OptionalInteger,
@@ -170,6 +179,7 @@
      .meaning_ = "requests that may exceed the quota at once"},
     {.name_ = "home_regions",
      .type_ = Text,
+     .maximum_ = maxRowBytes,
      .meaning_ = "comma-separated regions in which requests must stay; empty is all"},
 };
 
@@ -368,6 +378,16 @@
     return false;
 }
 
+std::optional<std::string> nearestAllowed(const Column &column, const std::string &value)
+{
+    const bool isInteger = column.type_ == Integer || column.type_ == OptionalInteger;
+    const auto parsed = numberFromText(value);
+    if (!parsed || (!isInteger && column.type_ != Number))
+        return std::nullopt;
+    const double inRange = std::clamp(*parsed, column.minimum_, column.maximum_);
+    return numberText(isInteger ? std::floor(inRange) : inRange);
+}
+
 std::string cellOrDefault(const Row &row, std::string_view name)
 {
     const auto cell = row.cells_.find(std::string(name));
--- a/Libraries/LibModel/Columns.h
+++ b/Libraries/LibModel/Columns.h
@@ -2,6 +2,7 @@
 
 #include "Row.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,10 @@
 /// thread.
 bool isAllowed(const Column &column, const std::string &value);
 
+/// Returns the allowed number that is nearest to \a value, or std::nullopt if \a value is no number
+/// or \a column holds none. Thread safety: any thread.
+std::optional<std::string> nearestAllowed(const Column &column, const std::string &value);
+
 /// Returns the cell of \a row in column \a name, or the column's default if it is missing.
 ///
 /// Precondition: rows of this kind have the column. Thread safety: any thread.
--- a/Libraries/LibModel/LibModel.h
+++ b/Libraries/LibModel/LibModel.h
@@ -13,6 +13,7 @@
 #include "ResultCode.h"
 #include "Route.h"
 #include "Row.h"
+#include "RowFitting.h"
 #include "Table.h"
 #include "TableText.h"
 #include "TargetRecord.h"
--- a/Libraries/LibModel/Table.cpp
+++ b/Libraries/LibModel/Table.cpp
@@ -1,11 +1,11 @@
 #include "Table.h"
 
 #include "Columns.h"
+#include "TextList.h"
 #include "TimeText.h"
 
 #include <algorithm>
 #include <set>
-#include <sstream>
 
 namespace Model {
 
@@ -28,15 +28,7 @@
 
 std::vector<std::string> listIn(const Row &row, std::string_view column)
 {
-    std::vector<std::string> items;
-    std::istringstream stream(cellOrDefault(row, column));
-    for (std::string item; std::getline(stream, item, ',');) {
-        const auto first = item.find_first_not_of(' ');
-        if (first == std::string::npos)
-            continue;
-        items.push_back(item.substr(first, item.find_last_not_of(' ') - first + 1));
-    }
-    return items;
+    return listFromText(cellOrDefault(row, column));
 }
 
 const Column *columnNamed(RowKind kind, const std::string &name)
--- a/Libraries/LibObserve/Event.cpp
+++ b/Libraries/LibObserve/Event.cpp
@@ -27,6 +27,8 @@
         {BlocksApplied, Info, "BlocksApplied", "A new map of client blocks was applied."},
         {LookupListChanged, Info, "LookupListChanged",
          "Look-ups list another number of entries with wide links."},
+        {TableFitted, Warning, "TableFitted",
+         "A value of an accepted configuration was fitted to the table's rules."},
         {TargetLeaving, Info, "TargetLeaving", "A target is leaving and gets no new work."},
         {TargetSuspect, Warning, "TargetSuspect", "A target failed and is skipped."},
         {TargetBack, Info, "TargetBack", "A suspect target answered again."},
--- a/Libraries/LibObserve/Event.h
+++ b/Libraries/LibObserve/Event.h
@@ -25,6 +25,7 @@
     PeerBack = 2007,
     BlocksApplied = 2008,
     LookupListChanged = 2009,
+    TableFitted = 2010,
 
     TargetLeaving = 3001,
     TargetSuspect = 3002,
--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -40,7 +40,7 @@
 /// The same for the part that is a share of the requests, which does not depend on the count. Used
 /// where targets differ from moment to moment and a second one often serves the caller.
 constexpr double usedRetryShare = 0.8;
-constexpr long long maxDeadlineMs = 600000;
+constexpr long long maxDeadlineMs = 86400000;
 
 SteadyTime steadyNow()
 {
--- a/Libraries/LibSteering/InstanceMetrics.cpp
+++ b/Libraries/LibSteering/InstanceMetrics.cpp
@@ -48,6 +48,8 @@
              static_cast<double>(parts_->reach_.lostDomains()));
     text.add("cassiacrank_store_era", "How often the store has returned from an older copy.",
              "gauge", static_cast<double>(parts_->platformState_.storeEra().value()));
+    text.add("cassiacrank_table_fitted", "Values of the configuration fitted to the table's rules.",
+             "gauge", static_cast<double>(parts_->platformState_.fittedCells()));
     text.add("cassiacrank_workspaces_limited", "Workspaces over their quota.", "gauge",
              static_cast<double>(parts_->quotas_.limitedWorkspaces()));
     text.add("cassiacrank_quota_root", "Whether this instance is the root of the quota tree.",
--- a/Libraries/LibSteering/PlatformPort.h
+++ b/Libraries/LibSteering/PlatformPort.h
@@ -28,8 +28,6 @@
     Model::TableVersion version_;
     /// Rows of services, routes and limits.
     std::vector<Model::Row> rows_;
-    /// Drained failure domains: their targets receive no requests.
-    std::set<Model::FailureDomainId> drained_;
 };
 
 /// Limits that the platform guarantees or requires.
@@ -111,6 +109,10 @@
     /// invalid or there are none yet.
     std::function<std::optional<OperatorRows>(const std::vector<Platform::StoredRow> &)>
         decodeOperators_;
+    /// Parses the drained failure domains, whose targets receive no requests. They hold also if the
+    /// other rows are invalid.
+    std::function<std::set<Model::FailureDomainId>(const std::vector<Platform::StoredRow> &)>
+        decodeDrains_;
     /// Parses one target's row. Returns std::nullopt, with the last reason set, if it is invalid.
     std::function<std::optional<Model::TargetRecord>(const Platform::StoredRow &)> decodeTarget_;
 
--- a/Libraries/LibSteering/PlatformState.cpp
+++ b/Libraries/LibSteering/PlatformState.cpp
@@ -112,14 +112,9 @@
     }
 }
 
-std::vector<Model::Row> PlatformState::allRows(OperatorRows operators) const
+void PlatformState::addDomainRows(std::vector<Model::Row> &rows,
+                                  const std::set<Model::FailureDomainId> &drained) const
 {
-    std::vector<Model::Row> rows = std::move(operators.rows_);
-    const std::string cap = std::to_string(port_.terms_.regionShiftCap_.value() * 100);
-    for (auto &row : rows) {
-        if (row.key_.kind_ == Model::RowKind::Service)
-            row.cells_.emplace("region_shift_cap", cap);
-    }
     std::set<Model::RegionId> regions;
     for (const auto &[domain, region] : settings_.domains_) {
         if (regions.insert(region).second)
@@ -127,11 +122,10 @@
         Model::Row row;
         row.key_ = {Model::RowKind::Domain, domain.value()};
         row.cells_["region"] = region.value();
-        if (operators.drained_.contains(domain))
+        if (drained.contains(domain))
             row.cells_["drain_start"] = alwaysInForce;
         rows.push_back(std::move(row));
     }
-    return rows;
 }
 
 void PlatformState::operatorsChanged(std::string_view source)
@@ -139,11 +133,13 @@
     std::vector<Platform::StoredRow> rows;
     for (const auto &[key, row] : operators_.rows())
         rows.push_back(row);
+    const auto drained = port_.decodeDrains_(rows);
     auto decoded = port_.decodeOperators_(rows);
     if (!decoded) {
         log_.line(Event::TableRefused)
             .add("source", source)
             .add("reason", toText(Model::lastReason()));
+        putDrainsInForce(drained, source);
         return;
     }
     if (table_ && decoded->version_ < table_->version()) {
@@ -151,30 +147,68 @@
             .add("source", source)
             .add("held", static_cast<std::int64_t>(table_->version().value()))
             .add("offered", static_cast<std::int64_t>(decoded->version_.value()));
+        putDrainsInForce(drained, source);
         return;
     }
+    const std::string cap = std::to_string(port_.terms_.regionShiftCap_.value() * 100);
+    for (auto &row : decoded->rows_) {
+        if (row.key_.kind_ == Model::RowKind::Service)
+            row.cells_.emplace("region_shift_cap", cap);
+    }
     // A table of 1,500 routes has two megabytes of rows, so they are moved and not copied.
-    auto newDrained = decoded->drained_;
-    const Model::TableVersion version = decoded->version_;
-    auto built = Model::Table::build(version, allRows(std::move(*decoded)), {});
+    if (!putInForce(decoded->version_, std::move(decoded->rows_), drained, source))
+        putDrainsInForce(drained, source);
+}
+
+/// Changes the drains alone: they must hold also beside a configuration that cannot be used.
+void PlatformState::putDrainsInForce(const std::set<Model::FailureDomainId> &drained,
+                                     std::string_view source)
+{
+    if (!table_ || drained == drained_)
+        return;
+    std::vector<Model::Row> rows;
+    for (const auto &row : table_->rows()) {
+        if (row.key_.kind_ != Model::RowKind::Region && row.key_.kind_ != Model::RowKind::Domain)
+            rows.push_back(row);
+    }
+    putInForce(table_->version(), std::move(rows), drained, source);
+}
+
+bool PlatformState::putInForce(Model::TableVersion version, std::vector<Model::Row> rows,
+                               const std::set<Model::FailureDomainId> &drained,
+                               std::string_view source)
+{
+    addDomainRows(rows, drained);
+    // The store has accepted the rows, so callers rely on each change in them.
+    const auto fitted = Model::fitToTable(rows);
+    auto built = Model::Table::build(version, std::move(rows), {});
     if (!built) {
         log_.line(Event::TableRefused)
             .add("source", source)
             .add("reason", toText(Model::lastReason()));
-        return;
+        return false;
     }
     table_ = std::make_shared<const Model::Table>(std::move(*built));
-    drained_ = std::move(newDrained);
+    drained_ = drained;
     ++tableChanges_;
-    std::string drained;
+    logFitted(fitted, source);
+    std::string drainedText;
     for (const auto &domain : drained_)
-        drained += (drained.empty() ? "" : ",") + domain.value();
+        drainedText += (drainedText.empty() ? "" : ",") + domain.value();
     log_.line(Event::TableApplied)
         .add("version", static_cast<std::int64_t>(table_->version().value()))
         .add("position", toText(operators_.knownRevision()))
         .add("source", source)
         .add("routes", static_cast<std::int64_t>(table_->routes().all().size()))
-        .add("drained", drained);
+        .add("drained", drainedText);
+    return true;
+}
+
+void PlatformState::logFitted(const std::vector<Model::CellError> &fitted, std::string_view source)
+{
+    fittedCells_ = fitted.size();
+    for (const auto &change : fitted)
+        log_.line(Event::TableFitted).add("source", source).add("change", toText(change));
 }
 
 Platform::StoreEra PlatformState::storeEra() const
--- a/Libraries/LibSteering/PlatformState.h
+++ b/Libraries/LibSteering/PlatformState.h
@@ -46,6 +46,8 @@
     const std::shared_ptr<const Model::Table> &table() const { return table_; }
     /// Drained failure domains: their targets receive no requests.
     const std::set<Model::FailureDomainId> &drained() const { return drained_; }
+    /// The number of cells and rows of the table in force that were fitted to the product's rules.
+    std::size_t fittedCells() const { return fittedCells_; }
     /// Increases with each change of the table or of the drained failure domains.
     std::uint64_t tableChanges() const { return tableChanges_; }
     /// Increases with each change of a target's row.
@@ -74,7 +76,12 @@
 
 private:
     void operatorsChanged(std::string_view source);
-    std::vector<Model::Row> allRows(OperatorRows operators) const;
+    bool putInForce(Model::TableVersion version, std::vector<Model::Row> rows,
+                    const std::set<Model::FailureDomainId> &drained, std::string_view source);
+    void putDrainsInForce(const std::set<Model::FailureDomainId> &drained, std::string_view source);
+    void logFitted(const std::vector<Model::CellError> &fitted, std::string_view source);
+    void addDomainRows(std::vector<Model::Row> &rows,
+                       const std::set<Model::FailureDomainId> &drained) const;
 
     const PlatformPort &port_;
     const Observe::Settings &settings_;
@@ -83,6 +90,7 @@
     TableReplica targets_;
     std::shared_ptr<const Model::Table> table_;
     std::set<Model::FailureDomainId> drained_;
+    std::size_t fittedCells_ = 0;
     std::uint64_t tableChanges_ = 0;
     std::uint64_t targetChanges_ = 0;
     std::string targetsSource_;
--- a/Tests/LibSteering/FakePlatform.cpp
+++ b/Tests/LibSteering/FakePlatform.cpp
@@ -12,10 +12,8 @@
     Steering::OperatorRows result;
     bool hasTable = false;
     for (const auto &row : rows) {
-        if (row.key_.starts_with("drain ")) {
-            result.drained_.insert(Model::FailureDomainId(row.key_.substr(6)));
+        if (row.key_.starts_with("drain "))
             continue;
-        }
         std::istringstream text(*row.value_);
         std::string word;
         std::uint64_t version = 0;
@@ -34,6 +32,16 @@
     return result;
 }
 
+std::set<Model::FailureDomainId> decodeDrains(const std::vector<Platform::StoredRow> &rows)
+{
+    std::set<Model::FailureDomainId> drained;
+    for (const auto &row : rows) {
+        if (row.key_.starts_with("drain "))
+            drained.insert(Model::FailureDomainId(row.key_.substr(6)));
+    }
+    return drained;
+}
+
 std::optional<Model::TargetRecord> decodeTarget(const Platform::StoredRow &row)
 {
     std::istringstream text(*row.value_);
@@ -65,6 +73,7 @@
 {
     Steering::PlatformPort port;
     port.decodeOperators_ = decodeOperators;
+    port.decodeDrains_ = decodeDrains;
     port.decodeTarget_ = decodeTarget;
     port.parseLoad_ = [](const Http::Response &) {
         return std::optional<Steering::LoadReport>();
--- a/Tests/LibSteering/TestPlatformState.cpp
+++ b/Tests/LibSteering/TestPlatformState.cpp
@@ -13,6 +13,9 @@
     CPPUNIT_TEST_SUITE(TestPlatformState);
     CPPUNIT_TEST(lowerVersionIsNeverApplied);
     CPPUNIT_TEST(invalidTableKeepsThePreviousOneInForce);
+    CPPUNIT_TEST(valueOutOfRangeCostsNoOtherChange);
+    CPPUNIT_TEST(drainHoldsBesideAnUnusableTable);
+    CPPUNIT_TEST(drainHoldsBesideAnOlderVersion);
     CPPUNIT_TEST(changedTermsReachTheTable);
     CPPUNIT_TEST(peersSendNewerRows);
     CPPUNIT_TEST(binaryRowsReachPeers);
@@ -72,6 +75,61 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), instance.platformState_.table()->version().value());
     }
 
+    // Guards against the loss of an accepted table for one value beyond its column's range.
+    void valueOutOfRangeCostsNoOtherChange()
+    {
+        InstanceFixture instance("r-a");
+        instance.setOperatorRows(7, 20);
+        instance.platformState_.replace(
+            StoreTable::Operators,
+            Fakes::rows(30, {Fakes::row("table",
+                                        Fakes::operatorsText(8)
+                                            + "[route report]\nhost = h\nprefix = /report/\n"
+                                              "services = gauging\ntimeout_ms = 900000000\n",
+                                        30)}),
+            "test");
+        const auto &table = *instance.platformState_.table();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), table.version().value());
+        const auto *route = table.routes().find("h", "/report/7");
+        CPPUNIT_ASSERT(route);
+        CPPUNIT_ASSERT(route->timeout_ == Milliseconds(86400000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), instance.platformState_.fittedCells());
+    }
+
+    // Guards against requests to a drained domain because the drain came with a table that cannot
+    // be used.
+    void drainHoldsBesideAnUnusableTable()
+    {
+        for (const char *table : {"version 8\n[route x]\nhost = h\n", "no version"}) {
+            InstanceFixture instance("r-a");
+            instance.setOperatorRows(7, 20);
+            instance.platformState_.replace(
+                StoreTable::Operators,
+                Fakes::rows(30, {Fakes::row("table", table, 30), Fakes::row("drain s-a", "", 30)}),
+                "test");
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(7),
+                                 instance.platformState_.table()->version().value());
+            CPPUNIT_ASSERT(
+                instance.platformState_.drained().contains(Model::FailureDomainId("s-a")));
+            const auto *domain
+                = instance.platformState_.table()->domain(Model::FailureDomainId("s-a"));
+            CPPUNIT_ASSERT(domain && domain->drainStart_);
+            instance.platformState_.replace(
+                StoreTable::Operators, Fakes::rows(31, {Fakes::row("table", table, 30)}), "test");
+            CPPUNIT_ASSERT(instance.platformState_.drained().empty());
+        }
+    }
+
+    // Guards against the same beside a table of a lower version.
+    void drainHoldsBesideAnOlderVersion()
+    {
+        InstanceFixture instance("r-a");
+        instance.setOperatorRows(7, 20);
+        instance.setOperatorRows(6, 30, {"s-a"});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), instance.platformState_.table()->version().value());
+        CPPUNIT_ASSERT(instance.platformState_.drained().contains(Model::FailureDomainId("s-a")));
+    }
+
     // Guards against a shift cap that changes only with the next configuration.
     void changedTermsReachTheTable()
     {
--- a/Tests/Platform/TestOnPlatform.cpp
+++ b/Tests/Platform/TestOnPlatform.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(foreignAnswerNeverReachesACaller);
     CPPUNIT_TEST(leavingTargetGetsNoNewWork);
     CPPUNIT_TEST(changedConfigurationIsInForceEverywhere);
+    CPPUNIT_TEST(unusualValueCostsNoOtherChange);
     CPPUNIT_TEST(instanceThatTheStoreRefusesLearnsFromPeers);
     CPPUNIT_TEST(instanceThatTheStoreRefusesLearnsFromPeersThatATargetLeft);
     CPPUNIT_TEST(changeDuringAnOutageIsInForceAfterIt);
@@ -261,6 +262,29 @@
         }
     }
 
+    // Guards against an accepted configuration that is lost for one long time-out: its other
+    // changes never come into force, and an instance that starts again is never ready.
+    void unusualValueCostsNoOtherChange()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(2, {"t1"}));
+        fleet.setRouteTimeout(Milliseconds(900000000));
+        fleet.configure(2, "added");
+        for (const auto &instance : fleet.instances_) {
+            CPPUNIT_ASSERT(Harness::waitUntil(applyBound, [&] {
+                return statusOf(fleet.send(*instance, "added", "a1")) == status::ok;
+            }));
+            CPPUNIT_ASSERT(fleet.metric(*instance, "cassiacrank_table_fitted") > 0);
+        }
+        auto &restarted = *fleet.instances_[0];
+        restarted.process_->kill();
+        restarted.process_->start();
+        CPPUNIT_ASSERT(Harness::waitUntil(waitTimeout, [&] {
+            return fleet.isReady(restarted)
+                   && statusOf(fleet.send(restarted, "added", "a2")) == status::ok;
+        }));
+    }
+
     // Guards against an instance that applies only what it reads from the store itself.
     void instanceThatTheStoreRefusesLearnsFromPeers()
     {
