--- a/Tests/LibSteering/TestPlacementEngine.cpp
+++ b/Tests/LibSteering/TestPlacementEngine.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(withoutTargetsARequestIsRefusedAtOnce);
     CPPUNIT_TEST(instanceThatKnowsNoTargetsYetIsNotReady);
     CPPUNIT_TEST(homeRegionsBind);
+    CPPUNIT_TEST(homeRegionThatIsUnknownHereBindsToo);
     CPPUNIT_TEST(homeRegionsOfTheWorkspaceBindToo);
     CPPUNIT_TEST_SUITE_END();
 
@@ -201,6 +202,24 @@
                                  std::get<Placement>(placed).target_->record_.id_.value());
         }
     }
+
+    // Guards against a request that leaves its home because no failure domain lies there, and
+    // against a table that is lost for it.
+    void homeRegionThatIsUnknownHereBindsToo()
+    {
+        for (const char *unknown : {"elsewhere", "a", "zz"}) {
+            InstanceFixture instance("r-a");
+            setUpRegions(instance, Fakes::operatorsText(3) + "home_regions = " + unknown + "\n");
+            instance.setTargetRows(3, {Fakes::target("g", "gauging", "s-a", 3),
+                                       Fakes::target("o", "transfers", "r-a", 3)});
+            for (std::uint64_t object = 0; object < 20; ++object) {
+                const auto bound = instance.placementEngine_.place(
+                    Fakes::requestContext(instance, "order", object), instance.now_);
+                CPPUNIT_ASSERT(std::holds_alternative<Refusal>(bound));
+                CPPUNIT_ASSERT_EQUAL(std::string("g"), placedAt(instance, object));
+            }
+        }
+    }
 };
 
 } // namespace
