--- a/Libraries/LibModel/RowFitting.cpp
+++ b/Libraries/LibModel/RowFitting.cpp
@@ -26,8 +26,8 @@
     }
 }
 
-/// Gives a second row of the same name one of its own, or drops it if its kind has no other use for
-/// it.
+/// Renames a second route of the same name, which may have another prefix; drops a second row of
+/// any other kind.
 void fitNames(std::vector<Row> &rows, std::vector<CellError> &changes)
 {
     std::set<RowKey> keys;
