LibHttp: Take only final statuses for an answer

Callers got an answer whose status was 000: it came from a target in trouble, and the instance passed it on with its status.

Cause: the parser takes any three digits for a status, and nothing behind it checked them. 000 to 099 and 600 to 999 were passed on like others. So was an interim answer (1xx) with the request's id, though the final one was still to come; to readers that accept any answer, such as the store's and the peers' clients, the final one could then look like the answer to the next request.

Change: readAnswer(), through which every client of the product reads, drops an answer whose status is not one of HTTP (RFC 9110, section 15), and exchangeOn() never takes an interim answer for the final one: it is dropped within the bound on foreign answers. A dropped answer closes its connection and leaves the outcome unknown, as any exchange without an answer does.

The new code MalformedAnswer (306) tells operators a broken answer from a lost connection. What the parser refuses has it as well; as TargetConnectionLost it could pass for a connection that the target had closed while idle, which does not count against the target. That is why TestEndlessAnswers expects 306 for five parts of a head that are no HTTP.

--- a/Libraries/LibHttp/AnswerReading.cpp
+++ b/Libraries/LibHttp/AnswerReading.cpp
@@ -41,9 +41,20 @@
         return ResultCode::TargetTimeout;
     if (error == http::error::partial_message)
         return ResultCode::TruncatedAnswer;
+    const ErrorCode parseError = http::error::bad_status;
+    if (error.category() == parseError.category() && error != http::error::end_of_stream)
+        return ResultCode::MalformedAnswer;
     return ResultCode::TargetConnectionLost;
 }
 
+/// Returns whether an answer's status may be passed on (RFC 9110, section 15). No request asks for
+/// another protocol, so an answer that switches to one is not valid either.
+bool hasValidStatus(const Response &answer)
+{
+    const unsigned status = answer.result_int();
+    return status >= 100 && status <= 599 && answer.result() != http::status::switching_protocols;
+}
+
 /// An answer without a length ends where the connection is closed, so a truncated one looks
 /// complete.
 bool hasLength(const http::response_parser<http::string_body> &parser)
@@ -89,6 +100,8 @@
                                      asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return failedExchange(error);
+    if (!hasValidStatus(parser.get()))
+        co_return failedExchange(ResultCode::MalformedAnswer);
     if (!options.acceptsUnframed_ && !hasLength(parser))
         co_return failedExchange(ResultCode::TruncatedAnswer);
     AnswerProgress progress(connection, options);
--- a/Libraries/LibHttp/Exchange.cpp
+++ b/Libraries/LibHttp/Exchange.cpp
@@ -142,6 +142,12 @@
     co_return result;
 }
 
+/// An interim answer precedes the final one, so a request that got only the former has no answer.
+bool isFinal(const Response &answer)
+{
+    return answer.result_int() >= 200;
+}
+
 /// Sends the request and reads the answer on \a connection, which the caller then keeps or closes.
 template <typename Message>
 Task<ExchangeResult> exchangeOn(Connection &connection, const ExchangeOptions &options,
@@ -156,7 +162,7 @@
     while (true) {
         ExchangeResult result = co_await readAnswer(connection, options);
         result.foreignAnswers_ = foreign;
-        if (!result.answer_ || isOwnAnswer(request, *result.answer_))
+        if (!result.answer_ || (isFinal(*result.answer_) && isOwnAnswer(request, *result.answer_)))
             co_return result;
         // A late second answer to an earlier request can precede the answer to this one. The
         // request id distinguishes them, so the matching answer that follows is not lost.
--- a/Libraries/LibHttp/Exchange.h
+++ b/Libraries/LibHttp/Exchange.h
@@ -66,8 +66,8 @@
     /// Accepts an answer without a length, which ends where its connection is closed. An answer
     /// whose connection is reset is never accepted.
     bool acceptsUnframed_ = false;
-    /// The number of answers to other requests that may be dropped before the matching one. With
-    /// zero, the first such answer closes the connection.
+    /// The number of interim answers and answers to other requests that may be dropped before the
+    /// matching one. With zero, the first such answer closes the connection.
     int maxForeignAnswers_ = 0;
     /// Called with the memory that each further part of the answer takes before it is kept, with
     /// that of the whole answer where it states its length. If it returns false, the answer is not
@@ -118,7 +118,8 @@
 ///
 /// A connection that failed in any way is closed, so that a late answer on it can never be
 /// considered the answer to a later request. A complete answer for which \a isOwnAnswer returns
-/// false is dropped; if no other one follows, the code is ForeignAnswer. Thread safety: the pool
+/// false is dropped, as is an interim one; if no other one follows, the code is ForeignAnswer. An
+/// answer that is not valid HTTP is dropped with the code MalformedAnswer. Thread safety: the pool
 /// belongs to the calling thread.
 Task<ExchangeResult> exchange(ConnectionPool &pool, const ExchangeOptions &options,
                               const Request &request, const AnswerCheck &isOwnAnswer);
--- a/Libraries/LibModel/ResultCode.cpp
+++ b/Libraries/LibModel/ResultCode.cpp
@@ -68,6 +68,8 @@
          "The answer was incomplete and was dropped. Unknown whether it ran."},
         {EntryConnectionLost, "EntryConnectionLost",
          "The connection to another region's entry was lost. Unknown whether it ran."},
+        {MalformedAnswer, "MalformedAnswer",
+         "The answer was not valid HTTP and was dropped. Unknown whether it ran."},
         {UnknownRowKind, "UnknownRowKind",
          "The row's kind is not region, domain, service, class or target."},
         {UnknownRow, "UnknownRow", "The table has no such row."},
--- a/Libraries/LibModel/ResultCode.h
+++ b/Libraries/LibModel/ResultCode.h
@@ -50,6 +50,7 @@
     ForeignAnswer = 303,
     TruncatedAnswer = 304,
     EntryConnectionLost = 305,
+    MalformedAnswer = 306,
 
     UnknownRowKind = 401,
     UnknownRow = 402,
--- a/Libraries/LibSteering/DispatcherOutcomes.cpp
+++ b/Libraries/LibSteering/DispatcherOutcomes.cpp
@@ -216,7 +216,8 @@
         return;
     }
     const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
-                          || result.code_ == ResultCode::TruncatedAnswer;
+                          || result.code_ == ResultCode::TruncatedAnswer
+                          || result.code_ == ResultCode::MalformedAnswer;
     if (request.control_.isCancelled()) {
         guard_.noteCancelled(request, placement.target_, now);
     } else if (isBroken && guard_.noteLost(request, placement.target_, now)) {
--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -106,7 +106,8 @@
     const Http::Request message = messageForTarget(request, sentAt);
     Http::ExchangeResult result = co_await Http::exchange(pool_, options, message, isAnswerTo);
     const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
-                          || result.code_ == ResultCode::TruncatedAnswer;
+                          || result.code_ == ResultCode::TruncatedAnswer
+                          || result.code_ == ResultCode::MalformedAnswer;
     if (isBroken && !result.isWithdrawn_ && guard_.noteLost(request, *target, steadyNow()))
         Http::asio::co_spawn(context_, checkListening(target), Http::asio::detached);
     if (result.isRefused_)
--- a/Tests/LibHttp/TestEndlessAnswers.cpp
+++ b/Tests/LibHttp/TestEndlessAnswers.cpp
@@ -22,7 +22,7 @@
     std::string name_;
     std::string beginning_;
     std::string repeated_;
-    ResultCode code_ = ResultCode::TargetConnectionLost;
+    ResultCode code_ = ResultCode::MalformedAnswer;
 };
 
 std::string repeat(const std::string &text, std::size_t bytes)
