LibHttp: Drop an answer with a blank before a field's name

On other systems, callers got answers in whose head a field's name held a blank or a control byte, with that line passed on or with a body that was not the target's. Here it happened with a blank at the start of the name, in any line but the first.

Cause: the parser takes a line that begins with a blank for the rest of the line before it, as HTTP once allowed, and joins the two with a blank. The line was passed on inside another field's value, and if it held the length, the body was read to the end of the connection instead. A blank or control byte elsewhere in a name, before the colon, in a value or in the reason phrase was refused already, as was an empty name.

Change: the head is received whole, which the parser needs anyway, and an answer in which a line of it begins with a blank is dropped as MalformedAnswer. RFC 9112, section 5.2, asks a gateway for this or for joining the lines; dropping is the choice that no later reader can understand otherwise. The head's bound of 8 KB stays, and so do the codes of a head that ends midway.

Evidence: TestAnswerHeads::byteThatNoFieldLineHasIsNoAnswer plays every byte in five places of a head and seven lines that are no fields. On the code before, the four folded ones were answers; now none is.

--- a/Libraries/LibHttp/AnswerReading.cpp
+++ b/Libraries/LibHttp/AnswerReading.cpp
@@ -1,6 +1,7 @@
 #include "AnswerReading.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace Http {
 
@@ -55,6 +56,55 @@
     return status >= 100 && status <= 599 && answer.result() != http::status::switching_protocols;
 }
 
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+constexpr std::size_t maxHeadBytes = 8192;
+constexpr std::size_t headReadBytes = 4096;
+
+std::string_view bufferedText(const Connection &connection)
+{
+    const auto bytes = connection.buffer_.data();
+    return {static_cast<const char *>(bytes.data()), bytes.size()};
+}
+
+/// Receives until the buffer of \a connection begins with the whole head of an answer.
+Task<ErrorCode> receiveHead(Connection &connection)
+{
+    std::size_t searched = 0;
+    while (bufferedText(connection).find(headEnd, searched) == std::string_view::npos) {
+        const std::size_t buffered = connection.buffer_.size();
+        if (buffered >= maxHeadBytes)
+            co_return http::error::header_limit;
+        searched = buffered - std::min(buffered, headEnd.size() - 1);
+        ErrorCode error;
+        const auto space = connection.buffer_.prepare(headReadBytes);
+        const std::size_t received = co_await connection.stream_.async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, error));
+        connection.buffer_.commit(received);
+        if (error == asio::error::eof)
+            co_return buffered == 0 ? http::error::end_of_stream : http::error::partial_message;
+        if (error)
+            co_return error;
+    }
+    co_return ErrorCode();
+}
+
+/// Returns whether a line of the head at the start of \a text begins with a blank.
+///
+/// The parser appends such a line to the value before it, as was once allowed (RFC 9112, section
+/// 5.2). A field with a blank before its name would so be passed on within another one, and its
+/// length would not count.
+bool hasFoldedLine(std::string_view text)
+{
+    const std::size_t size = text.find(headEnd);
+    for (auto at = text.find(lineEnd); at < size; at = text.find(lineEnd, at + lineEnd.size())) {
+        const char first = text[at + lineEnd.size()];
+        if (first == ' ' || first == '\t')
+            return true;
+    }
+    return false;
+}
+
 /// An answer without a length ends where the connection is closed, so a truncated one looks
 /// complete.
 bool hasLength(const http::response_parser<http::string_body> &parser)
@@ -95,12 +145,15 @@
 {
     http::response_parser<http::string_body> parser;
     parser.body_limit(options.answerLimitBytes_);
-    ErrorCode error;
-    co_await http::async_read_header(connection.stream_, connection.buffer_, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    parser.header_limit(maxHeadBytes);
+    ErrorCode error = co_await receiveHead(connection);
+    if (error)
+        co_return failedExchange(error);
+    const bool isFolded = hasFoldedLine(bufferedText(connection));
+    connection.buffer_.consume(parser.put(connection.buffer_.data(), error));
     if (error)
         co_return failedExchange(error);
-    if (!hasValidStatus(parser.get()))
+    if (isFolded || !hasValidStatus(parser.get()))
         co_return failedExchange(ResultCode::MalformedAnswer);
     if (!options.acceptsUnframed_ && !hasLength(parser))
         co_return failedExchange(ResultCode::TruncatedAnswer);
--- a/Tests/LibHttp/TestAnswerHeads.cpp
+++ b/Tests/LibHttp/TestAnswerHeads.cpp
@@ -84,11 +84,16 @@
 {
     CPPUNIT_TEST_SUITE(TestAnswerHeads);
     CPPUNIT_TEST(statusOutsideItsRangeIsNoAnswer);
+    CPPUNIT_TEST(byteThatNoFieldLineHasIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     // Guards against passing on an answer whose status is none, such as 000.
     void statusOutsideItsRangeIsNoAnswer() { check(Support::headsWithEveryStatus(ownFields)); }
+
+    // Guards against passing on a field line that other parsers read differently, or a body that
+    // such a line frames wrongly.
+    void byteThatNoFieldLineHasIsNoAnswer() { check(Support::headsWithEveryByte(ownFields)); }
 };
 
 } // namespace
