LibHttp: Keep trailer fields out of an answer's head

A field behind a chunked body became one of the answer's head. A folded one was passed on to callers like the folded lines of a head, and a field that says "not run" there made an instance send the request to a second target after the first had answered it.

Cause: the parser adds trailer fields to the fields of the head, and nothing told them apart. A blank or control byte in a trailer's name was refused already.

Change: readAnswer() returns the head as it stood before the body, so trailer fields are dropped, as RFC 9110, section 6.5.1, asks for where a field's definition does not allow it there. Answers with a stated length are not copied.

--- a/Libraries/LibHttp/AnswerReading.cpp
+++ b/Libraries/LibHttp/AnswerReading.cpp
@@ -157,6 +157,11 @@
         co_return failedExchange(ResultCode::MalformedAnswer);
     if (!options.acceptsUnframed_ && !hasLength(parser))
         co_return failedExchange(ResultCode::TruncatedAnswer);
+    // The parser adds trailer fields to those of the head, which they must not change (RFC 9110,
+    // section 6.5.1).
+    std::optional<http::response_header<>> head;
+    if (parser.chunked())
+        head = parser.get().base();
     AnswerProgress progress(connection, options);
     std::size_t heldBytes = 0;
     const auto stated = parser.content_length();
@@ -189,6 +194,8 @@
     ExchangeResult result;
     result.stage_ = ExchangeStage::Answered;
     result.answer_ = parser.release();
+    if (head)
+        result.answer_->base() = std::move(*head);
     co_return result;
 }
 
--- a/Tests/LibHttp/TestAnswerHeads.cpp
+++ b/Tests/LibHttp/TestAnswerHeads.cpp
@@ -55,12 +55,17 @@
     Http::Request request_{Http::http::verb::get, "/", 11};
 };
 
-void check(const std::vector<AnswerHead> &heads)
+std::vector<std::string> answersWith(const std::vector<AnswerHead> &heads)
 {
     std::vector<std::string> answers;
     for (const auto &head : heads)
         answers.push_back(head.text_ + "\r\nbody");
-    const ScriptedPeer peer(answers);
+    return answers;
+}
+
+void check(const std::vector<AnswerHead> &heads)
+{
+    const ScriptedPeer peer(answersWith(heads));
     Exchanges exchanges(peer.address());
     std::string wrong;
     for (const auto &head : heads) {
@@ -85,6 +90,8 @@
     CPPUNIT_TEST_SUITE(TestAnswerHeads);
     CPPUNIT_TEST(statusOutsideItsRangeIsNoAnswer);
     CPPUNIT_TEST(byteThatNoFieldLineHasIsNoAnswer);
+    CPPUNIT_TEST(blockingClientTakesNoBrokenAnswer);
+    CPPUNIT_TEST(trailerFieldsAreNotPartOfTheHead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +101,41 @@
     // Guards against passing on a field line that other parsers read differently, or a body that
     // such a line frames wrongly.
     void byteThatNoFieldLineHasIsNoAnswer() { check(Support::headsWithEveryByte(ownFields)); }
+
+    // Guards against the same answers at clients that wait for one answer.
+    void blockingClientTakesNoBrokenAnswer()
+    {
+        const auto heads = Support::answerHeads(ownFields);
+        const ScriptedPeer peer(answersWith(heads));
+        for (const auto &head : heads) {
+            Http::SimpleRequest request;
+            request.address_ = peer.address();
+            const auto answer = Http::sendAndWait(request);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(head.name_, head.kind_ == HeadKind::Final,
+                                         answer.has_value());
+            CPPUNIT_ASSERT_MESSAGE(head.name_, answer
+                                                   || Model::lastReason().code_
+                                                          == ResultCode::CommitOutcomeUnknown);
+        }
+    }
+
+    // Guards against a field behind the body that states what only the head may state, such as that
+    // the request was not run, and against passing on a folded one.
+    void trailerFieldsAreNotPartOfTheHead()
+    {
+        for (const char *trailer : {"X-T: 1\r\n", "X-T: 1\r\n X-U: 2\r\n", "Retry-After: 1\r\n",
+                                    "Cassiacrank-Request-Id: mine\r\n"}) {
+            const ScriptedPeer peer(
+                {"HTTP/1.1 200 OK\r\nCassiacrank-Request-Id: mine\r\nX-Head: 1\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                 + std::string(trailer) + "\r\n"});
+            const auto result = Exchanges(peer.address()).runOne();
+            CPPUNIT_ASSERT_MESSAGE(trailer, result.answer_.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::string("body"), result.answer_->body());
+            const auto fields = std::distance(result.answer_->begin(), result.answer_->end());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(trailer, std::ptrdiff_t(3), fields);
+        }
+    }
 };
 
 } // namespace
