LibSteering: Refuse what a planned stop would cut off

In a planned stop, a request that arrived late in the grace time was passed on to a target, and its connection ended with the process before the answer, also where the request may not be repeated.

Cause: an instance in a planned stop takes requests on its open connections until it exits, as it should for those that end in time. It compared none of them with the time that was left.

Change: from then on the dispatcher passes a request on only if its deadline lies before the exit. A further attempt of a request in progress is held to the same, and its outcome stays unknown where an earlier one may have run. Requests that arrive before are served as they were: callers are still directed to the instance, and most end in time.

Evidence: TestPlannedStops::requestThatArrivesTooLateInTheGraceIsRefused sends the end of a body 4.5 s into a grace time of 6 s.

--- a/Libraries/LibSteering/Dispatcher.cpp
+++ b/Libraries/LibSteering/Dispatcher.cpp
@@ -200,6 +200,11 @@
     while (true) {
         if (const auto tooMuch = checkHeldBytes(request))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *tooMuch);
+        if (mayOutlastProcess(request)) {
+            // Another instance can serve it at once.
+            const Refusal stopping{ResultCode::Stopping, Policy::minRetryAfter, Microseconds(0)};
+            co_return unresolved ? failRequest(request, *unresolved) : refuse(request, stopping);
+        }
         if (const auto withheld = guard_.check(request, steadyNow()))
             co_return unresolved ? failRequest(request, *unresolved) : refuse(request, *withheld);
         const auto peer = peerFor(request, steadyNow());
@@ -254,6 +259,11 @@
     }
 }
 
+bool Dispatcher::mayOutlastProcess(const RequestContext &request) const
+{
+    return request.deadline_ + deadlineSlack > exitAt_;
+}
+
 Task<Dispatcher::Attempt> Dispatcher::attempt(RequestContext &request, const Placement &placement)
 {
     TargetState &target = *placement.target_;
--- a/Libraries/LibSteering/Dispatcher.h
+++ b/Libraries/LibSteering/Dispatcher.h
@@ -84,6 +84,11 @@
     /// Sets whether requests that find no room wait for it. Off by default.
     void setWaitsForRoom(bool waits) { queue_.setEnabled(waits); }
 
+    /// Refuses from now on what may still be in progress when the process exits at \a time.
+    ///
+    /// Without it, requests that arrive late in a planned stop are passed on and cut off.
+    void setExitTime(Model::SteadyTime time) { exitAt_ = time; }
+
     /// Sets how many instances share the retry budget.
     void setInstances(std::size_t instances) { instances_ = std::max<std::size_t>(1, instances); }
 
@@ -183,6 +188,8 @@
     bool isStale(const TargetState &target, const Http::ExchangeResult &result) const;
     void noteStaleConnection(RequestContext &request, const TargetState &target,
                              const Http::ExchangeResult &result, Model::SteadyTime now);
+    /// Returns whether the process may exit before a request that is passed on now is answered.
+    bool mayOutlastProcess(const RequestContext &request) const;
     bool mayTryAgain(const RequestContext &request, const Attempt &attempt, Model::SteadyTime now);
 
     Http::Response refuse(RequestContext &request, const Refusal &refusal);
@@ -208,6 +215,7 @@
     std::shared_ptr<Policy::HeldBytes> held_ = std::make_shared<Policy::HeldBytes>();
     std::function<std::size_t()> bytesForCallers_;
     std::size_t instances_ = 1;
+    Model::SteadyTime exitAt_ = Model::SteadyTime::max();
     std::function<TargetsFreshness()> targetsFreshness_ = [] {
         return TargetsFreshness();
     };
--- a/Libraries/LibSteering/Instance.cpp
+++ b/Libraries/LibSteering/Instance.cpp
@@ -383,6 +383,8 @@
     parts_->entry_.closeIdle();
     co_await Http::sleepFor(leavingAcceptTime);
     parts_->entry_.stopAccepting();
+    // Callers are directed elsewhere by now; what still arrives began to be sent before.
+    parts_->dispatcher_.setExitTime(endAt);
     while (steadyNow() < endAt) {
         parts_->entry_.closeIdle();
         // Peers may have forwarded some of the requests in progress.
--- a/Tests/Platform/TestPlannedStops.cpp
+++ b/Tests/Platform/TestPlannedStops.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <future>
 #include <sys/stat.h>
+#include <thread>
 
 namespace {
 
@@ -21,6 +22,7 @@
     CPPUNIT_TEST(plannedStopFinishesRequestsInProgress);
     CPPUNIT_TEST(plannedStopAnswersPipelinedRequests);
     CPPUNIT_TEST(plannedStopUsesTheWholeGraceTime);
+    CPPUNIT_TEST(requestThatArrivesTooLateInTheGraceIsRefused);
     CPPUNIT_TEST(reloadAppliesChangedTerms);
     CPPUNIT_TEST(stopSignalWhileStartingExitsCleanly);
     CPPUNIT_TEST(killedInstanceIsRemovedFromLookups);
@@ -120,6 +122,41 @@
         CPPUNIT_ASSERT_EQUAL(0, stopping.process_->wait(Milliseconds(6000)).value_or(-1));
     }
 
+    // Guards against passing on requests late in the grace time and cutting them off at its end.
+    void requestThatArrivesTooLateInTheGraceIsRefused()
+    {
+        Fleet fleet;
+        CPPUNIT_ASSERT(fleet.serve(2, {"t1"}));
+        auto &target = *fleet.targets_[0];
+        target.setFaults({.work_ = Milliseconds(1400)});
+        const auto before = target.runCount();
+        const auto &stopping = *fleet.instances_[0];
+        stopping.process_->signal(SIGTERM);
+        const auto stoppedAt = std::chrono::steady_clock::now();
+        std::this_thread::sleep_until(stoppedAt + Milliseconds(1900));
+        Http::asio::io_context context;
+        Http::tcp::socket caller(context);
+        caller.connect(Http::endpointOf(stopping.entry()));
+        Http::asio::write(
+            caller, Http::asio::buffer(std::string("POST /order/7 HTTP/1.1\r\nHost: h.example\r\n"
+                                                   "X-Cassiacrank-Request-Id: late\r\n"
+                                                   "Content-Length: 4\r\n\r\nbo")));
+        std::this_thread::sleep_until(stoppedAt + Milliseconds(4500));
+        const auto sentAt = std::chrono::steady_clock::now();
+        Http::asio::write(caller, Http::asio::buffer(std::string("dy")));
+        Http::beast::flat_buffer buffer;
+        Http::Response answer;
+        Http::ErrorCode error;
+        Http::http::read(caller, buffer, answer, error);
+        CPPUNIT_ASSERT_MESSAGE(error.message(), !error);
+        CPPUNIT_ASSERT_EQUAL(status::service_unavailable, answer.result());
+        CPPUNIT_ASSERT_EQUAL(std::string("207"), std::string(answer["Cassiacrank-Code"]));
+        CPPUNIT_ASSERT(answer.count(Http::http::field::retry_after) == 1);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - sentAt < Milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(before, target.runCount());
+        CPPUNIT_ASSERT_EQUAL(0, stopping.process_->wait(Milliseconds(6000)).value_or(-1));
+    }
+
     // Guards against terms that stay as they were at the start until the next restart.
     void reloadAppliesChangedTerms()
     {
