Entryd: Bound the bytes of the answers that are received

A target in trouble sends bytes without an end. An entry of the daemons kept up to 64 MB of each such answer, for each request and each health check at once, so that a few targets filled the memory and every other request of the process went with it.

Cause: the bound on held bytes was built for instanced alone; the daemons had the bound of a connection's buffer, which covers an endless head.

Change: each thread of entryd counts the answers of its attempts, those of other entries included, against an equal part of the process's bound: half of the memory that its settings state, or 512 MB if they state none. An answer that does not fit is dropped with its outcome unknown; that says nothing about the target. Answers without a stated length may fill half of it, one of them an eighth. The answer to a health check may have 64 KB. The decisions are those of Policy::HeldBytes.

--- a/Services/Entryd/Attempts.cpp
+++ b/Services/Entryd/Attempts.cpp
@@ -1,5 +1,6 @@
 #include "Dispatcher.h"
 
+#include "HeldAnswer.h"
 #include "TargetAnswer.h"
 
 #include <algorithm>
@@ -102,13 +103,16 @@
         hasBegun = true;
         noteSend(*target, steadyNow());
     };
+    HeldAnswer held(heldAnswers_);
+    held.bound(options);
     const auto sentAt = steadyNow();
     const Http::Request message = messageForTarget(request, sentAt);
     Http::ExchangeResult result = co_await Http::exchange(pool_, options, message, isAnswerTo);
     const bool isBroken = result.code_ == ResultCode::TargetConnectionLost
                           || result.code_ == ResultCode::TruncatedAnswer
                           || result.code_ == ResultCode::MalformedAnswer;
-    if (isBroken && !result.isWithdrawn_ && guard_.noteLost(request, *target, steadyNow()))
+    if (isBroken && !result.isWithdrawn_ && !result.isAnswerNotHeld_
+        && guard_.noteLost(request, *target, steadyNow()))
         Http::asio::co_spawn(context_, checkListening(target), Http::asio::detached);
     if (result.isRefused_)
         guard_.noteListening(*target, Http::Listening::No, steadyNow());
@@ -155,6 +159,8 @@
             isRefusedAsFull = requestResult.outcome_ == Outcome::NotRun;
             return requestResult;
         }
+        if (result.isAnswerNotHeld_)
+            return requestResult;
         if (result.code_ == ResultCode::ForeignAnswer) {
             ++counters_.foreignAnswers_;
             Observe::logEvent(Event::ForeignAnswerDropped,
@@ -207,6 +213,8 @@
     options.connectTimeout_ = Milliseconds(1000);
     options.maxIdle_ = request.isIdempotent_ ? maxIdleAge : maxIdleAgeNonIdempotent;
     options.connectionLimit_ = maxConnectionsToEntry;
+    HeldAnswer held(heldAnswers_);
+    held.bound(options);
     const Http::Request message = cell_.read([&](const EntrySnapshot *snapshot) {
         return messageForEntry(request, *snapshot->table_, place.domain_, steadyNow());
     });
@@ -216,7 +224,7 @@
     if (!result.answer_) {
         const bool isNotConnected = result.stage_ == Http::ExchangeStage::NotConnected;
         // An expired deadline may be caused by a slow target in the other region.
-        if (result.code_ != ResultCode::TargetTimeout)
+        if (result.code_ != ResultCode::TargetTimeout && !result.isAnswerNotHeld_)
             Policy::noteEntryLost(entryFailures_, place.address_, steadyNow());
         requestResult.outcome_ = Policy::outcomeOf(stageOf(result.stage_));
         requestResult.code_
--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -11,6 +11,9 @@
 
 constexpr Milliseconds tickInterval{2};
 constexpr Milliseconds idleTickInterval{20};
+/// The bound on received answers of a process whose settings state no memory.
+constexpr Policy::Bytes defaultHeldAnswers{512LL * 1024 * 1024};
+
 Model::SteadyTime steadyNow()
 {
     return std::chrono::steady_clock::now();
@@ -79,6 +82,8 @@
     , pool_(context)
     , threadNumber_(threadNumber)
 {
+    const auto heldLimit = Policy::heldBytesLimit(settings.size_).value_or(defaultHeldAnswers);
+    heldAnswers_.limit_ = Policy::Bytes(heldLimit.value() / settings.entryThreads_);
     // The start time makes request ids unique across all incarnations of the instance.
     const auto startedAt = std::chrono::system_clock::now().time_since_epoch().count();
     idPrefix_ = settings.instance_.value() + "-" + std::to_string(startedAt) + "-"
--- a/Services/Entryd/Prober.cpp
+++ b/Services/Entryd/Prober.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr const char *healthPath = "/cassiacrank/health";
+/// Only the head of a health answer is used.
+constexpr std::size_t maxHealthAnswerBytes = std::size_t(64) * 1024;
 
 Http::beast::string_view viewOf(std::string_view text)
 {
@@ -51,6 +53,7 @@
     options.address_ = Observe::dialAddress(settings_, target->target_.address_);
     options.deadline_ = std::chrono::steady_clock::now() + Policy::probeTimeout;
     options.connectTimeout_ = Policy::probeTimeout;
+    options.answerLimitBytes_ = maxHealthAnswerBytes;
     const Http::ExchangeResult result
         = co_await Http::exchange(pool_, options, request, isAnswerTo);
     if (!result.answer_) {
--- a/Tests/Harness/Site.h
+++ b/Tests/Harness/Site.h
@@ -27,6 +27,8 @@
     /// Number of instances to start, at most 12; the first instance of each failure domain first.
     std::size_t instances_ = 12;
     int lookupTtlMs_ = 1000;
+    /// The memory that each process may use, as its settings state it; zero states nothing.
+    int memoryMegabytes_ = 0;
     /// Routes connections between regions and failure domains through the fault-injecting proxy.
     bool hasProxy_ = false;
     /// The instances whose ways to all targets form the proxy's group "partition".
--- a/Tests/Harness/SiteLayout.cpp
+++ b/Tests/Harness/SiteLayout.cpp
@@ -261,6 +261,8 @@
           + "\n";
     if (!seeds.empty())
         text += "[peers]\nseeds = " + seeds + "\n";
+    if (options_.memoryMegabytes_ > 0)
+        text += "[limits]\nmemory_mb = " + std::to_string(options_.memoryMegabytes_) + "\n";
     const auto dial = dial_.find(instance.row_.id_.value());
     if (dial != dial_.end())
         text += "[dial]\n" + dial->second;
--- a/Tests/Platform/TestEndlessTargets.cpp
+++ b/Tests/Platform/TestEndlessTargets.cpp
@@ -1,95 +1,29 @@
 #include "Fleet.h"
 
+#include <Harness/EndlessTarget.h>
 #include <Support/Property.h>
 
 #include <future>
 
 namespace {
 
-using Http::tcp;
+using Harness::EndlessTarget;
 using Http::http::status;
 using Model::Milliseconds;
 using PlatformStandIns::Fleet;
 
 constexpr std::size_t megabyte = 1024 * 1024;
 constexpr std::size_t memoryMegabytes = 64;
-/// What a target sends on a connection at the most, so that the test ends where nothing stops it.
-constexpr std::size_t maxSentBytes = 64 * megabyte;
-
-/// A target that answers each request with a beginning and a part that it repeats until the
-/// connection closes.
-class EndlessTarget
+/// Returns the target's registration as stored.
+std::string registrationOf(const EndlessTarget &target)
 {
-public:
-    EndlessTarget(std::string beginning, const std::string &repeated)
-        : beginning_(std::move(beginning))
-        , acceptor_(context_, {Http::asio::ip::make_address("127.0.0.1"), 0})
-    {
-        while (part_.size() < 65536)
-            part_ += repeated;
-        thread_ = std::thread([this] {
-            run();
-        });
-    }
-
-    ~EndlessTarget()
-    {
-        isStopping_ = true;
-        Http::ErrorCode ignored;
-        tcp::socket(context_).connect(acceptor_.local_endpoint(), ignored);
-        thread_.join();
-        for (auto &connection : connections_)
-            connection.join();
-    }
-    EndlessTarget(const EndlessTarget &) = delete;
-    EndlessTarget &operator=(const EndlessTarget &) = delete;
-
-    std::string registration() const
-    {
-        const nlohmann::json entry = {
-            {"address", "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())},
-            {"info", {{"service", "s"}, {"version", "v1"}, {"zone", "r-a"}, {"slots", 6}}},
-            {"status", {{"state", "ready"}, {"sequence", 1}, {"coldLeftMs", 0}}},
-        };
-        return entry.dump();
-    }
-    int requests() const { return requests_; }
-
-private:
-    void run()
-    {
-        while (!isStopping_) {
-            auto socket = std::make_shared<tcp::socket>(context_);
-            acceptor_.accept(*socket);
-            connections_.emplace_back([this, socket] {
-                answer(*socket);
-            });
-        }
-    }
-
-    void answer(tcp::socket &socket)
-    {
-        char buffer[4096];
-        Http::ErrorCode error;
-        if (socket.read_some(Http::asio::buffer(buffer), error) == 0)
-            return;
-        ++requests_;
-        Http::asio::write(socket, Http::asio::buffer(beginning_), error);
-        std::size_t sent = 0;
-        while (!error && sent < maxSentBytes && !isStopping_)
-            sent += Http::asio::write(socket, Http::asio::buffer(part_), error);
-        socket.read_some(Http::asio::buffer(buffer), error);
-    }
-
-    const std::string beginning_;
-    std::string part_;
-    Http::asio::io_context context_;
-    tcp::acceptor acceptor_;
-    std::atomic<bool> isStopping_{false};
-    std::atomic<int> requests_{0};
-    std::vector<std::thread> connections_;
-    std::thread thread_;
-};
+    const nlohmann::json entry = {
+        {"address", toText(target.address())},
+        {"info", {{"service", "s"}, {"version", "v1"}, {"zone", "r-a"}, {"slots", 6}}},
+        {"status", {{"state", "ready"}, {"sequence", 1}, {"coldLeftMs", 0}}},
+    };
+    return entry.dump();
+}
 
 struct Outcome
 {
@@ -111,8 +45,8 @@
     const auto &instance = fleet.startOne(
         std::nullopt, "[limits]\nmemory_mb = " + std::to_string(memoryMegabytes) + "\n");
     CPPUNIT_ASSERT(fleet.waitUntilServing());
-    fleet.store_.put("servers", "e1", first.registration());
-    fleet.store_.put("servers", "e2", second.registration());
+    fleet.store_.put("servers", "e1", registrationOf(first));
+    fleet.store_.put("servers", "e2", registrationOf(second));
     CPPUNIT_ASSERT(Harness::waitUntil(Milliseconds(10000), [&] {
         static int number = 0;
         const std::string id = "seen-" + std::to_string(++number);
