--- a/Tests/LibPlatform/TestTableMirror.cpp
+++ b/Tests/LibPlatform/TestTableMirror.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(deltasBringAnyPeerToTheSameTable);
     CPPUNIT_TEST(deltaThatSkipsVersionsIsRefused);
     CPPUNIT_TEST(unreadableRowChangesNothing);
+    CPPUNIT_TEST(oddTargetRowsEndNothing);
+    CPPUNIT_TEST(tableIsFollowedBesideAnOddTargetRow);
     CPPUNIT_TEST(deletedRowStaysDeleted);
     CPPUNIT_TEST(editChangesOnlyWhatItNames);
     CPPUNIT_TEST_SUITE_END();
@@ -108,6 +110,49 @@
         CPPUNIT_ASSERT(mirror.rows_.empty());
     }
 
+    /// Rows of a target that no edit writes.
+    static std::vector<std::string> oddTargetRows()
+    {
+        const auto withAddress = [](const std::string &address) {
+            return R"({"cells":{"service":"s","domain":"d","address":")" + address
+                   + R"("},"changed_at":1,"deleted":false})";
+        };
+        return {
+            "",
+            std::string(65536, '['),
+            std::string(32767, '[') + "1" + std::string(32767, ']'),
+            R"({"cells":{"slots":1e999},"changed_at":1,"deleted":false})",
+            R"({"cells":{},"changed_at":1e999,"deleted":false})",
+            withAddress("127.0.0.1:65536"),
+            withAddress("127.0.0.1:-1"),
+        };
+    }
+
+    static bool isFollowedBeside(const std::string &oddRow)
+    {
+        Platform::TableMirror mirror;
+        auto rows = storedRows(1, {regionRow("a", "5", 1)});
+        rows.rows_.push_back({"table/row/target t", oddRow, Revision(11)});
+        return Platform::applyRows(mirror, rows) && Platform::buildTable(mirror).has_value();
+    }
+
+    // Guards against a process that ends because of one odd row.
+    void oddTargetRowsEndNothing()
+    {
+        for (const auto &oddRow : oddTargetRows()) {
+            const bool isFollowed = isFollowedBeside(oddRow);
+            CPPUNIT_ASSERT_MESSAGE(oddRow.substr(0, 60),
+                                   isFollowed || Model::lastReason().code_ != ResultCode::Ok);
+        }
+    }
+
+    // Guards against a table that stays as it is until another writer's row is removed.
+    void tableIsFollowedBesideAnOddTargetRow()
+    {
+        for (const auto &oddRow : oddTargetRows())
+            CPPUNIT_ASSERT_MESSAGE(oddRow.substr(0, 60), isFollowedBeside(oddRow));
+    }
+
     void deletedRowStaysDeleted()
     {
         Platform::TableMirror source;
