--- a/Tests/LibPlatform/TestStoreAnswers.cpp
+++ b/Tests/LibPlatform/TestStoreAnswers.cpp
@@ -18,22 +18,6 @@
         store_.pool_ = &pool_;
     }
 
-    /// Runs \a call, and returns its result; the last reason is that of the call.
-    template <typename Result>
-    std::optional<Result> resultOf(Http::Task<std::optional<Result>> call)
-    {
-        std::optional<Result> result;
-        bool hasEnded = false;
-        const auto run = [&]() -> Http::Task<void> {
-            result = co_await std::move(call);
-            hasEnded = true;
-        };
-        Http::asio::co_spawn(context_, run(), Http::asio::detached);
-        while (!hasEnded)
-            CPPUNIT_ASSERT(context_.run_one_for(Model::Milliseconds(5000)) > 0);
-        return result;
-    }
-
     Http::asio::io_context context_;
     Http::ConnectionPool pool_{context_};
     Platform::Store store_;
@@ -55,8 +39,8 @@
         const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
         for (const auto &head : Support::answerHeads(length)) {
             StoreFixture fixture(head.text_, body);
-            const auto rows = fixture.resultOf<Platform::StoredRows>(
-                Platform::readRows(fixture.store_, "", Platform::Revision(0)));
+            const auto rows = Support::resultOf(
+                fixture.context_, Platform::readRows(fixture.store_, "", Platform::Revision(0)));
             const bool isOk = head.text_.starts_with("HTTP/1.1 200");
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head.name_, head.kind_ == HeadKind::Final && isOk,
                                          rows.has_value());
@@ -77,8 +61,8 @@
             if (head.kind_ == HeadKind::Final)
                 continue;
             StoreFixture fixture(head.text_, body);
-            const auto done = fixture.resultOf<Platform::CommitAnswer>(
-                Platform::commit(fixture.store_, Platform::Commit()));
+            const auto done = Support::resultOf(
+                fixture.context_, Platform::commit(fixture.store_, Platform::Commit()));
             CPPUNIT_ASSERT_MESSAGE(head.name_, !done);
             CPPUNIT_ASSERT_MESSAGE(head.name_,
                                    Model::lastReason().code_ == ResultCode::CommitOutcomeUnknown);
--- a/Tests/LibSteering/TestBrokenAnswers.cpp
+++ b/Tests/LibSteering/TestBrokenAnswers.cpp
@@ -175,21 +175,6 @@
         request_.deadline_ = std::chrono::steady_clock::now() + Milliseconds(2000);
     }
 
-    template <typename Result>
-    Result resultOf(Http::Task<Result> task)
-    {
-        Result result;
-        bool hasEnded = false;
-        const auto run = [&]() -> Http::Task<void> {
-            result = co_await std::move(task);
-            hasEnded = true;
-        };
-        Http::asio::co_spawn(context_, run(), Http::asio::detached);
-        while (!hasEnded)
-            CPPUNIT_ASSERT(context_.run_one_for(Milliseconds(5000)) > 0);
-        return result;
-    }
-
     Http::asio::io_context context_;
     InstanceFixture instance_{"r-a"};
     Steering::PeerExchange peers_{context_, instance_.settings_, instance_.platformState_,
@@ -285,7 +270,8 @@
         }
         for (const auto &head : Support::answerHeads(fields)) {
             ForwardingFixture fixture(head.text_ + "\r\nbroken");
-            const auto result = fixture.resultOf(
+            const auto result = Support::resultOf(
+                fixture.context_,
                 fixture.forwarder_.forward(fixture.request_, fixture.instanceOfPeer_, nullptr));
             const bool isFinal = head.kind_ == HeadKind::Final;
             CPPUNIT_ASSERT_MESSAGE(head.name_,
@@ -301,8 +287,9 @@
         for (const auto &head : Support::answerHeads("Content-Length: 6\r\n")) {
             ForwardingFixture fixture(head.text_ + "\r\nbroken");
             Http::ConnectionPool pool(fixture.context_);
-            const auto result = fixture.resultOf(fixture.peers_.call(
-                fixture.instanceOfPeer_, "/v1/x", "", Milliseconds(2000), pool));
+            const auto result = Support::resultOf(
+                fixture.context_, fixture.peers_.call(fixture.instanceOfPeer_, "/v1/x", "",
+                                                      Milliseconds(2000), pool));
             const bool isFinal = head.kind_ == HeadKind::Final;
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head.name_, isFinal, result.answer_.has_value());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head.name_, std::size_t(isFinal ? 1 : 0),
--- a/Tests/Platform/TestBrokenStoreAnswers.cpp
+++ b/Tests/Platform/TestBrokenStoreAnswers.cpp
@@ -8,6 +8,7 @@
 using Model::Milliseconds;
 using Steering::StoreTable;
 using Support::HeadKind;
+using Support::resultOf;
 
 /// A store that answers every call with the same bytes.
 struct StoreFixture
@@ -19,21 +20,6 @@
         store_.pool_ = &pool_;
     }
 
-    template <typename Result>
-    Result resultOf(Http::Task<Result> call)
-    {
-        Result result{};
-        bool hasEnded = false;
-        const auto run = [&]() -> Http::Task<void> {
-            result = co_await std::move(call);
-            hasEnded = true;
-        };
-        Http::asio::co_spawn(context_, run(), Http::asio::detached);
-        while (!hasEnded)
-            CPPUNIT_ASSERT(context_.run_one_for(Milliseconds(5000)) > 0);
-        return result;
-    }
-
     Http::asio::io_context context_;
     Http::ConnectionPool pool_{context_};
     Platform::Store store_;
@@ -58,13 +44,16 @@
             Http::ExchangeControl control;
             const bool isOk
                 = head.kind_ == HeadKind::Final && head.text_.starts_with("HTTP/1.1 200");
-            const auto rows = fixture.resultOf(Adapter::readAll(store, StoreTable::Targets));
+            const auto rows
+                = resultOf(fixture.context_, Adapter::readAll(store, StoreTable::Targets));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head.name_, isOk, rows.has_value());
-            const auto changes = fixture.resultOf(Adapter::awaitChanges(
-                store, StoreTable::Operators, Platform::Revision(5), Milliseconds(10), control));
+            const auto changes
+                = resultOf(fixture.context_,
+                           Adapter::awaitChanges(store, StoreTable::Operators,
+                                                 Platform::Revision(5), Milliseconds(10), control));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head.name_, isOk, changes.has_value());
-            const bool isWritten
-                = fixture.resultOf(Adapter::writeInstance(store, "i", std::string("record")));
+            const bool isWritten = resultOf(
+                fixture.context_, Adapter::writeInstance(store, "i", std::string("record")));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(head.name_, isOk, isWritten);
         }
     }
--- a/Tests/Support/RawPeer.h
+++ b/Tests/Support/RawPeer.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 namespace Support {
@@ -109,4 +110,23 @@
     std::shared_ptr<State> state_;
 };
 
+/// Runs \a context until \a task has ended, and returns its result. Throws if nothing happens for
+/// five seconds.
+template <typename Result>
+Result resultOf(Http::asio::io_context &context, Http::Task<Result> task)
+{
+    Result result{};
+    bool hasEnded = false;
+    const auto run = [&]() -> Http::Task<void> {
+        result = co_await std::move(task);
+        hasEnded = true;
+    };
+    Http::asio::co_spawn(context, run(), Http::asio::detached);
+    while (!hasEnded) {
+        if (context.run_one_for(Model::Milliseconds(5000)) == 0)
+            throw std::runtime_error("a coroutine does not end");
+    }
+    return result;
+}
+
 } // namespace Support
