Entryd: Let attempts that outlive the dispatcher count their answers

At the exit of entryd, attempts that are still in progress end after their dispatcher, and each takes its bytes off the dispatcher's count. Found by reading the change; no run showed a failure.

--- a/Services/Entryd/Dispatcher.cpp
+++ b/Services/Entryd/Dispatcher.cpp
@@ -83,7 +83,7 @@
     , threadNumber_(threadNumber)
 {
     const auto heldLimit = Policy::heldBytesLimit(settings.size_).value_or(defaultHeldAnswers);
-    heldAnswers_.limit_ = Policy::Bytes(heldLimit.value() / settings.entryThreads_);
+    heldAnswers_->limit_ = Policy::Bytes(heldLimit.value() / settings.entryThreads_);
     // The start time makes request ids unique across all incarnations of the instance.
     const auto startedAt = std::chrono::system_clock::now().time_since_epoch().count();
     idPrefix_ = settings.instance_.value() + "-" + std::to_string(startedAt) + "-"
--- a/Services/Entryd/Dispatcher.h
+++ b/Services/Entryd/Dispatcher.h
@@ -95,7 +95,8 @@
     std::function<void(std::size_t)> wakeOthers_;
     Http::ConnectionPool pool_;
     /// The answers that this thread is receiving; its bound is an equal part of the process's.
-    Policy::HeldBytes heldAnswers_;
+    /// Shared with attempts that outlive the dispatcher.
+    std::shared_ptr<Policy::HeldBytes> heldAnswers_ = std::make_shared<Policy::HeldBytes>();
     /// By service name, so that queues survive a table update that moves the rows.
     std::map<Model::ServiceId, std::unique_ptr<ServiceQueue>> queues_;
     Policy::RetryBudget retryBudget_;
--- a/Services/Entryd/HeldAnswer.h
+++ b/Services/Entryd/HeldAnswer.h
@@ -3,19 +3,21 @@
 #include <LibHttp/LibHttp.h>
 #include <LibPolicy/LibPolicy.h>
 
+#include <memory>
+
 namespace Entryd {
 
 /// Counts the bytes of the answer to one attempt for the lifetime of this object.
 ///
-/// Thread safety: none; belongs to the thread of \a held, which must outlive it.
+/// Thread safety: none; belongs to the thread of \a held.
 class HeldAnswer
 {
 public:
-    explicit HeldAnswer(Policy::HeldBytes &held)
-        : held_(held)
+    explicit HeldAnswer(std::shared_ptr<Policy::HeldBytes> held)
+        : held_(std::move(held))
     {
     }
-    ~HeldAnswer() { held_.forTargets_ = held_.forTargets_ - bytes_; }
+    ~HeldAnswer() { held_->forTargets_ = held_->forTargets_ - bytes_; }
     HeldAnswer(const HeldAnswer &) = delete;
     HeldAnswer &operator=(const HeldAnswer &) = delete;
 
@@ -26,7 +28,7 @@
         options.holdAnswer_ = [this](std::size_t bytes, Http::AnswerLength length) {
             return hold(Policy::Bytes(static_cast<std::int64_t>(bytes)), length);
         };
-        if (const auto limit = Policy::unstatedAnswerLimit(held_))
+        if (const auto limit = Policy::unstatedAnswerLimit(*held_))
             options.unstatedAnswerLimitBytes_ = static_cast<std::size_t>(limit->value());
     }
 
@@ -35,16 +37,16 @@
     bool hold(Policy::Bytes bytes, Http::AnswerLength length)
     {
         const bool fits = length == Http::AnswerLength::Stated
-                              ? Policy::mayHold(held_, bytes)
-                              : Policy::mayHoldUnstated(held_, bytes);
+                              ? Policy::mayHold(*held_, bytes)
+                              : Policy::mayHoldUnstated(*held_, bytes);
         if (!fits)
             return false;
-        held_.forTargets_ += bytes;
+        held_->forTargets_ += bytes;
         bytes_ += bytes;
         return true;
     }
 
-    Policy::HeldBytes &held_;
+    std::shared_ptr<Policy::HeldBytes> held_;
     Policy::Bytes bytes_;
 };
 
