Tests: Check the reason of each odd row by itself

oddTargetRowsEndNothing asserted that a refused row leaves a reason, but the reason of an earlier row would have passed for it. The reason is now cleared before each row, so the check is stricter.

--- a/Tests/LibPlatform/TestTableMirror.cpp
+++ b/Tests/LibPlatform/TestTableMirror.cpp
@@ -140,6 +140,8 @@
     void oddTargetRowsEndNothing()
     {
         for (const auto &oddRow : oddTargetRows()) {
+            // Otherwise the reason of an earlier row would count for this one.
+            Model::fail(ResultCode::Ok, "");
             const bool isFollowed = isFollowedBeside(oddRow);
             CPPUNIT_ASSERT_MESSAGE(oddRow.substr(0, 60),
                                    isFollowed || Model::lastReason().code_ != ResultCode::Ok);
